--- /dev/null
+++ b/Source/Core/Common/Clock.cpp
@@ -0,0 +1,44 @@
+#include "Common/Clock.h"
+
+#include <random>
+
+namespace Common {
+
+Hooks systemHooks()
+{
+    return {
+        .now = [] { return TimePoint(std::chrono::steady_clock::now()); },
+        .random = [] {
+            thread_local std::mt19937_64 generator(std::random_device {}());
+            return generator(); },
+    };
+}
+
+std::uint64_t randomBelow(const Hooks& hooks, std::uint64_t bound)
+{
+    // A plain remainder: the bias is below 1e-12 for the pool sizes met here.
+    return bound == 0 ? 0 : hooks.random() % bound;
+}
+
+double randomUnit(const Hooks& hooks)
+{
+    constexpr int mantissaBits = 53;
+    return static_cast<double>(hooks.random() >> (64 - mantissaBits)) / static_cast<double>(1ULL << mantissaBits);
+}
+
+double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+Duration fromMilliseconds(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}
--- /dev/null
+++ b/Source/Core/Common/EventLog.cpp
@@ -0,0 +1,136 @@
+#include "Common/EventLog.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include "Common/Clock.h"
+#include "Common/NameTable.h"
+
+namespace Common {
+
+namespace {
+
+    using enum EventId;
+
+    constexpr std::array eventRows {
+        EventRow { EntryStarted, "entry-started", Severity::Info, "The entry serves callers." },
+        EventRow { EntryLeaving, "entry-leaving", Severity::Info, "Graceful shutdown began; the directory no longer names this entry." },
+        EventRow { EntryStopped, "entry-stopped", Severity::Info, "The entry ended with nothing in flight." },
+        EventRow { EntryStopForced, "entry-stop-forced", Severity::Error, "The entry ended with calls in flight: second signal or time limit." },
+        EventRow { ListenFailed, "listen-failed", Severity::Error, "An address could not be bound." },
+        EventRow { CallFailed, "call-failed", Severity::Warning, "A call ended without a backend server's answer." },
+        EventRow { CallAttempt, "call-attempt", Severity::Info, "A request was sent to a backend server." },
+        EventRow { CallAnswered, "call-answered", Severity::Info, "A call ended with a backend server's answer." },
+        EventRow { CallClaimed, "call-claimed", Severity::Info, "A claim row was written for a request." },
+        EventRow { CallDuplicate, "call-duplicate", Severity::Warning, "A second request with the same Idempotency-Key was joined or refused." },
+        EventRow { RecordApplied, "record-applied", Severity::Info, "A record of a newer revision is in force." },
+        EventRow { RecordNotUnderstood, "record-not-understood", Severity::Warning, "A record holds no form that this entry understands; the old one stays in force." },
+        EventRow { RecordRejected, "record-rejected", Severity::Error, "A stored record could not be read; the old one stays in force." },
+        EventRow { StoreUnreachable, "store-unreachable", Severity::Warning, "The platform's store does not answer; the entry goes on with what it has." },
+        EventRow { StoreReachable, "store-reachable", Severity::Info, "The platform's store answers again." },
+        EventRow { SnapshotWritten, "snapshot-written", Severity::Info, "The snapshot object for cold starts was renewed." },
+        EventRow { MemberJoined, "member-joined", Severity::Info, "An entry instance joined or came back." },
+        EventRow { MemberSuspected, "member-suspected", Severity::Warning, "An entry instance missed its heartbeats." },
+        EventRow { MemberFailed, "member-failed", Severity::Warning, "A suspected entry instance was removed." },
+        EventRow { MemberLeft, "member-left", Severity::Info, "An entry instance left on purpose." },
+        EventRow { PeerMessageRefused, "peer-message-refused", Severity::Warning, "A message between entries was malformed, unsigned or replayed." },
+        EventRow { ServerAdded, "server-added", Severity::Info, "A backend server joined a service's pool." },
+        EventRow { ServerRemoved, "server-removed", Severity::Info, "A backend server left a service's pool." },
+        EventRow { ServerEjected, "server-ejected", Severity::Warning, "A backend server gets no work for a while." },
+        EventRow { ServerReturned, "server-returned", Severity::Info, "A backend server gets work again, by slow start." },
+        EventRow { ServerDraining, "server-draining", Severity::Info, "A backend server is leaving and gets no new work." },
+        EventRow { ServerConnectionsSuspect, "server-connections-suspect", Severity::Warning, "Connections to a backend server went silent; all older ones are replaced." },
+    };
+
+    constexpr std::array severityNames {
+        EnumName<Severity> { Severity::Info, "info" },
+        EnumName<Severity> { Severity::Warning, "warning" },
+        EnumName<Severity> { Severity::Error, "error" },
+    };
+
+    std::string textLine(const std::string& process, const Event& event)
+    {
+        const auto& row = eventRow(event.id);
+        auto line = fmt::format("{} {} {} {} {}", event.wallMs, process, severityName(row.severity), static_cast<int>(row.id), row.name);
+        for (const auto& field : event.fields)
+            line += fmt::format(" {}={}", field.key, Json::valueToQuotedString(field.value.c_str()));
+        return line;
+    }
+
+    std::string jsonLine(const std::string& process, const Event& event)
+    {
+        const auto& row = eventRow(event.id);
+        Json::Value json;
+        json["time_ms"] = Json::Int64(event.wallMs);
+        json["process"] = process;
+        json["severity"] = std::string(severityName(row.severity));
+        json["event"] = static_cast<int>(row.id);
+        json["name"] = std::string(row.name);
+        for (const auto& field : event.fields)
+            json["fields"][field.key] = field.value;
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        return Json::writeString(builder, json);
+    }
+
+}
+
+std::span<const EventRow> eventTable()
+{
+    return eventRows;
+}
+
+const EventRow& eventRow(EventId id)
+{
+    auto it = std::find_if(eventRows.begin(), eventRows.end(), [&](const auto& row) { return row.id == id; });
+    return it == eventRows.end() ? eventRows.front() : *it;
+}
+
+std::string_view severityName(Severity severity)
+{
+    return nameOf(severityNames, severity);
+}
+
+EventLog::EventLog(EventLogOptions options)
+    : m_options(std::move(options))
+{
+}
+
+void EventLog::log(EventId id, std::vector<EventField> fields)
+{
+    auto event = remember(id, std::move(fields));
+    if (m_options.format == LogFormat::Off)
+        return;
+    auto line = m_options.format == LogFormat::Json ? jsonLine(m_options.process, event) : textLine(m_options.process, event);
+    // One write a line, so that lines of several threads do not mix.
+    fmt::print(stderr, "{}\n", line);
+}
+
+void EventLog::trace(EventId id, std::vector<EventField> fields)
+{
+    remember(id, std::move(fields));
+}
+
+std::vector<Event> EventLog::since(std::uint64_t sequence) const
+{
+    std::lock_guard lock(m_mutex);
+    auto it = std::find_if(m_ring.begin(), m_ring.end(), [&](const Event& event) { return event.sequence > sequence; });
+    return { it, m_ring.end() };
+}
+
+Event EventLog::remember(EventId id, std::vector<EventField> fields)
+{
+    Event event { .wallMs = wallMilliseconds(), .id = id, .fields = std::move(fields) };
+    std::lock_guard lock(m_mutex);
+    event.sequence = ++m_lastSequence;
+    m_ring.push_back(event);
+    if (m_ring.size() > m_options.ringSize)
+        m_ring.pop_front();
+    return event;
+}
+
+}
--- /dev/null
+++ b/Source/Core/Common/EventLog.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Common {
+
+// Numbered events; docs/EVENTS.md lists them and a test holds both together.
+enum class EventId : int {
+    EntryStarted = 1000,
+    EntryLeaving = 1001,
+    EntryStopped = 1002,
+    EntryStopForced = 1003,
+    ListenFailed = 1004,
+    CallFailed = 2000,
+    CallAttempt = 2001,
+    CallAnswered = 2002,
+    CallClaimed = 2003,
+    CallDuplicate = 2004,
+    RecordApplied = 3000,
+    RecordNotUnderstood = 3001,
+    RecordRejected = 3002,
+    StoreUnreachable = 3003,
+    StoreReachable = 3004,
+    SnapshotWritten = 3005,
+    MemberJoined = 4000,
+    MemberSuspected = 4001,
+    MemberFailed = 4002,
+    MemberLeft = 4003,
+    PeerMessageRefused = 4004,
+    ServerAdded = 5000,
+    ServerRemoved = 5001,
+    ServerEjected = 5002,
+    ServerReturned = 5003,
+    ServerDraining = 5004,
+    ServerConnectionsSuspect = 5005,
+};
+
+enum class Severity {
+    Info,
+    Warning,
+    Error,
+};
+
+struct EventRow {
+    EventId id;
+    std::string_view name;
+    Severity severity;
+    std::string_view meaning;
+};
+
+// All events in ascending order.
+std::span<const EventRow> eventTable();
+const EventRow& eventRow(EventId);
+// "info", "warning", "error".
+std::string_view severityName(Severity);
+
+struct EventField {
+    std::string key;
+    std::string value;
+};
+
+struct Event {
+    std::uint64_t sequence = 0; // per process, from 1
+    std::int64_t wallMs = 0;
+    EventId id = EventId::EntryStarted;
+    std::vector<EventField> fields;
+};
+
+enum class LogFormat {
+    Text,
+    Json,
+    Off, // ring only
+};
+
+struct EventLogOptions {
+    std::string process; // who logs: the instance's address
+    LogFormat format = LogFormat::Text;
+    std::size_t ringSize = 4096; // events kept for the time line
+};
+
+// One line a numbered event to standard error, and a bounded ring of the latest for the time line.
+class EventLog {
+public:
+    explicit EventLog(EventLogOptions);
+
+    // To the ring and to standard error.
+    void log(EventId, std::vector<EventField>);
+    // To the ring only: events of single calls would flood the log.
+    void trace(EventId, std::vector<EventField>);
+
+    // Events with a greater sequence number, oldest first.
+    std::vector<Event> since(std::uint64_t sequence) const;
+    const std::string& process() const { return m_options.process; }
+
+private:
+    Event remember(EventId, std::vector<EventField>);
+
+    EventLogOptions m_options;
+    mutable std::mutex m_mutex;
+    std::deque<Event> m_ring;
+    std::uint64_t m_lastSequence = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Common/Hash.cpp
@@ -0,0 +1,12 @@
+#include "Common/Hash.h"
+
+#include <xxhash.h>
+
+namespace Common {
+
+std::uint64_t hash(std::string_view bytes, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+}
--- /dev/null
+++ b/Source/Core/Common/Snapshot.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+
+namespace Common {
+
+// An immutable value that readers take by pointer and a writer replaces whole.
+template <typename T>
+class Snapshot {
+public:
+    explicit Snapshot(std::shared_ptr<const T> value = std::make_shared<const T>())
+        : m_value(std::move(value))
+    {
+    }
+
+    std::shared_ptr<const T> get() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_value;
+    }
+
+    void set(std::shared_ptr<const T> value)
+    {
+        std::lock_guard lock(m_mutex);
+        // The old value dies outside the lock.
+        m_value.swap(value);
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const T> m_value;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -0,0 +1,68 @@
+#include <csignal>
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include "Entry/Daemon.h"
+#include "Operator/CheckCommand.h"
+#include "Operator/ExitCode.h"
+#include "Platform/HttpPlatform.h"
+
+namespace {
+
+constexpr auto usage = R"(cowslipledge: load balancer for servers whose load shifts in milliseconds.
+
+Usage:
+  cowslipledge entry --settings FILE
+  cowslipledge check FILE
+  cowslipledge --help
+  cowslipledge --version
+
+Options:
+  --settings FILE  TOML settings of an entry instance.
+  --help           Show this text.
+  --version        Show the version.
+)";
+
+// Blocks the signals that end an entry, so that only waitForSignal() takes them.
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int entryCommand(const std::string& path)
+{
+    std::vector<Common::FileError> errors;
+    auto text = Common::readFile(path, errors);
+    auto settings = text ? Settings::parseEntrySettings(*text, path, errors) : std::nullopt;
+    if (!settings) {
+        for (const auto& error : errors)
+            fmt::print(stderr, "{}\n", Common::describe(error));
+        return Operator::toInt(Operator::ExitCode::InvalidFile);
+    }
+    auto signals = blockSignals();
+    auto platform = Platform::httpPlatform({ .address = settings->platformAddress });
+    Entry::Daemon daemon(*settings, platform, Common::systemHooks());
+    if (!daemon.start())
+        return Operator::toInt(Operator::ExitCode::Failed);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    auto clean = daemon.stop();
+    return Operator::toInt(clean ? Operator::ExitCode::Ok : Operator::ExitCode::Failed);
+}
+
+}
+
+int main(int argc, char* argv[])
+{
+    auto args = docopt::docopt(usage, { argv + 1, argv + argc }, true, "cowslipledge 0.1.0");
+    if (args["entry"].asBool())
+        return entryCommand(args["--settings"].asString());
+    return Operator::checkCommand(args["FILE"].asString());
+}
--- /dev/null
+++ b/Source/Core/Decisions/CarrierShare.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace Decisions {
+
+// This entry's part in one service, from membership.
+struct CarrierShare {
+    bool carries = true; // the directory names this entry for the service
+    int carriers = 1; // entries that carry it now, at least 1
+    int mostCarriers = 1; // the largest count seen in the last minutes: budgets are divided by it, so that they hold through splits and restarts
+    int liveEntries = 1;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Platform/HttpPlatform.cpp
@@ -0,0 +1,242 @@
+#include "Platform/HttpPlatform.h"
+
+#include <sstream>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+#include <fmt/format.h>
+#include <json/json.h>
+
+namespace Platform {
+
+namespace {
+
+    using Common::Error;
+    using Common::Result;
+    using Common::ResultCode;
+    using Poco::Net::HTTPRequest;
+    using Poco::Net::HTTPResponse;
+
+    struct HttpAnswer {
+        int status = 0;
+        std::string body;
+        std::string etag;
+    };
+
+    struct HttpCall {
+        std::string method;
+        std::string path;
+        std::string body;
+        std::string ifMatch;
+    };
+
+    std::string encode(const std::string& text)
+    {
+        std::string encoded;
+        Poco::URI::encode(text, "/?#&+=", encoded);
+        return encoded;
+    }
+
+    // A connection a call: the store is asked a few times a second, and a fresh connection cannot have gone silent.
+    Result<HttpAnswer> exchange(const HttpPlatformOptions& options, const HttpCall& call)
+    {
+        try {
+            Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(options.address) };
+            session.setTimeout(Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(options.timeout).count()));
+            HTTPRequest request(call.method, call.path, HTTPRequest::HTTP_1_1);
+            request.setContentLength(static_cast<std::streamsize>(call.body.size()));
+            if (!call.ifMatch.empty())
+                request.set("If-Match", call.ifMatch);
+            session.sendRequest(request) << call.body;
+            HTTPResponse response;
+            auto& in = session.receiveResponse(response);
+            HttpAnswer answer { .status = response.getStatus(), .body = {}, .etag = response.get("ETag", "") };
+            Poco::StreamCopier::copyToString(in, answer.body);
+            if (response.hasContentLength() && static_cast<std::streamsize>(answer.body.size()) != response.getContentLength())
+                return Error { ResultCode::StoreUnavailable, "the platform's answer was cut short" };
+            return answer;
+        } catch (const Poco::Exception& ec) {
+            return Error { ResultCode::StoreUnavailable, ec.displayText() };
+        }
+    }
+
+    Error unexpected(const HttpCall& call, const HttpAnswer& answer)
+    {
+        constexpr int serverError = 500;
+        constexpr int tooManyRequests = 429;
+        auto busy = answer.status >= serverError || answer.status == tooManyRequests;
+        return { busy ? ResultCode::StoreUnavailable : ResultCode::StoreProtocol,
+            fmt::format("{} {}: status {}", call.method, call.path, answer.status) };
+    }
+
+    struct JsonAnswer {
+        int status = 0;
+        Json::Value json;
+    };
+
+    Result<JsonAnswer> exchangeJson(const HttpPlatformOptions& options, const HttpCall& call, int alsoAllowed = 0)
+    {
+        auto answer = exchange(options, call);
+        if (!answer)
+            return answer.error();
+        if (answer.value().status != HTTPResponse::HTTP_OK && answer.value().status != alsoAllowed)
+            return unexpected(call, answer.value());
+        JsonAnswer parsed { .status = answer.value().status, .json = {} };
+        std::string errors;
+        std::istringstream in(answer.value().body);
+        if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &parsed.json, &errors))
+            return Error { ResultCode::StoreProtocol, "the platform's answer is not JSON: " + errors };
+        return parsed;
+    }
+
+    // jsoncpp throws on a value of another type than asked for.
+    template <typename T>
+    Result<T> decode(const std::function<T()>& read)
+    {
+        try {
+            return read();
+        } catch (const Json::Exception& ec) {
+            return Error { ResultCode::StoreProtocol, ec.what() };
+        }
+    }
+
+    Row toRow(const Json::Value& json)
+    {
+        return { .key = json["key"].asString(), .value = json["value"].asString(), .version = json["version"].asUInt64() };
+    }
+
+    std::string toText(const Json::Value& json)
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        return Json::writeString(builder, json);
+    }
+
+    std::string encodeTransaction(const Transaction& transaction)
+    {
+        Json::Value json;
+        json["conditions"] = Json::arrayValue;
+        json["writes"] = Json::arrayValue;
+        for (const auto& condition : transaction.conditions) {
+            Json::Value item;
+            item["key"] = condition.key;
+            item["version"] = Json::UInt64(condition.version);
+            json["conditions"].append(item);
+        }
+        for (const auto& write : transaction.writes) {
+            Json::Value item;
+            item["key"] = write.key;
+            if (write.value)
+                item["value"] = *write.value;
+            else
+                item["delete"] = true;
+            json["writes"].append(item);
+        }
+        return toText(json);
+    }
+
+    Table httpTable(const HttpPlatformOptions& options)
+    {
+        return {
+            .get = [options](const std::string& key) -> Result<Row> {
+                HttpCall call { .method = "GET", .path = "/table/rows/" + encode(key), .body = {}, .ifMatch = {} };
+                auto json = exchangeJson(options, call, HTTPResponse::HTTP_NOT_FOUND);
+                if (!json)
+                    return json.error();
+                if (json.value().status == HTTPResponse::HTTP_NOT_FOUND)
+                    return Row { .key = key, .value = {}, .version = 0 };
+                return decode<Row>([&] { return toRow(json.value().json); });
+            },
+            .scan = [options](const Range& range) -> Result<std::vector<Row>> {
+                auto path = fmt::format("/table/rows?prefix={}&after={}&limit={}", encode(range.prefix), encode(range.after), range.limit);
+                auto json = exchangeJson(options, { .method = "GET", .path = path, .body = {}, .ifMatch = {} });
+                if (!json)
+                    return json.error();
+                return decode<std::vector<Row>>([&] {
+                    std::vector<Row> rows;
+                    for (const auto& item : json.value().json["rows"])
+                        rows.push_back(toRow(item));
+                    return rows;
+                });
+            },
+            .commit = [options](const Transaction& transaction) -> Result<TransactionAnswer> {
+                HttpCall call { .method = "POST", .path = "/table/transactions", .body = encodeTransaction(transaction), .ifMatch = {} };
+                auto json = exchangeJson(options, call, HTTPResponse::HTTP_CONFLICT);
+                if (!json)
+                    return json.error();
+                return decode<TransactionAnswer>([&] {
+                    TransactionAnswer answer;
+                    answer.committed = json.value().status == HTTPResponse::HTTP_OK;
+                    for (const auto& item : json.value().json["found"])
+                        answer.found.push_back({ item["key"].asString(), item["version"].asUInt64() });
+                    return answer;
+                });
+            },
+        };
+    }
+
+    Objects httpObjects(const HttpPlatformOptions& options)
+    {
+        return {
+            .get = [options](const std::string& key) -> Result<std::optional<Object>> {
+                HttpCall call { .method = "GET", .path = "/objects/" + encode(key), .body = {}, .ifMatch = {} };
+                auto answer = exchange(options, call);
+                if (!answer)
+                    return answer.error();
+                if (answer.value().status == HTTPResponse::HTTP_NOT_FOUND)
+                    return std::optional<Object>();
+                if (answer.value().status != HTTPResponse::HTTP_OK)
+                    return unexpected(call, answer.value());
+                return std::optional(Object { .bytes = answer.value().body, .etag = answer.value().etag });
+            },
+            .put = [options](const std::string& key, const std::string& bytes, const std::string& etag) -> Result<std::string> {
+                HttpCall call { .method = "PUT", .path = "/objects/" + encode(key), .body = bytes, .ifMatch = etag.empty() ? "none" : etag };
+                auto answer = exchange(options, call);
+                if (!answer)
+                    return answer.error();
+                if (answer.value().status == HTTPResponse::HTTP_PRECONDITION_FAILED)
+                    return Error { ResultCode::RecordConflict, "the object was replaced by another writer" };
+                if (answer.value().status != HTTPResponse::HTTP_OK)
+                    return unexpected(call, answer.value());
+                return answer.value().etag;
+            },
+        };
+    }
+
+    Result<std::vector<Instance>> listInstances(const HttpPlatformOptions& options)
+    {
+        auto json = exchangeJson(options, { .method = "GET", .path = "/instances", .body = {}, .ifMatch = {} });
+        if (!json)
+            return json.error();
+        return decode<std::vector<Instance>>([&] {
+            std::vector<Instance> instances;
+            for (const auto& item : json.value().json) {
+                instances.push_back({
+                    .address = item["address"].asString(),
+                    .kind = item["kind"].asString() == "entry" ? InstanceKind::Entry : InstanceKind::Backend,
+                    .pool = item["pool"].asString(),
+                    .failureDomain = item["failure_domain"].asString(),
+                    .leaving = item["state"].asString() == "leaving",
+                    .peerAddress = item["peer_address"].asString(),
+                });
+            }
+            return instances;
+        });
+    }
+
+}
+
+Services httpPlatform(const HttpPlatformOptions& options)
+{
+    return {
+        .table = httpTable(options),
+        .objects = httpObjects(options),
+        .instances = [options] { return listInstances(options); },
+    };
+}
+
+}
--- /dev/null
+++ b/Source/Core/Requests/AnswerFilters.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "Common/EventLog.h"
+#include "Requests/FilterChain.h"
+
+namespace Requests {
+
+// Notes how each call ended in the time line. The first filter.
+Filter timelineFilter(Common::EventLog&);
+
+}
