--- a/Source/Core/Bench/Scenario.cpp
+++ b/Source/Core/Bench/Scenario.cpp
@@ -8,6 +8,7 @@
 #include "Bench/BackendStandIn.h"
 #include "Bench/LoadGenerator.h"
 #include "Bench/PlatformStandIn.h"
+#include "Bench/RecordTable.h"
 #include "Entry/Daemon.h"
 #include "Platform/HttpPlatform.h"
 
@@ -61,7 +62,7 @@
         instances.push_back({ .address = servers.back()->address(), .pool = "puzzle", .failureDomain = "a", .peerAddress = {} });
     }
     platform.setInstances(instances);
-    platform.commit({ .conditions = {}, .writes = { { "records/services/puzzle", recordText }, { "records/head", "1" } } });
+    platform.commit(seedTransaction(0, { { .service = "puzzle", .forms = { recordText } } }));
     Entry::Daemon entry(entrySettings(platform.address()), Platform::httpPlatform({ .address = platform.address() }), Common::systemHooks());
     if (!entry.start())
         return 1;
--- a/Source/Core/Records/ServiceRecord.h
+++ b/Source/Core/Records/ServiceRecord.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,11 @@
 struct RecordSet {
     std::uint64_t revision = 0;
     std::map<std::string, std::shared_ptr<const ServiceRecord>, std::less<>> services;
+    // Services whose newest record this entry cannot read: what it had stays in `services`, but callers are not sent here.
+    std::set<std::string, std::less<>> notUnderstood;
+
+    // Whether the directory may name this entry for the service.
+    bool offered(std::string_view service) const { return services.contains(service) && !notUnderstood.contains(service); }
 };
 
 inline constexpr int newestSchema = 1;
