Backend sessions: own body reading, deadlines by poll, fresh and suspect connections

Cause: the library takes an invalid chunk size for the end of a body, so a cut chunked answer could pass for a whole one; an interim answer (103) counted as the answer; each received piece renewed the receive timeout of a head; repeated request fields were merged into the last one; control characters in forwarded fields were not checked; setTimeouts() made two setsockopt calls and more for each step of a call.

Change: bodies are read by ChunkedBody and readFixedBody, past the library's streams; interim answers are skipped; the socket waits by poll(2) until one deadline, so that a call sets no socket option; TCP_USER_TIMEOUT, keepalive and TCP_NODELAY are set once a connection; a request that is not clean is refused before any byte. ConnectionPool::acquire() takes the freshness asked for, and a connection that went silent replaces all others last heard from before its request (event server-connections-suspect).

--- a/Source/Core/Backends/BackendSession.cpp
+++ b/Source/Core/Backends/BackendSession.cpp
@@ -1,11 +1,15 @@
 #include "Backends/BackendSession.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/String.h>
+
+#include "Backends/ChunkedBody.h"
 
 namespace Backends {
 
@@ -14,8 +18,11 @@
     using Decisions::AttemptEnd;
     using Decisions::AttemptFault;
     using Decisions::AttemptStage;
+    using Poco::Net::HTTPRequest;
     using Poco::Net::HTTPResponse;
 
+    constexpr int firstFinalStatus = 200;
+
     Common::TimePoint now()
     {
         return Common::TimePoint(std::chrono::steady_clock::now());
@@ -29,12 +36,51 @@
 
     bool hasNoBody(int status)
     {
-        constexpr int firstFinal = 200;
-        return status < firstFinal || status == HTTPResponse::HTTP_NO_CONTENT || status == HTTPResponse::HTTP_NOT_MODIFIED;
+        return status == HTTPResponse::HTTP_NO_CONTENT || status == HTTPResponse::HTTP_NOT_MODIFIED;
+    }
+
+    bool isToken(const std::string& text)
+    {
+        constexpr std::string_view separators = "()<>@,;:\\\"/[]?={} \t";
+        return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) { return c > ' ' && c < '\x7f' && separators.find(c) == std::string_view::npos; });
+    }
+
+    bool isFieldValue(const std::string& text)
+    {
+        return std::none_of(text.begin(), text.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
+    }
+
+    // The stated length of a body: all Content-Length fields must agree and none may stand beside chunks.
+    std::optional<std::size_t> statedLength(const HTTPResponse& response)
+    {
+        std::optional<std::size_t> length;
+        for (const auto& [name, text] : response) {
+            if (Poco::icompare(name, HTTPResponse::CONTENT_LENGTH) != 0)
+                continue;
+            std::size_t value = 0;
+            auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+            if (ec != std::errc() || end != text.data() + text.size() || (length && *length != value))
+                return std::nullopt;
+            length = value;
+        }
+        return length;
+    }
+
+    bool statesBody(const HTTPRequest& head, std::string_view body)
+    {
+        return !body.empty() || head.getMethod() == HTTPRequest::HTTP_POST || head.getMethod() == HTTPRequest::HTTP_PUT || head.getMethod() == HTTPRequest::HTTP_PATCH;
     }
 
 }
 
+bool isCleanRequest(const BackendRequest& request)
+{
+    auto visible = [](char c) { return c > ' ' && c != '\x7f'; };
+    auto cleanHeader = [](const Header& header) { return isToken(header.first) && isFieldValue(header.second); };
+    return isToken(request.method) && !request.target.empty() && std::all_of(request.target.begin(), request.target.end(), visible)
+        && std::all_of(request.headers.begin(), request.headers.end(), cleanHeader);
+}
+
 BackendSession::BackendSession(SessionOptions options)
     : HTTPClientSession(Poco::Net::StreamSocket(new BackendSocket))
     , m_options(std::move(options))
@@ -49,9 +95,11 @@
 AttemptEnd BackendSession::open(Common::Duration timeout)
 {
     try {
-        setTimeouts(timeout);
+        auto span = toTimespan(timeout);
+        setTimeout(span, span, span);
         // Not reconnect(): that one belongs to the library's own decisions.
         HTTPSession::connect(Poco::Net::SocketAddress(m_options.address));
+        m_socket->configure(m_options.silence);
         m_lastHeard = now();
         return { .stage = AttemptStage::BeforeSend };
     } catch (const Poco::TimeoutException&) {
@@ -65,22 +113,27 @@
 {
     m_socket->resetCounts();
     m_reusable = false;
+    m_silentSince.reset();
+    if (!isCleanRequest(request))
+        return endOfSend(AttemptFault::Malformed);
     if (isStale())
         return endOfSend(AttemptFault::Closed);
     try {
-        setTimeouts(timeout);
-        m_head = request.method == Poco::Net::HTTPRequest::HTTP_HEAD;
-        Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPRequest::HTTP_1_1);
+        m_sentAt = now();
+        m_socket->setDeadline(m_sentAt + timeout);
+        HTTPRequest head(request.method, request.target, HTTPRequest::HTTP_1_1);
+        m_head = request.method == HTTPRequest::HTTP_HEAD;
         for (const auto& [name, value] : request.headers)
-            head.set(name, value);
+            head.add(name, value);
         head.setKeepAlive(true);
-        if (!request.body.empty() || request.method == Poco::Net::HTTPRequest::HTTP_POST || request.method == Poco::Net::HTTPRequest::HTTP_PUT)
-            head.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        if (statesBody(head, request.body))
+            head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
         m_outgoing.clear();
-        sendRequest(head).write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
+        sendRequest(head);
         flushRequest();
+        m_outgoing.append(request.body);
         for (std::size_t done = 0; done < m_outgoing.size();)
-            done += static_cast<std::size_t>(socket().sendBytes(m_outgoing.data() + done, static_cast<int>(m_outgoing.size() - done)));
+            done += static_cast<std::size_t>(m_socket->sendBytes(m_outgoing.data() + done, static_cast<int>(m_outgoing.size() - done)));
         return { .stage = AttemptStage::Sent };
     } catch (const Poco::TimeoutException&) {
         return endOfSend(AttemptFault::TimedOut);
@@ -92,29 +145,24 @@
 AttemptEnd BackendSession::receive(BackendAnswer& answer, Common::TimePoint deadline)
 {
     try {
-        setTimeouts(deadline - now());
+        m_socket->setDeadline(deadline);
         HTTPResponse response;
-        auto& in = receiveResponse(response);
+        do {
+            receiveResponse(response);
+        } while (response.getStatus() < firstFinalStatus && response.getStatus() != HTTPResponse::HTTP_SWITCHING_PROTOCOLS);
+        // Nobody asked for another protocol.
+        if (response.getStatus() < firstFinalStatus)
+            return endOfReceive(AttemptFault::Malformed);
         answer.status = response.getStatus();
         answer.headers.assign(response.begin(), response.end());
-        auto fault = AttemptFault::None;
-        if (!m_head && !hasNoBody(answer.status)) {
-            // Without a length or chunks the end of the body is the end of the connection: a cut would pass for a whole answer.
-            if (!response.hasContentLength() && !response.getChunkedTransferEncoding())
-                return endOfReceive(AttemptFault::CutShort);
-            fault = readBody(in, answer, deadline);
-            // The library hands over a body cut short as if it were whole.
-            if (fault == AttemptFault::None && response.hasContentLength() && static_cast<std::streamsize>(answer.body.size()) != response.getContentLength())
-                fault = AttemptFault::CutShort;
-        }
-        // A whole answer never needs the end of the connection to be read.
-        if (fault == AttemptFault::None && m_socket->ended())
-            fault = AttemptFault::CutShort;
+        auto fault = m_head || hasNoBody(answer.status) ? AttemptFault::None : readBody(response, answer);
         if (fault != AttemptFault::None)
             return endOfReceive(fault);
         m_lastHeard = now();
         m_reusable = response.getKeepAlive() && buffered() == 0;
-        return { .stage = AttemptStage::Answered, .status = answer.status, .provenNotRun = answer.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE && response.get("Cowslipledge-Not-Run", "") == "1" };
+        // Only a whole answer may prove that the request did not run.
+        auto proven = answer.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE && response.get("Cowslipledge-Not-Run", "") == "1";
+        return { .stage = AttemptStage::Answered, .status = answer.status, .provenNotRun = proven };
     } catch (const Poco::TimeoutException&) {
         return endOfReceive(AttemptFault::TimedOut);
     } catch (const Poco::Net::MessageException&) {
@@ -124,10 +172,11 @@
     }
 }
 
-void BackendSession::closeNow()
+AttemptEnd BackendSession::abandon(AttemptFault fault)
 {
-    m_reusable = false;
+    auto end = endOfReceive(fault);
     close();
+    return end;
 }
 
 int BackendSession::write(const char* buffer, std::streamsize length)
@@ -149,39 +198,28 @@
     return { .stage = m_socket->bytesSent() == 0 ? AttemptStage::BeforeSend : AttemptStage::PartlySent, .fault = fault };
 }
 
-AttemptEnd BackendSession::endOfReceive(AttemptFault fault) const
+AttemptEnd BackendSession::endOfReceive(AttemptFault fault)
 {
-    return { .stage = m_socket->bytesReceived() == 0 ? AttemptStage::Sent : AttemptStage::PartlyAnswered, .fault = fault };
-}
-
-AttemptFault BackendSession::readBody(std::istream& in, BackendAnswer& answer, Common::TimePoint deadline)
-{
-    constexpr std::size_t pieceBytes = 16 * 1024;
-    std::array<char, pieceBytes> buf;
-    while (in.good()) {
-        auto left = deadline - now();
-        if (left <= Common::Duration::zero())
-            return AttemptFault::TimedOut;
-        // A server that trickles its answer must not outlast the deadline piece by piece.
-        setTimeouts(left);
-        in.read(buf.data(), static_cast<std::streamsize>(buf.size()));
-        answer.body.append(buf.data(), static_cast<std::size_t>(in.gcount()));
-        if (answer.body.size() > m_options.answerBytes)
-            return AttemptFault::TooLarge;
-    }
-    if (const auto* ec = networkException())
-        return dynamic_cast<const Poco::TimeoutException*>(ec) ? AttemptFault::TimedOut : AttemptFault::Closed;
-    return AttemptFault::None;
+    m_reusable = false;
+    auto silent = m_socket->bytesReceived() == 0;
+    if (silent && fault == AttemptFault::TimedOut)
+        m_silentSince = m_sentAt;
+    return { .stage = silent ? AttemptStage::Sent : AttemptStage::PartlyAnswered, .fault = fault };
 }
 
-void BackendSession::setTimeouts(Common::Duration timeout)
+AttemptFault BackendSession::readBody(const HTTPResponse& response, BackendAnswer& answer)
 {
-    auto span = toTimespan(timeout);
-    setTimeout(span, span, span);
-    if (connected()) {
-        socket().setReceiveTimeout(span);
-        socket().setSendTimeout(span);
-    }
+    // Read past the library's streams, which hand over a body cut short as if it were whole.
+    ByteSource source { .get = [this] { return get(); }, .read = [this](char* buffer, int length) { return read(buffer, length); } };
+    if (response.getChunkedTransferEncoding())
+        return response.hasContentLength() ? AttemptFault::Malformed : readChunkedBody(source, m_options.answerBytes, answer.body);
+    // Without a length or chunks the end of the body is the end of the connection: a cut would pass for a whole answer.
+    if (!response.hasContentLength())
+        return AttemptFault::CutShort;
+    auto length = statedLength(response);
+    if (!length)
+        return AttemptFault::Malformed;
+    return *length > m_options.answerBytes ? AttemptFault::TooLarge : readFixedBody(source, *length, answer.body);
 }
 
 }
--- a/Source/Core/Backends/ConnectionPool.cpp
+++ b/Source/Core/Backends/ConnectionPool.cpp
@@ -1,24 +1,38 @@
 #include "Backends/ConnectionPool.h"
 
+#include <algorithm>
+
 namespace Backends {
 
+namespace {
+
+    Common::TimePoint now()
+    {
+        return Common::TimePoint(std::chrono::steady_clock::now());
+    }
+
+}
+
 ConnectionPool::ConnectionPool(ConnectionPoolOptions options)
     : m_options(std::move(options))
 {
 }
 
-ConnectionPool::Lease ConnectionPool::acquire()
+ConnectionPool::Lease ConnectionPool::acquire(Common::Duration freshness)
 {
-    std::vector<std::unique_ptr<BackendSession>> retired; // closed outside the lock
+    Sessions retired; // closed outside the lock
     std::lock_guard lock(m_mutex);
-    auto oldest = Common::TimePoint(std::chrono::steady_clock::now()) - m_options.idleLimit;
-    while (!m_idle.empty()) {
+    auto time = now();
+    dropHeardBefore(std::max(m_suspectBefore, time - m_options.idleLimit), retired);
+    if (!m_idle.empty() && time - m_idle.back()->lastHeard() <= freshness) {
         auto session = std::move(m_idle.back());
         m_idle.pop_back();
-        if (session->lastHeard() >= oldest)
-            return { .session = std::move(session), .kept = true };
+        return { .session = std::move(session), .kept = true };
+    }
+    if (m_open >= m_options.limit && !m_idle.empty()) {
+        retired.push_back(std::move(m_idle.front()));
+        m_idle.erase(m_idle.begin());
         --m_open;
-        retired.push_back(std::move(session));
     }
     if (m_open >= m_options.limit)
         return {};
@@ -28,14 +42,24 @@
 
 void ConnectionPool::release(std::unique_ptr<BackendSession> session)
 {
-    std::unique_ptr<BackendSession> ended;
-    std::lock_guard lock(m_mutex);
-    if (session->reusable()) {
-        m_idle.push_back(std::move(session));
-        return;
+    Sessions retired;
+    auto silentSince = session->silentSince();
+    auto suspect = silentSince && now() - *silentSince >= m_options.silenceLimit;
+    {
+        std::lock_guard lock(m_mutex);
+        if (suspect) {
+            m_suspectBefore = std::max(m_suspectBefore, *silentSince);
+            dropHeardBefore(m_suspectBefore, retired);
+        }
+        if (session->reusable() && session->lastHeard() >= m_suspectBefore) {
+            m_idle.push_back(std::move(session));
+        } else {
+            --m_open;
+            retired.push_back(std::move(session));
+        }
     }
-    --m_open;
-    ended = std::move(session);
+    if (suspect && m_options.onSuspect)
+        m_options.onSuspect(static_cast<int>(retired.size()) - 1);
 }
 
 int ConnectionPool::open() const
@@ -44,4 +68,13 @@
     return m_open;
 }
 
+void ConnectionPool::dropHeardBefore(Common::TimePoint oldest, Sessions& retired)
+{
+    auto keep = [&](const auto& session) { return session->lastHeard() >= oldest; };
+    auto it = std::stable_partition(m_idle.begin(), m_idle.end(), keep);
+    m_open -= static_cast<int>(m_idle.end() - it);
+    std::move(it, m_idle.end(), std::back_inserter(retired));
+    m_idle.erase(it, m_idle.end());
+}
+
 }
--- a/Source/Core/Controllers/BackendServers.cpp
+++ b/Source/Core/Controllers/BackendServers.cpp
@@ -39,7 +39,7 @@
     m_shards.set(std::move(next));
 }
 
-Common::Result<AttemptHold> BackendServers::begin(const std::string& service, std::span<const std::string> exclude)
+Common::Result<AttemptHold> BackendServers::begin(const std::string& service, std::span<const std::string> exclude, Common::Duration freshness)
 {
     auto target = shard(service);
     if (!target)
@@ -54,7 +54,7 @@
         hold.ticket = *ticket;
         connections = target->connections.at(ticket->address);
     }
-    hold.connection = connections->acquire();
+    hold.connection = connections->acquire(freshness);
     return hold;
 }
 
@@ -96,7 +96,10 @@
             connections.emplace(spec.address, it->second);
             continue;
         }
-        Backends::ConnectionPoolOptions options { .session = { .address = spec.address, .answerBytes = m_options.answerBytes }, .limit = record.connections };
+        auto onSuspect = [this, service = record.service, server = spec.address](int retired) {
+            m_log.log(Common::EventId::ServerConnectionsSuspect, { { "service", service }, { "server", server }, { "replaced", std::to_string(retired) } });
+        };
+        Backends::ConnectionPoolOptions options { .session = { .address = spec.address, .answerBytes = m_options.answerBytes }, .limit = record.connections, .onSuspect = std::move(onSuspect) };
         connections.emplace(spec.address, std::make_shared<Backends::ConnectionPool>(options));
         m_log.trace(Common::EventId::ServerAdded, { { "service", record.service }, { "server", spec.address } });
     }
--- a/Source/Core/Controllers/BackendServers.h
+++ b/Source/Core/Controllers/BackendServers.h
@@ -35,8 +35,8 @@
     // Brings pools in line with the records and the instance list.
     void apply(const Records::RecordSet&, std::span<const Platform::Instance>);
 
-    // Chooses a server and takes a connection. Errors: UnknownService, NoServer.
-    Common::Result<AttemptHold> begin(const std::string& service, std::span<const std::string> exclude);
+    // Chooses a server and takes a connection, a kept one only if heard from within `freshness`. Errors: UnknownService, NoServer.
+    Common::Result<AttemptHold> begin(const std::string& service, std::span<const std::string> exclude, Common::Duration freshness = Common::Duration::max());
     // Returns the connection and learns from the attempt.
     void end(const std::string& service, AttemptHold, const Decisions::AttemptReport&);
 
