Records: schemas 1 and 2 side by side

Cause: operators move a fleet across schemas one entry at a time; one schema could not show that old and new forms live together. Change: schema 2 has tables for probes and limits, adds queue, retry share and hedge share, and says by quantile when to hedge. Both are read into the same ServiceRecord. The directory leaves out services whose newest record this entry cannot read.

--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -133,7 +133,7 @@
     json["revision"] = Json::UInt64(records->revision);
     json["ttl_ms"] = m_settings.directoryTtlMs;
     json["entries"] = Json::arrayValue;
-    if (records->services.contains(service)) {
+    if (records->offered(service)) {
         auto instances = m_instances.get();
         for (const auto& instance : *instances) {
             if (instance.kind != Platform::InstanceKind::Entry || instance.leaving)
--- a/Source/Core/Records/ServiceRecord.cpp
+++ b/Source/Core/Records/ServiceRecord.cpp
@@ -17,7 +17,26 @@
     constexpr int maxConnections = 100'000;
     constexpr double maxProbeBudget = 100'000;
 
-    Rule readRule(TomlReader& reader)
+    constexpr int maxQueue = 100'000;
+    constexpr int firstSchemaWithTables = 2;
+
+    // Schema 1 says only whether to hedge, schema 2 says when.
+    void readHedge(TomlReader& reader, int schema, Rule& rule)
+    {
+        constexpr double lowest = 0.5;
+        constexpr double highest = 0.999;
+        const auto* key = schema < firstSchemaWithTables ? "hedge" : "hedge_quantile";
+        if (schema < firstSchemaWithTables) {
+            rule.hedge = reader.boolean(key, false);
+        } else {
+            rule.hedge = reader.has(key);
+            rule.hedgeQuantile = reader.number(key, lowest, highest, rule.hedgeQuantile);
+        }
+        if (rule.hedge && rule.repeat == Repeat::Never)
+            reader.fail(key, "a request that may not be repeated cannot be hedged");
+    }
+
+    Rule readRule(TomlReader& reader, int schema)
     {
         Rule rule;
         rule.method = reader.string("method", "");
@@ -27,9 +46,7 @@
         auto idempotent = rule.method == "GET" || rule.method == "HEAD";
         rule.repeat = reader.name("repeat", repeatNames, std::optional(idempotent ? Repeat::Safe : Repeat::Never));
         rule.claim = reader.name("claim", claimNames, std::optional(Claim::None));
-        rule.hedge = reader.boolean("hedge", false);
-        if (rule.hedge && rule.repeat == Repeat::Never)
-            reader.fail("hedge", "a request that may not be repeated cannot be hedged");
+        readHedge(reader, schema, rule);
         rule.deadlineMs = static_cast<int>(reader.integer("deadline_ms", 0, maxDeadlineMs, 0));
         reader.finish();
         return rule;
@@ -47,6 +64,40 @@
         }
     }
 
+    void readCapacity(TomlReader& reader, ServiceRecord& record)
+    {
+        record.slots = static_cast<int>(reader.integer("slots", 1, maxSlots, record.slots));
+        record.connections = static_cast<int>(reader.integer("connections", 1, maxConnections, record.connections));
+    }
+
+    void readProbe(TomlReader& reader, std::string_view budgetKey, ServiceRecord& record)
+    {
+        record.probeBudget = reader.number(budgetKey, 0, maxProbeBudget, record.probeBudget);
+        record.goal = reader.name("goal", goalNames, std::optional(record.goal));
+    }
+
+    void readSchema1(TomlReader& reader, ServiceRecord& record)
+    {
+        readCapacity(reader, record);
+        readProbe(reader, "probe_budget", record);
+    }
+
+    void readSchema2(TomlReader& reader, const std::string& file, std::vector<Common::FileError>& errors, ServiceRecord& record)
+    {
+        const toml::table none;
+        const auto* probe = reader.table("probe");
+        TomlReader probeReader(probe ? *probe : none, file, "probe", errors);
+        readProbe(probeReader, "budget", record);
+        probeReader.finish();
+        const auto* limits = reader.table("limits");
+        TomlReader limitsReader(limits ? *limits : none, file, "limits", errors);
+        readCapacity(limitsReader, record);
+        record.limits.retryShare = limitsReader.number("retry_share", 0, 1, record.limits.retryShare);
+        record.limits.hedgeShare = limitsReader.number("hedge_share", 0, 1, record.limits.hedgeShare);
+        record.limits.queue = static_cast<int>(limitsReader.integer("queue", 0, maxQueue, record.limits.queue));
+        limitsReader.finish();
+    }
+
     bool isServiceName(std::string_view name)
     {
         constexpr std::size_t maxLength = 64;
@@ -69,15 +120,15 @@
     if (reader.has("service") && !isServiceName(record.service))
         reader.fail("service", "expected 1 to 64 of a-z, 0-9 and -");
     readServers(reader, record);
-    record.slots = static_cast<int>(reader.integer("slots", 1, maxSlots, record.slots));
-    record.connections = static_cast<int>(reader.integer("connections", 1, maxConnections, record.connections));
-    record.probeBudget = reader.number("probe_budget", 0, maxProbeBudget, record.probeBudget);
-    record.goal = reader.name("goal", goalNames, std::optional(record.goal));
+    if (record.schema < firstSchemaWithTables)
+        readSchema1(reader, record);
+    else
+        readSchema2(reader, file, errors, record);
     record.policy = reader.name("policy", policyNames, std::optional(record.policy));
     auto rules = reader.tables("rules");
     for (std::size_t i = 0; i < rules.size(); ++i) {
         TomlReader ruleReader(*rules[i], file, fmt::format("rules[{}]", i), errors);
-        record.rules.push_back(readRule(ruleReader));
+        record.rules.push_back(readRule(ruleReader, record.schema));
     }
     reader.finish();
     if (errors.size() > errorsBefore)
--- a/Source/Core/Records/ServiceRecord.h
+++ b/Source/Core/Records/ServiceRecord.h
@@ -69,9 +69,17 @@
     Repeat repeat = Repeat::Never;
     Claim claim = Claim::None;
     bool hedge = false;
+    double hedgeQuantile = 0.95; // of the usual answer time: a hedge is sent when the first attempt takes longer
     int deadlineMs = 0; // 0: the entry's default
 };
 
+// Bounds on the work an entry may add to a service's load, or hold back from it.
+struct RequestLimits {
+    double retryShare = 0.1; // retries as a share of the answered calls
+    double hedgeShare = 0.05; // hedges as a share of the calls that may be hedged
+    int queue = 64; // calls that may wait for a backend server, an entry
+};
+
 // One service as an operator describes it.
 struct ServiceRecord {
     int schema = 1;
@@ -83,6 +91,7 @@
     double probeBudget = 10; // probes a second for the whole service, over all entries
     Goal goal = Goal::Latency;
     Policy policy = Policy::Adaptive;
+    RequestLimits limits;
     std::vector<Rule> rules;
 };
 
@@ -97,9 +106,10 @@
     bool offered(std::string_view service) const { return services.contains(service) && !notUnderstood.contains(service); }
 };
 
-inline constexpr int newestSchema = 1;
+inline constexpr int newestSchema = 2;
 
-// Parses one record file; every mistake is added to `errors` and then nothing is returned.
+// Parses one record file of any known schema; every key of schema 1 has its counterpart in schema 2, which adds the limits
+// and the hedges' quantile. Every mistake is added to `errors` and then nothing is returned.
 std::optional<ServiceRecord> parseServiceRecord(const std::string& text, const std::string& file, std::vector<Common::FileError>& errors);
 
 // The rule for a request: the record's first match, else the default by method (GET and HEAD are idempotent).
