Bench: event-loop stand-ins, timed faults, directory-driven load, the check

Cause: the thin stand-ins took a thread a connection and could do no harm; 31 servers, 22 entries and the load have to share one process.

Change: backend servers and callers run on a few event loops (Boost.Asio, which comes with the Boost headers we have); faults are a typed, timed schedule; every run is held call by call against the ledger, and the last line has all fields.

The check's tests hold a ledger with each broken promise against it: lost, doubled, wrong body, run though said not to, late work, probes over budget.

--- a/Source/Core/Bench/BackendStandIn.cpp
+++ b/Source/Core/Bench/BackendStandIn.cpp
@@ -1,62 +1,73 @@
 #include "Bench/BackendStandIn.h"
 
-#include <thread>
+#include <cmath>
 
-#include <Poco/StreamCopier.h>
 #include <fmt/format.h>
 
+#include "Bench/BackendServer.h"
+#include "Common/Hash.h"
+
 namespace Bench {
 
-namespace {
+BackendStandIn::BackendStandIn(BackendOptions options, Ledger& ledger, EventLoop* loop)
+    : m_ownLoop(loop ? nullptr : std::make_unique<EventLoop>())
+    , m_loop(loop ? *loop : *m_ownLoop)
+    , m_server(std::make_shared<BackendServer>(std::move(options), ledger, m_loop))
+{
+    m_loop.call([this] { m_server->listen(); });
+}
+
+BackendStandIn::~BackendStandIn()
+{
+    m_loop.call([this] { m_server->close(); });
+}
 
-    constexpr std::size_t bodyBytes = 500;
+std::string BackendStandIn::address() const
+{
+    return m_server->address();
+}
 
+const BackendOptions& BackendStandIn::options() const
+{
+    return m_server->options();
 }
 
-void Ledger::ran(const std::string& id)
+const BackendCounts& BackendStandIn::counts() const
 {
-    std::lock_guard lock(m_mutex);
-    ++m_runs[id];
+    return m_server->counts();
 }
 
-int Ledger::runs(const std::string& id) const
+void BackendStandIn::begin(const Fault& fault)
 {
-    std::lock_guard lock(m_mutex);
-    auto it = m_runs.find(id);
-    return it == m_runs.end() ? 0 : it->second;
+    m_loop.call([&] { m_server->begin(fault); });
 }
 
-BackendStandIn::BackendStandIn(BackendOptions options, Ledger& ledger)
-    : m_options(options)
-    , m_ledger(ledger)
-    , m_slots(options.slots)
-    , m_server([this](auto& request, auto& response) { handle(request, response); }, options.connections)
+void BackendStandIn::end(FaultKind kind)
 {
+    m_loop.call([&] { m_server->end(kind); });
 }
 
 std::string BackendStandIn::bodyFor(const std::string& id)
 {
-    auto body = "answer to " + id + ' ';
-    body.resize(bodyBytes, '.');
+    constexpr std::size_t leastBytes = 200;
+    constexpr std::size_t spreadBytes = 800;
+    auto mark = Common::hash(id);
+    auto body = fmt::format("answer to {} ", id);
+    auto bytes = std::max(body.size(), leastBytes + mark % spreadBytes);
+    while (body.size() < bytes)
+        body += fmt::format("{:016x}", mark += 0x9e3779b97f4a7c15U);
+    body.resize(bytes);
     return body;
 }
 
-void BackendStandIn::handle(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
-{
-    auto inFlight = ++m_inFlight;
-    auto id = request.get("Idempotency-Key", "");
-    std::string ignored;
-    Poco::StreamCopier::copyToString(request.stream(), ignored);
-    m_slots.acquire();
-    std::this_thread::sleep_for(m_options.serviceTime);
-    if (request.getURI() != "/probe")
-        m_ledger.ran(id);
-    m_slots.release();
-    --m_inFlight;
-    response.set("Cowslipledge-Load", fmt::format("in_flight={};slots={}", inFlight - 1, m_options.slots));
-    response.set("Cowslipledge-State", "live");
-    auto body = bodyFor(id);
-    response.sendBuffer(body.data(), body.size());
+Common::Duration BackendStandIn::workOf(const BackendOptions& options, const std::string& id)
+{
+    if (options.fixedServiceTime)
+        return options.serviceTime;
+    constexpr double unitScale = 0x1p-53;
+    constexpr int unusedBits = 11;
+    auto unit = static_cast<double>(Common::hash(id, options.seed) >> unusedBits) * unitScale;
+    return std::chrono::duration_cast<Common::Duration>(options.serviceTime * (0.5 - 0.5 * std::log(1 - unit)));
 }
 
 }
--- /dev/null
+++ b/Source/Core/Bench/Fleet.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "Bench/BackendStandIn.h"
+#include "Bench/PlatformStandIn.h"
+#include "Bench/RecordSeed.h"
+#include "Bench/Scenario.h"
+#include "Entry/Daemon.h"
+
+namespace Bench {
+
+struct FleetOptions {
+    const Deployment& deployment;
+    const Plan& plan;
+    SeedOptions records;
+    std::uint64_t seed = 1;
+    int backendLoops = 4; // threads for all backend stand-ins
+};
+
+// Everything one run needs, on loopback: platform, backend servers and entries.
+class Fleet {
+public:
+    explicit Fleet(const FleetOptions&);
+    ~Fleet();
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
+
+    // Starts the entries; false when one could not.
+    bool start();
+    void stopEntries();
+
+    void begin(const Fault&);
+    void end(const Fault&);
+
+    std::vector<std::string> entryAddresses() const;
+    std::vector<std::string> backendAddresses(std::size_t service) const;
+    Ledger& ledger() { return m_ledger; }
+    PlatformStandIn& platform() { return m_platform; }
+    const std::vector<std::unique_ptr<BackendStandIn>>& servers() const { return m_servers; }
+    const std::vector<std::unique_ptr<Entry::Daemon>>& entries() const { return m_entries; }
+    // Calls/s that the servers of a service can serve in all.
+    double capacity(std::size_t service) const;
+    // The longest that a change of records took until all entries had it in force, in ms; 0 without a change.
+    double configInForceMs() const { return m_configInForceMs; }
+    // Entries that a graceful shutdown could not end cleanly.
+    int forcedStops() const { return m_forcedStops; }
+
+private:
+    void addServers();
+    std::unique_ptr<Entry::Daemon> startEntry(int number);
+    void restartEntry(int number);
+    void publishInstances();
+    void noteListing(const std::vector<Platform::Instance>&);
+    void changeRecords();
+
+    FleetOptions m_options;
+    Ledger m_ledger;
+    PlatformStandIn m_platform;
+    RecordSeed m_records;
+    std::vector<std::unique_ptr<EventLoop>> m_loops;
+    std::vector<std::unique_ptr<BackendStandIn>> m_servers; // of all services, by number
+    mutable std::mutex m_mutex; // of all below
+    std::vector<std::unique_ptr<Entry::Daemon>> m_entries;
+    std::vector<bool> m_entryLeaving;
+    std::vector<bool> m_serverLeaving; // as the platform lists it
+    std::atomic<double> m_configInForceMs { 0 };
+    std::atomic<int> m_forcedStops { 0 };
+};
+
+}
--- a/Source/Core/Bench/PlatformStandIn.cpp
+++ b/Source/Core/Bench/PlatformStandIn.cpp
@@ -1,7 +1,9 @@
 #include "Bench/PlatformStandIn.h"
 
 #include <sstream>
+#include <thread>
 
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
 #include <json/json.h>
@@ -28,6 +30,18 @@
         send(response, status, Json::writeString(Json::StreamWriterBuilder(), json));
     }
 
+    Common::TimePoint now()
+    {
+        return Common::TimePoint(std::chrono::steady_clock::now());
+    }
+
+    // Ends the connection without an answer.
+    void hangUp(HTTPServerRequest& request, HTTPServerResponse& response)
+    {
+        response.setKeepAlive(false);
+        static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+    }
+
     std::string bodyOf(HTTPServerRequest& request)
     {
         std::string body;
@@ -56,15 +70,42 @@
 
 }
 
-PlatformStandIn::PlatformStandIn()
-    : m_server([this](auto& request, auto& response) { handle(request, response); }, maxConnections)
+PlatformStandIn::PlatformStandIn(PlatformOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_server([this](auto& request, auto& response) { handle(request, response); }, maxConnections)
 {
 }
 
 void PlatformStandIn::setInstances(std::vector<Platform::Instance> instances)
 {
     std::lock_guard lock(m_mutex);
-    m_instances = std::move(instances);
+    m_listings.push_back({ .at = now(), .instances = std::move(instances) });
+}
+
+void PlatformStandIn::begin(const Fault& fault)
+{
+    std::lock_guard lock(m_mutex);
+    m_faults[static_cast<std::size_t>(fault.kind)] = fault;
+}
+
+void PlatformStandIn::end(FaultKind kind)
+{
+    std::lock_guard lock(m_mutex);
+    m_faults[static_cast<std::size_t>(kind)].reset();
+}
+
+void PlatformStandIn::onListing(std::function<void(const std::vector<Platform::Instance>&)> hook)
+{
+    std::lock_guard lock(m_mutex);
+    m_onListing = std::move(hook);
+}
+
+std::optional<Platform::Row> PlatformStandIn::row(const std::string& key) const
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_rows.find(key);
+    return it == m_rows.end() ? std::nullopt : std::optional(it->second);
 }
 
 Platform::TransactionAnswer PlatformStandIn::commit(const Platform::Transaction& transaction)
@@ -91,6 +132,8 @@
 
 void PlatformStandIn::handle(HTTPServerRequest& request, HTTPServerResponse& response)
 {
+    if (!admit(request, response))
+        return;
     Poco::URI uri(request.getURI());
     const auto& path = uri.getPath();
     constexpr std::string_view objectPrefix = "/objects/";
@@ -100,17 +143,94 @@
         return handleObject(path.substr(objectPrefix.size()), request, response);
     if (path != "/instances")
         return send(response, HTTPResponse::HTTP_NOT_FOUND, std::string("{}"));
-    Json::Value json(Json::arrayValue);
+    handleInstances(response);
+}
+
+bool PlatformStandIn::admit(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    Common::Duration delay {};
+    {
+        std::lock_guard lock(m_mutex);
+        if (const auto& slow = m_faults[static_cast<std::size_t>(FaultKind::StoreSlow)])
+            delay = slow->delay;
+    }
+    std::this_thread::sleep_for(delay);
+    auto isWrite = request.getMethod() != "GET";
+    if (request.getURI().starts_with("/instances"))
+        ++m_counts.listings;
+    else
+        ++(isWrite ? m_counts.writes : m_counts.reads);
+    std::unique_lock lock(m_mutex);
+    if (m_faults[static_cast<std::size_t>(FaultKind::StoreDown)]) {
+        lock.unlock();
+        hangUp(request, response);
+        return false;
+    }
+    if (overRate(isWrite ? m_writes : m_reads, isWrite ? m_options.writesPerSecond : m_options.readsPerSecond)) {
+        lock.unlock();
+        ++m_counts.refused;
+        send(response, HTTPResponse::HTTP_TOO_MANY_REQUESTS, std::string("{}"));
+        return false;
+    }
+    if (isWrite && draw(FaultKind::LostWrites)) {
+        lock.unlock();
+        ++m_counts.answersLost;
+        hangUp(request, response);
+        return false;
+    }
+    return true;
+}
+
+bool PlatformStandIn::overRate(Rate& rate, int limit)
+{
+    if (now() - rate.second >= std::chrono::seconds(1))
+        rate = { .second = now(), .count = 0 };
+    return ++rate.count > limit;
+}
+
+bool PlatformStandIn::loses(FaultKind kind)
+{
     std::lock_guard lock(m_mutex);
-    for (const auto& instance : m_instances) {
-        Json::Value item;
-        item["address"] = instance.address;
-        item["kind"] = instance.kind == Platform::InstanceKind::Entry ? "entry" : "backend";
-        item["pool"] = instance.pool;
-        item["failure_domain"] = instance.failureDomain;
-        item["state"] = instance.leaving ? "leaving" : "live";
-        item["peer_address"] = instance.peerAddress;
-        json.append(item);
+    return draw(kind);
+}
+
+bool PlatformStandIn::draw(FaultKind kind)
+{
+    const auto& fault = m_faults[static_cast<std::size_t>(kind)];
+    return fault && std::uniform_real_distribution<double>()(m_random) < fault->share;
+}
+
+std::vector<Platform::Instance> PlatformStandIn::listed()
+{
+    auto lag = m_options.instancesLag;
+    if (const auto& fault = m_faults[static_cast<std::size_t>(FaultKind::InstancesLag)])
+        lag = fault->delay;
+    std::vector<Platform::Instance> seen = m_listings.empty() ? std::vector<Platform::Instance> {} : m_listings.front().instances;
+    for (const auto& listing : m_listings) {
+        if (listing.at + lag <= now())
+            seen = listing.instances;
+    }
+    return seen;
+}
+
+void PlatformStandIn::handleInstances(HTTPServerResponse& response)
+{
+    Json::Value json(Json::arrayValue);
+    {
+        std::lock_guard lock(m_mutex);
+        auto instances = listed();
+        if (m_onListing)
+            m_onListing(instances);
+        for (const auto& instance : instances) {
+            Json::Value item;
+            item["address"] = instance.address;
+            item["kind"] = instance.kind == Platform::InstanceKind::Entry ? "entry" : "backend";
+            item["pool"] = instance.pool;
+            item["failure_domain"] = instance.failureDomain;
+            item["state"] = instance.leaving ? "leaving" : "live";
+            item["peer_address"] = instance.peerAddress;
+            json.append(item);
+        }
     }
     send(response, HTTPResponse::HTTP_OK, json);
 }
@@ -124,6 +244,10 @@
         if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &json, nullptr))
             return send(response, HTTPResponse::HTTP_BAD_REQUEST, std::string("{}"));
         auto answer = commit(toTransaction(json));
+        if (loses(FaultKind::LostWriteAnswers)) {
+            ++m_counts.answersLost;
+            return hangUp(request, response);
+        }
         Json::Value body;
         body["found"] = Json::arrayValue;
         for (const auto& condition : answer.found) {
@@ -156,6 +280,8 @@
 
 void PlatformStandIn::handleObject(const std::string& key, HTTPServerRequest& request, HTTPServerResponse& response)
 {
+    auto bytes = bodyOf(request);
+    auto isLost = request.getMethod() != "GET" && loses(FaultKind::LostWriteAnswers);
     std::lock_guard lock(m_mutex);
     auto it = m_objects.find(key);
     if (request.getMethod() == "GET") {
@@ -168,7 +294,11 @@
     if (expected != (it == m_objects.end() ? "none" : it->second.etag))
         return send(response, HTTPResponse::HTTP_PRECONDITION_FAILED, std::string());
     auto etag = std::to_string(++m_lastVersion);
-    m_objects[key] = { .bytes = bodyOf(request), .etag = etag };
+    m_objects[key] = { .bytes = bytes, .etag = etag };
+    if (isLost) {
+        ++m_counts.answersLost;
+        return hangUp(request, response);
+    }
     response.set("ETag", etag);
     send(response, HTTPResponse::HTTP_OK, std::string());
 }
--- /dev/null
+++ b/Source/Core/Bench/RecordSeed.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "Bench/Deployment.h"
+#include "Platform/Platform.h"
+
+namespace Bench {
+
+struct SeedOptions {
+    std::string policy = "adaptive";
+    std::string goal; // empty: the deployment's
+};
+
+// The record file of one service as an operator would write it; `edition` varies it without a change of behaviour.
+std::string recordText(const Deployment&, const ServiceShape&, const SeedOptions&, int edition = 0);
+
+// Writes a deployment's records as an operator would: put first, replaced later. The only place in the bench that does.
+class RecordSeed {
+public:
+    RecordSeed(Platform::Table, const Deployment&, SeedOptions);
+
+    // Returns the last change's revision; 0 when the store did not take it.
+    std::uint64_t write();
+    // Writes one more edition of one service's record.
+    std::uint64_t write(const ServiceShape&);
+
+private:
+    Platform::Table m_table;
+    const Deployment& m_deployment;
+    SeedOptions m_options;
+    std::map<std::string, std::uint64_t> m_revisions; // by service
+    int m_edition = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Bench/ScenarioRun.cpp
@@ -0,0 +1,197 @@
+#include "Bench/ScenarioRun.h"
+
+#include <algorithm>
+#include <memory>
+
+#include <fmt/format.h>
+
+#include "Bench/FaultRunner.h"
+#include "Bench/Fleet.h"
+#include "Bench/Relay.h"
+
+namespace Bench {
+
+namespace {
+
+    // Above it the load no longer comes as planned, and its figures would speak of the machine.
+    constexpr double mostLagMs = 25;
+
+    LoadOptions loadOptions(const RunOptions& options, const Deployment& deployment, const Plan& plan, const Fleet& fleet)
+    {
+        LoadOptions load {
+            .entries = fleet.entryAddresses(),
+            .failureDomains = deployment.failureDomains,
+            .services = {},
+            .duration = std::chrono::seconds(options.seconds),
+            .burst = plan.burst,
+            .deadlineMs = plan.deadlineMs,
+            .seed = options.seed,
+            .resendUnknown = plan.resendUnknown,
+            .direct = {},
+            .relay = {},
+        };
+        for (std::size_t i = 0; i < deployment.services.size(); ++i) {
+            auto byLoad = plan.load * fleet.capacity(i);
+            load.services.push_back({ .name = deployment.services[i].name, .callsPerSecond = plan.callsPerSecond > 0 ? plan.callsPerSecond : byLoad, .calls = deployment.services[i].calls });
+        }
+        if (plan.baselines)
+            load.direct = fleet.backendAddresses(0);
+        return load;
+    }
+
+    // Connections are opened in this time; its calls are checked, but their latency is not stated.
+    constexpr auto warmUp = std::chrono::milliseconds(500);
+
+    RouteLatency latencyOf(const std::vector<CallRecord>& calls, Route route, int service = -1)
+    {
+        std::vector<Common::Duration> latencies;
+        auto first = calls.empty() ? Common::TimePoint() : std::min_element(calls.begin(), calls.end(), [](const auto& a, const auto& b) { return a.intended < b.intended; })->intended;
+        for (const auto& call : calls) {
+            if (call.intended < first + warmUp)
+                continue;
+            if (call.route == route && call.outcome != "not-run" && (service < 0 || call.service == service))
+                latencies.push_back(call.latency);
+        }
+        constexpr double median = 0.5;
+        return { .calls = latencies.size(), .p50 = quantileMs(latencies, median), .p99 = quantileMs(latencies, 0.99), .p999 = quantileMs(latencies, 0.999) };
+    }
+
+    double lagP99(const std::vector<CallRecord>& calls)
+    {
+        std::vector<Common::Duration> lags;
+        for (const auto& call : calls)
+            lags.push_back(call.lag);
+        return quantileMs(std::move(lags), 0.99);
+    }
+
+    ServiceSummary summarize(std::size_t index, const Deployment& deployment, const LoadResult& load, Fleet& fleet, double seconds)
+    {
+        const auto& shape = deployment.services[index];
+        ServiceSummary summary { .name = shape.name, .latency = latencyOf(load.calls, Route::Entry, static_cast<int>(index)), .probeBudget = shape.probeBudget };
+        for (const auto& call : load.calls) {
+            if (call.route != Route::Entry || call.service != static_cast<int>(index))
+                continue;
+            ++summary.calls;
+            ++(call.outcome == "answered" ? summary.answered : (call.outcome == "not-run" ? summary.notRun : summary.unknown));
+        }
+        auto probes = static_cast<double>(fleet.ledger().probes(shape.name).size());
+        summary.probesPerSecond = probes / seconds;
+        double slotSeconds = 0;
+        double probeSeconds = 0;
+        for (const auto& server : fleet.servers()) {
+            if (server->options().service == shape.name) {
+                slotSeconds += server->options().slots * seconds;
+                probeSeconds += static_cast<double>(server->counts().probes) * std::chrono::duration<double>(server->options().probeCost).count();
+            }
+        }
+        summary.probeCostShare = probeSeconds / slotSeconds;
+        return summary;
+    }
+
+    void countServers(const Fleet& fleet, RunReport& report)
+    {
+        std::uint64_t requests = 0;
+        for (const auto& server : fleet.servers()) {
+            requests += server->counts().requests;
+            report.mostConnections = std::max(report.mostConnections, server->counts().mostConnections.load());
+            report.connectionsRefused += server->counts().connectionsRefused;
+        }
+        if (report.verdict.calls > 0)
+            report.workFactor = static_cast<double>(requests - std::min(requests, report.baselineCalls)) / static_cast<double>(report.verdict.calls);
+    }
+
+    void judge(const Expectation& expectation, RunReport& report)
+    {
+        const auto& verdict = report.verdict;
+        auto require = [&](bool holds, std::string reason) {
+            if (!holds)
+                report.reasons.push_back(std::move(reason));
+        };
+        require(verdict.calls > 0, "no calls were made");
+        require(verdict.lost == 0, fmt::format("{} calls lost", verdict.lost));
+        require(verdict.doubled == 0, fmt::format("{} calls doubled", verdict.doubled));
+        require(verdict.wrongBody == 0, fmt::format("{} wrong bodies", verdict.wrongBody));
+        require(verdict.ranThoughNotRun == 0, fmt::format("{} calls ran though said to be not-run", verdict.ranThoughNotRun));
+        require(verdict.lateToLeaving == 0, fmt::format("{} runs begun late at leaving servers", verdict.lateToLeaving));
+        for (const auto& [service, most] : verdict.overBudget)
+            report.reasons.push_back(fmt::format("{} probes of {} in one second", most, service));
+        require(report.connectionsRefused == 0, fmt::format("{} connections above a server's limit", report.connectionsRefused));
+        auto calls = static_cast<double>(std::max<std::uint64_t>(verdict.calls, 1));
+        auto answered = static_cast<double>(verdict.answered) / calls;
+        auto unknown = static_cast<double>(verdict.unknown) / calls;
+        require(answered >= expectation.leastAnswered, fmt::format("answered {:.4f} of calls, expected {}", answered, expectation.leastAnswered));
+        require(unknown <= expectation.mostUnknown, fmt::format("unknown {:.4f} of calls, expected at most {}", unknown, expectation.mostUnknown));
+        require(report.goodput >= expectation.leastGoodput, fmt::format("goodput {:.3f} of capacity, expected {}", report.goodput, expectation.leastGoodput));
+        require(expectation.mostWorkFactor <= 0 || report.workFactor <= expectation.mostWorkFactor, fmt::format("work factor {:.2f}, expected at most {}", report.workFactor, expectation.mostWorkFactor));
+        require(report.lagP99Ms <= mostLagMs, fmt::format("the load fell behind its plan: {:.1f} ms at p99", report.lagP99Ms));
+    }
+
+    void fill(RunReport& report, const Deployment& deployment, const Plan& plan, const LoadResult& load, Fleet& fleet)
+    {
+        auto seconds = static_cast<double>(report.options.seconds);
+        CheckOptions checkOptions { .entriesMayDie = plan.expectation.entriesMayDie, .probeBudgets = {} };
+        for (const auto& service : deployment.services)
+            checkOptions.probeBudgets.push_back({ .service = service.name, .perSecond = service.probeBudget });
+        report.verdict = check(load, fleet.ledger(), checkOptions);
+        report.entry = latencyOf(load.calls, Route::Entry);
+        report.direct = latencyOf(load.calls, Route::Direct);
+        report.relay = latencyOf(load.calls, Route::Relay);
+        report.lagP99Ms = lagP99(load.calls);
+        double capacity = 0;
+        for (std::size_t i = 0; i < deployment.services.size(); ++i) {
+            report.services.push_back(summarize(i, deployment, load, fleet, seconds));
+            capacity += fleet.capacity(i);
+        }
+        report.goodput = static_cast<double>(report.verdict.answered) / (capacity * seconds);
+        std::uint64_t attempts = 0;
+        for (const auto& call : load.calls) {
+            report.baselineCalls += call.route == Route::Entry ? 0 : 1;
+            attempts += static_cast<std::uint64_t>(call.attempts);
+            report.connectFailures += static_cast<std::uint64_t>(call.connectFailures);
+        }
+        report.attemptsPerCall = static_cast<double>(attempts) / static_cast<double>(std::max<std::uint64_t>(report.verdict.calls, 1));
+        report.storeReadsPerSecond = static_cast<double>(fleet.platform().counts().reads) / seconds;
+        report.configInForceMs = fleet.configInForceMs();
+        countServers(fleet, report);
+        judge(plan.expectation, report);
+    }
+
+}
+
+RunReport runScenario(const RunOptions& options)
+{
+    RunReport report;
+    report.options = options;
+    const auto* scenario = findScenario(options.scenario);
+    const auto* deployment = findDeployment(options.deployment);
+    if (!scenario || !deployment) {
+        report.reasons.push_back(scenario ? "no deployment " + options.deployment : "no scenario " + options.scenario);
+        return report;
+    }
+    auto plan = scenario->plan({ .deployment = *deployment, .seed = options.seed, .duration = std::chrono::seconds(options.seconds) });
+    Fleet fleet({ .deployment = *deployment, .plan = plan, .records = { .policy = options.policy, .goal = options.goal }, .seed = options.seed });
+    fmt::print(stderr, "run: {} on {}, {} entries, {} backend servers, {} faults\n", options.scenario, options.deployment, deployment->entries, fleet.servers().size(), plan.faults.size());
+    if (!fleet.start()) {
+        report.reasons.emplace_back("an entry could not start");
+        return report;
+    }
+    auto load = loadOptions(options, *deployment, plan, fleet);
+    std::unique_ptr<Relay> relay;
+    if (plan.baselines) {
+        relay = std::make_unique<Relay>(load.direct);
+        load.relay = relay->address();
+    }
+    FaultRunner faults(plan.faults, { .begin = [&](const Fault& fault) { fleet.begin(fault); }, .end = [&](const Fault& fault) { fleet.end(fault); } });
+    auto result = runLoad(load, [&](Common::TimePoint start) { faults.start(start); });
+    faults.stop();
+    fmt::print(stderr, "run: {} calls made, checking them\n", result.calls.size());
+    if (!fleet.entries().empty())
+        report.ownP99Ms = fleet.entries().front()->callers().ownTimes.quantiles().p99Ms;
+    fleet.stopEntries();
+    fill(report, *deployment, plan, result, fleet);
+    for (const auto& reason : report.reasons)
+        fmt::print(stderr, "run: not ok: {}\n", reason);
+    return report;
+}
+
+}
--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -1,8 +1,9 @@
 #include <fstream>
 
 #include <docopt/docopt.h>
+#include <fmt/format.h>
 
-#include "Bench/Scenario.h"
+#include "Bench/ScenarioRun.h"
 #include "Common/Tables.h"
 
 namespace {
@@ -10,15 +11,19 @@
 constexpr auto usage = R"(cowslipledge-bench: stand-ins, load and experiments for cowslipledge.
 
 Usage:
-  cowslipledge-bench run SCENARIO [--deployment D] [--policy P] [--seed N] [--seconds T]
+  cowslipledge-bench run --list
+  cowslipledge-bench run SCENARIO [--deployment D] [--policy P] [--goal G] [--seed N] [--seconds T] [--table]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
 Options:
+  --list          Name the scenarios.
   --deployment D  lisbon, luzon or small [default: small].
-  --policy P      Policy of server choice [default: adaptive].
+  --policy P      Policy of server choice: random, round-robin, least-in-flight, power-of-two, adaptive [default: adaptive].
+  --goal G        latency or probe-cost; the deployment's own without it.
   --seed N        Seed of arrivals and faults [default: 1].
   --seconds T     Length of the load [default: 5].
+  --table         Print a table of the services before the line of JSON.
 )";
 
 // Writes the pages that are made from the code's tables.
@@ -29,18 +34,37 @@
     return 0;
 }
 
+int listScenarios()
+{
+    for (const auto& scenario : Bench::scenarios())
+        fmt::print("{:<20}{}\n", scenario.name, scenario.summary);
+    return 0;
 }
 
-int main(int argc, char* argv[])
+int run(std::map<std::string, docopt::value>& args)
 {
-    auto args = docopt::docopt(usage, { argv + 1, argv + argc });
-    if (args["tables"].asBool())
-        return writeTables(args["DOCS"].asString());
-    return Bench::runScenario({
+    auto report = Bench::runScenario({
         .scenario = args["SCENARIO"].asString(),
         .deployment = args["--deployment"].asString(),
         .policy = args["--policy"].asString(),
+        .goal = args["--goal"] ? args["--goal"].asString() : std::string(),
         .seed = static_cast<std::uint64_t>(args["--seed"].asLong()),
         .seconds = static_cast<int>(args["--seconds"].asLong()),
     });
+    if (args["--table"].asBool())
+        fmt::print("{}", Bench::summaryTable(report));
+    fmt::print("{}\n", Bench::reportJson(report));
+    return report.ok() ? 0 : 1;
+}
+
+}
+
+int main(int argc, char* argv[])
+{
+    auto args = docopt::docopt(usage, { argv + 1, argv + argc });
+    if (args["tables"].asBool())
+        return writeTables(args["DOCS"].asString());
+    if (args["--list"].asBool())
+        return listScenarios();
+    return run(args);
 }
