Bound every request in bytes and time, and stop without cutting calls

Cause: a slow sender held a thread for as long as it liked; a malformed chunk or a head cut by a half-closed connection passed for a whole request (the library reports neither); a stop cut kept connections.

Change: callers' sockets carry a byte budget and a deadline for each request; framing is checked (two lengths, length and chunks, last chunk really read); refusals are numbered and the rest of the input is drained so that the answer arrives; connections above the limit get an answer. Shutdown is a pure state machine: leave the directory, serve for its ttl, Connection: close, end idle connections, finish. kill() ends as a crash does.

Tests: 26 kinds of bad input, one-byte senders, connection limit, phases in virtual time, shutdown with calls in flight and late callers. Seen failing first: unanswered refusals (closed before the answer was flushed), HTTP/3.7 echoed, 400 for an oversized head.

--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <thread>
 
 #include <docopt/docopt.h>
 #include <fmt/format.h>
@@ -53,6 +54,14 @@
         return Operator::toInt(Operator::ExitCode::Failed);
     int signal = 0;
     sigwait(&signals, &signal);
+    // A second signal asks not to wait for callers any longer.
+    std::jthread second([signals, &daemon](const std::stop_token& ended) {
+        constexpr timespec step { .tv_sec = 0, .tv_nsec = 100'000'000 };
+        while (!ended.stop_requested()) {
+            if (sigtimedwait(&signals, nullptr, &step) > 0)
+                return daemon.forceStop();
+        }
+    });
     auto clean = daemon.stop();
     return Operator::toInt(clean ? Operator::ExitCode::Ok : Operator::ExitCode::Failed);
 }
--- /dev/null
+++ b/Source/Core/Decisions/Shutdown.cpp
@@ -0,0 +1,40 @@
+#include "Decisions/Shutdown.h"
+
+namespace Decisions {
+
+Shutdown::Shutdown(const ShutdownOptions& options)
+    : m_options(options)
+{
+}
+
+void Shutdown::begin(Common::TimePoint now)
+{
+    if (m_phase != ShutdownPhase::Serving)
+        return;
+    m_begun = now;
+    m_phase = ShutdownPhase::Leaving;
+}
+
+void Shutdown::force()
+{
+    m_forced = true;
+}
+
+ShutdownPhase Shutdown::advance(Common::TimePoint now, int callsInFlight, int connections)
+{
+    if (m_phase == ShutdownPhase::Serving || m_phase == ShutdownPhase::Stopped || m_phase == ShutdownPhase::Forced)
+        return m_phase;
+    auto passed = now - m_begun;
+    // Idle connections without a call may be ended at any time: they are no reason to call a shutdown forced.
+    if (m_forced || passed >= m_options.limit)
+        return m_phase = callsInFlight == 0 ? ShutdownPhase::Stopped : ShutdownPhase::Forced;
+    if (m_phase == ShutdownPhase::Leaving && passed >= m_options.directoryTtl)
+        m_phase = ShutdownPhase::Closing;
+    if (m_phase == ShutdownPhase::Closing && passed >= m_options.directoryTtl + m_options.closeGrace)
+        m_phase = ShutdownPhase::Draining;
+    if (m_phase == ShutdownPhase::Draining && callsInFlight == 0 && connections == 0)
+        m_phase = ShutdownPhase::Stopped;
+    return m_phase;
+}
+
+}
--- a/Source/Core/Entry/CallerConnection.cpp
+++ b/Source/Core/Entry/CallerConnection.cpp
@@ -1,14 +1,11 @@
 #include "Entry/CallerConnection.h"
 
-#include <algorithm>
-#include <array>
+#include <ctime>
 
-#include <Poco/Net/HTTPServerResponseImpl.h>
-#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/TCPServerConnection.h>
-#include <Poco/String.h>
-#include <json/json.h>
+
+#include "Entry/RequestReader.h"
 
 namespace Entry {
 
@@ -17,46 +14,57 @@
     using Common::ResultCode;
     using Poco::Net::HTTPServerRequestImpl;
     using Poco::Net::HTTPServerResponseImpl;
-    using Poco::Net::HTTPServerSession;
     using Requests::Call;
 
-    std::string errorBody(const Call& call)
-    {
-        Json::Value json;
-        json["code"] = static_cast<int>(call.code);
-        json["name"] = std::string(Common::resultRow(call.code).name);
-        json["text"] = call.errorText;
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, json);
-    }
+    // One call in so many has its processor time taken: the clock costs a system call.
+    constexpr std::uint64_t cpuSampleInterval = 16;
 
-    bool isAnswerHeader(const std::string& name)
+    Common::Duration threadCpuTime()
     {
-        static const std::array hopHeaders { "connection", "keep-alive", "transfer-encoding", "content-length", "trailer", "upgrade" };
-        return std::none_of(hopHeaders.begin(), hopHeaders.end(), [&](const char* hop) { return Poco::icompare(name, hop) == 0; });
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
     }
 
-    // Counts a request as in flight from its first byte to its answer's last.
+    // Counts a request as in flight, for shutdown.
     class InFlight {
     public:
-        explicit InFlight(std::atomic<int>& count)
-            : m_count(count)
+        InFlight(CallerContext& context, ConnectionRegistry::Place& place)
+            : m_context(context)
+            , m_place(place)
+        {
+            ++m_context.inFlight;
+            m_place.setBusy(true);
+        }
+        ~InFlight()
         {
-            ++m_count;
+            m_place.setBusy(false);
+            --m_context.inFlight;
         }
-        ~InFlight() { --m_count; }
         InFlight(const InFlight&) = delete;
         InFlight& operator=(const InFlight&) = delete;
 
     private:
-        std::atomic<int>& m_count;
+        CallerContext& m_context;
+        ConnectionRegistry::Place& m_place;
     };
 
+    // The library's own limits on single lines of a head share one exception type with all other mistakes; only the text tells.
+    bool isTooLarge(const Poco::Exception& ec)
+    {
+        auto text = ec.message();
+        return text.find("too long") != std::string::npos || text.find("Too many") != std::string::npos;
+    }
+
+    Poco::Timespan milliseconds(int ms)
+    {
+        return { static_cast<Poco::Timespan::TimeDiff>(ms) * Poco::Timespan::MILLISECONDS };
+    }
+
     class CallerConnection : public Poco::Net::TCPServerConnection {
     public:
-        CallerConnection(const Poco::Net::StreamSocket& socket, CallerContext& context, Poco::Net::HTTPServerParams::Ptr params)
-            : TCPServerConnection(socket)
+        CallerConnection(const Poco::Net::StreamSocket& connection, CallerContext& context, Poco::Net::HTTPServerParams::Ptr params)
+            : TCPServerConnection(connection)
             , m_context(context)
             , m_params(std::move(params))
         {
@@ -65,135 +73,150 @@
         void run() override
         {
             try {
-                HTTPServerSession session(socket(), m_params);
-                while (session.hasMoreRequests() && serveOne(session)) { }
+                ConnectionRegistry::Place place(m_context.connections, socket());
+                CallerSession session(socket(), m_params);
+                while (awaitRequest(session) && serveOne(session, place)) { }
             } catch (const Poco::Exception&) {
                 // The caller has gone; there is nobody to tell.
             }
         }
 
     private:
+        bool awaitRequest(CallerSession& session)
+        {
+            return session.unread() > 0 || socket().poll(milliseconds(m_context.limits.idleTimeoutMs), Poco::Net::Socket::SELECT_READ);
+        }
+
         // Serves one request; false when the connection must end.
-        bool serveOne(HTTPServerSession& session)
+        bool serveOne(CallerSession& session, ConnectionRegistry::Place& place)
         {
-            InFlight inFlight(m_context.inFlight);
-            HTTPServerResponseImpl response(session);
+            InFlight inFlight(m_context, place);
             Call call;
             call.received = m_context.hooks.now();
-            try {
-                HTTPServerRequestImpl request(response, session, m_params.get());
-                call.method = request.getMethod();
-                call.target = request.getURI();
-                response.setVersion(request.getVersion());
-                auto keepAlive = request.getKeepAlive() && session.canKeepAlive() && !m_context.closing;
-                if (auto page = m_context.page(call.method, call.target)) {
-                    response.setKeepAlive(keepAlive);
-                    sendPage(response, *page);
-                    return keepAlive;
-                }
-                call.headers.assign(request.begin(), request.end());
-                if (!readBody(request, call)) {
-                    response.setKeepAlive(false);
-                    sendAnswer(response, call);
-                    return false;
-                }
-                m_context.chain.run(call);
-                response.setKeepAlive(keepAlive);
-                sendAnswer(response, call);
-                noteOwnTime(call);
-                return keepAlive;
-            } catch (const Poco::Net::NoMessageException&) {
-                return false;
-            } catch (const Poco::TimeoutException&) {
-                return refuse(response, call, ResultCode::RequestTimeout, "the request was not received whole in time");
-            } catch (const Poco::Net::MessageException& ec) {
-                return refuse(response, call, ResultCode::BadRequest, ec.displayText());
-            }
+            auto cpuAtStart = takesCpuSample() ? threadCpuTime() : Common::Duration::zero();
+            auto keep = exchange(session, call);
+            noteOwnTimes(call, cpuAtStart);
+            if (m_malformed)
+                discardUnread();
+            return keep;
         }
 
-        // The entry's own share of a call: from the request's arrival to its bytes sent on, and from the answer to its bytes sent back.
-        void noteOwnTime(const Call& call) const
+        // Reads the request and sends the answer: the last byte leaves when the response object ends.
+        bool exchange(CallerSession& session, Call& call)
         {
-            if (call.code == ResultCode::Ok && call.attempts == 1)
-                m_context.ownTimes.add((call.firstSent - call.received) + (m_context.hooks.now() - call.answerRead));
+            constexpr std::size_t readAheadBytes = 4096;
+            auto deadline = call.received + std::chrono::milliseconds(m_context.limits.headTimeoutMs);
+            session.callerSocket().allow(static_cast<std::size_t>(m_context.limits.headBytes) + readAheadBytes, deadline);
+            HTTPServerResponseImpl response(session);
+            try {
+                HTTPServerRequestImpl request(response, session, m_params.get());
+                return serve(session, request, response, call, deadline);
+            } catch (const Poco::Net::NoMessageException& ec) {
+                return session.networkException() && !response.sent() && refuse(session, call, ec);
+            } catch (const Poco::Exception& ec) {
+                return !response.sent() && refuse(session, call, ec);
+            }
         }
 
-        bool readBody(HTTPServerRequestImpl& request, Call& call) const
+        bool serve(CallerSession& session, HTTPServerRequestImpl& request, HTTPServerResponseImpl& response, Call& call, Common::TimePoint deadline)
         {
-            auto limit = static_cast<std::size_t>(m_context.limits.bodyBytes);
-            if (request.hasContentLength() && request.getContentLength64() > m_context.limits.bodyBytes) {
-                Requests::fail(call, ResultCode::BodyTooLarge, "the body exceeds the limit");
+            response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+            if (!readHead(request, session, m_context.limits, call)) {
+                answerMalformed(response, call);
                 return false;
             }
-            if (!request.hasContentLength() && !request.getChunkedTransferEncoding())
-                return true;
-            constexpr std::size_t pieceBytes = 16 * 1024;
-            std::array<char, pieceBytes> buf;
-            auto& in = request.stream();
-            while (in.good() && call.body.size() <= limit) {
-                in.read(buf.data(), static_cast<std::streamsize>(buf.size()));
-                call.body.append(buf.data(), static_cast<std::size_t>(in.gcount()));
-            }
-            if (call.body.size() > limit) {
-                Requests::fail(call, ResultCode::BodyTooLarge, "the body exceeds the limit");
-                return false;
+            if (auto page = m_context.page(call.method, call.target)) {
+                ++m_context.counters.pages;
+                auto keepAlive = keepsAlive(request) && !hasBody(request);
+                response.setKeepAlive(keepAlive);
+                sendPage(response, *page);
+                return keepAlive;
             }
-            if (request.hasContentLength() && static_cast<Poco::Int64>(call.body.size()) != request.getContentLength64()) {
-                Requests::fail(call, ResultCode::RequestTimeout, "the body ended before its stated length");
+            // Chunks bring bytes of their own; a body of more framing than content is refused as too large.
+            session.callerSocket().allow(2 * static_cast<std::size_t>(m_context.limits.bodyBytes) + static_cast<std::size_t>(m_context.limits.headBytes), deadline);
+            if (!readBody(request, session, m_context.limits, call)) {
+                answerMalformed(response, call);
                 return false;
             }
-            return true;
+            m_context.chain.run(call);
+            count(call);
+            auto keepAlive = keepsAlive(request);
+            response.setKeepAlive(keepAlive);
+            sendAnswer(response, call);
+            return keepAlive;
         }
 
-        static bool refuse(HTTPServerResponseImpl& response, Call& call, ResultCode code, const std::string& text)
+        // What the library threw while reading, as a numbered refusal.
+        bool refuse(CallerSession& session, Call& call, const Poco::Exception& thrown)
         {
-            if (response.sent())
+            const Poco::Exception& cause = session.networkException() ? *session.networkException() : thrown;
+            if (dynamic_cast<const BudgetExceeded*>(&cause))
+                Requests::fail(call, call.headers.empty() ? ResultCode::HeadTooLarge : ResultCode::BodyTooLarge, cause.message());
+            else if (dynamic_cast<const Poco::TimeoutException*>(&cause))
+                Requests::fail(call, ResultCode::RequestTimeout, "the request was not received whole in time");
+            else if (session.networkException())
                 return false;
-            Requests::fail(call, code, text);
+            else
+                Requests::fail(call, isTooLarge(cause) ? ResultCode::HeadTooLarge : ResultCode::BadRequest, cause.displayText());
+            // A response of its own: the other one refers to a request that is gone.
+            HTTPServerResponseImpl response(session);
+            response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+            answerMalformed(response, call);
+            return false;
+        }
+
+        void answerMalformed(HTTPServerResponseImpl& response, const Call& call)
+        {
+            ++m_context.counters.malformed;
+            count(call);
             response.setKeepAlive(false);
             sendAnswer(response, call);
-            return false;
+            m_malformed = true;
         }
 
-        static void sendPage(HTTPServerResponseImpl& response, const Page& page)
+        // Closing with unread bytes resets the connection, and the caller might lose the answer: read a bounded rest first.
+        void discardUnread()
         {
-            response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(page.status));
-            response.setContentType(page.contentType);
-            response.sendBuffer(page.body.data(), page.body.size());
+            constexpr int maxReads = 64;
+            constexpr int waitMs = 50;
+            std::array<char, 16 * 1024> buf;
+            socket().shutdownSend();
+            for (int i = 0; i < maxReads && socket().poll(milliseconds(waitMs), Poco::Net::Socket::SELECT_READ); ++i) {
+                if (::recv(socket().impl()->sockfd(), buf.data(), buf.size(), MSG_DONTWAIT) <= 0)
+                    return;
+            }
         }
 
-        static void sendError(HTTPServerResponseImpl& response, const Call& call)
+        bool keepsAlive(const HTTPServerRequestImpl& request) const { return request.getKeepAlive() && !m_context.closing; }
+
+        static bool hasBody(const HTTPServerRequestImpl& request)
         {
-            constexpr int msPerSecond = 1000;
-            response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Common::resultRow(call.code).httpStatus));
-            response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
-            response.setContentType("application/json");
-            if (call.retryAfterMs > 0)
-                response.set("Retry-After", std::to_string((call.retryAfterMs + msPerSecond - 1) / msPerSecond));
-            auto body = errorBody(call);
-            response.sendBuffer(body.data(), body.size());
+            return request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0);
         }
 
-        static void sendAnswer(HTTPServerResponseImpl& response, const Call& call)
+        void count(const Call& call)
         {
-            response.set("Cowslipledge-Outcome", std::string(Common::outcomeName(call.outcome)));
-            response.set("Cowslipledge-Result", std::to_string(static_cast<int>(call.code)));
-            response.set("Cowslipledge-Attempts", std::to_string(call.attempts));
-            if (!call.id.empty())
-                response.set("Cowslipledge-Request", call.id);
-            if (call.code != ResultCode::Ok)
-                return sendError(response, call);
-            response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(call.answer.status));
-            response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
-            for (const auto& [name, value] : call.answer.headers) {
-                if (isAnswerHeader(name))
-                    response.set(name, value);
-            }
-            response.sendBuffer(call.answer.body.data(), call.answer.body.size());
+            auto& counters = m_context.counters;
+            ++(call.outcome == Common::Outcome::Answered ? counters.answered : call.outcome == Common::Outcome::NotRun ? counters.notRun
+                                                                                                                       : counters.unknown);
+        }
+
+        bool takesCpuSample() { return ++m_served % cpuSampleInterval == 0; }
+
+        // The entry's own share of a call: from the request's arrival to its bytes sent on, and from the answer to its bytes sent back.
+        void noteOwnTimes(const Call& call, Common::Duration cpuAtStart) const
+        {
+            if (call.code != ResultCode::Ok || call.attempts != 1)
+                return;
+            m_context.ownTimes.add((call.firstSent - call.received) + (m_context.hooks.now() - call.answerRead));
+            if (cpuAtStart != Common::Duration::zero())
+                m_context.ownCpuTimes.add(threadCpuTime() - cpuAtStart);
         }
 
         CallerContext& m_context;
         Poco::Net::HTTPServerParams::Ptr m_params;
+        std::uint64_t m_served = 0;
+        bool m_malformed = false; // the rest of what the caller sent has no meaning
     };
 
     class CallerConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "Entry/CallerSocket.h"
+#include "Entry/MetricsPage.h"
 #include "Requests/AnswerFilters.h"
 #include "Requests/AttemptFilter.h"
 #include "Requests/ParseFilter.h"
@@ -16,10 +18,14 @@
 namespace {
 
     using Common::EventId;
+    using Decisions::ShutdownPhase;
 
     constexpr auto refreshInterval = std::chrono::milliseconds(100);
     constexpr int listenBacklog = 1024;
     constexpr int threadStackBytes = 256 * 1024;
+    constexpr int idleThreadSeconds = 60;
+    constexpr int busyRetryAfterMs = 1000;
+    constexpr auto shutdownStep = std::chrono::milliseconds(5);
 
     Requests::FilterChain makeChain(const Settings::EntrySettings& settings, const Common::Hooks& hooks, Controllers::RecordController& records, Controllers::BackendServers& servers, Common::EventLog& log)
     {
@@ -30,6 +36,29 @@
         });
     }
 
+    // Refuses connections above the limit, with an answer: a caller left to wait in a queue would learn nothing.
+    class ConnectionLimit : public Poco::Net::TCPServerConnectionFilter {
+    public:
+        explicit ConnectionLimit(CallerContext& context)
+            : m_context(context)
+        {
+        }
+
+        bool accept(const Poco::Net::StreamSocket& socket) override
+        {
+            if (m_context.connections.count() < m_context.limits.connections)
+                return true;
+            ++m_context.counters.refusedConnections;
+            auto text = refusalText(Common::ResultCode::Overloaded, busyRetryAfterMs);
+            // The thread that accepts must not wait: the answer fits into an empty socket buffer or is dropped.
+            ::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+            return false;
+        }
+
+    private:
+        CallerContext& m_context;
+    };
+
     Poco::Net::HTTPServerParams::Ptr serverParams(const Settings::CallerLimits& limits)
     {
         constexpr int usPerMs = 1000;
@@ -53,72 +82,100 @@
     , m_records(m_platform.table, m_log)
     , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes) }, m_log)
     , m_chain(makeChain(m_settings, m_hooks, m_records, m_servers, m_log))
-    , m_callers { .limits = m_settings.limits, .hooks = m_hooks, .chain = m_chain, .page = [this](const auto& method, const auto& target) { return page(method, target); }, .ownTimes = {} }
-    , m_threads("callers", 2, m_settings.limits.connections, 60, threadStackBytes)
+    , m_callers(m_settings.limits, m_hooks, m_chain)
+    , m_threads("callers", 2, m_settings.limits.connections + 1, idleThreadSeconds, threadStackBytes)
+    , m_address(m_settings.address)
+    , m_shutdown({ .directoryTtl = std::chrono::milliseconds(m_settings.directoryTtlMs), .limit = std::chrono::milliseconds(m_settings.shutdownLimitMs) })
 {
+    m_callers.page = [this](const auto& method, const auto& target) { return page(method, target); };
 }
 
 Daemon::~Daemon()
 {
-    stop();
+    kill();
 }
 
 Common::Result<void> Daemon::start()
 {
     refresh();
-    try {
-        Poco::Net::ServerSocket socket;
-        socket.bind(Poco::Net::SocketAddress(m_settings.address), true);
-        socket.listen(listenBacklog);
-        auto params = serverParams(m_settings.limits);
-        m_server = std::make_unique<Poco::Net::TCPServer>(callerConnectionFactory(m_callers, params), m_threads, socket, params);
-        m_server->start();
-    } catch (const Poco::Exception& ec) {
-        m_log.log(EventId::ListenFailed, { { "address", m_settings.address }, { "error", ec.displayText() } });
-        return Common::Error { Common::ResultCode::Internal, fmt::format("cannot listen on {}: {}", m_settings.address, ec.displayText()) };
-    }
+    auto listening = listen();
+    if (!listening)
+        return listening;
     m_refresher = std::thread([this] { refreshLoop(); });
-    m_log.log(EventId::EntryStarted, { { "address", address() } });
+    m_log.log(EventId::EntryStarted, { { "address", m_address } });
     return boost::outcome_v2::success();
 }
 
 bool Daemon::stop()
 {
-    if (m_stopping.exchange(true))
+    if (!m_server)
         return true;
-    m_callers.closing = true;
-    if (m_refresher.joinable())
-        m_refresher.join();
-    auto limit = m_hooks.now() + std::chrono::milliseconds(m_settings.shutdownLimitMs);
-    while (m_callers.inFlight > 0 && m_hooks.now() < limit)
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    auto clean = m_callers.inFlight == 0;
-    if (m_server)
-        m_server->stop();
-    m_server.reset();
-    m_threads.stopAll();
-    m_log.log(clean ? EventId::EntryStopped : EventId::EntryStopForced, {});
+    {
+        std::lock_guard lock(m_shutdownMutex);
+        m_shutdown.begin(m_hooks.now());
+    }
+    m_log.log(EventId::EntryLeaving, { { "calls", std::to_string(m_callers.inFlight) } });
+    auto phase = advanceShutdown();
+    while (phase != ShutdownPhase::Stopped && phase != ShutdownPhase::Forced) {
+        std::this_thread::sleep_for(shutdownStep);
+        phase = advanceShutdown();
+        m_callers.closing = phase != ShutdownPhase::Leaving;
+        if (phase == ShutdownPhase::Draining) {
+            m_server->stop();
+            m_callers.connections.endIdle();
+        }
+    }
+    auto clean = phase == ShutdownPhase::Stopped;
+    m_log.log(clean ? EventId::EntryStopped : EventId::EntryStopForced, { { "calls", std::to_string(m_callers.inFlight) } });
+    endThreads();
     return clean;
 }
 
-std::string Daemon::address() const
+void Daemon::forceStop()
+{
+    std::lock_guard lock(m_shutdownMutex);
+    m_shutdown.force();
+}
+
+void Daemon::kill()
 {
-    return m_server ? m_server->socket().address().toString() : m_settings.address;
+    if (m_server)
+        endThreads();
+}
+
+Common::Result<void> Daemon::listen()
+{
+    try {
+        CallerServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(m_settings.address), true);
+        socket.listen(listenBacklog);
+        auto params = serverParams(m_settings.limits);
+        m_server = std::make_unique<Poco::Net::TCPServer>(callerConnectionFactory(m_callers, params), m_threads, socket, params);
+        m_server->setConnectionFilter(new ConnectionLimit(m_callers));
+        m_server->start();
+        m_address = m_server->socket().address().toString();
+    } catch (const Poco::Exception& ec) {
+        m_log.log(EventId::ListenFailed, { { "address", m_settings.address }, { "error", ec.displayText() } });
+        return Common::Error { Common::ResultCode::Internal, fmt::format("cannot listen on {}: {}", m_settings.address, ec.displayText()) };
+    }
+    return boost::outcome_v2::success();
 }
 
 std::optional<Page> Daemon::page(const std::string& method, const std::string& target) const
 {
     if (target.starts_with("/services/"))
         return std::nullopt;
-    if (method != "GET")
+    auto path = std::string_view(target).substr(0, target.find('?'));
+    auto known = path == "/healthz" || path == "/metrics" || path == "/v1/entries";
+    if (!known)
         return std::nullopt;
-    if (target == "/healthz")
+    if (method != "GET")
+        return errorPage(Common::ResultCode::MethodNotAllowed, "expected GET");
+    if (path == "/healthz")
         return Page { .contentType = "text/plain", .body = "ok\n" };
-    if (target == "/metrics")
+    if (path == "/metrics")
         return metrics();
-    if (target.starts_with("/v1/entries?"))
-        return directory(target);
-    return std::nullopt;
+    return directory(target);
 }
 
 Page Daemon::directory(const std::string& target) const
@@ -151,21 +208,29 @@
 
 Page Daemon::metrics() const
 {
-    auto own = m_callers.ownTimes.quantiles();
-    return Page {
-        .contentType = "text/plain; version=0.0.4",
-        .body = fmt::format("# TYPE cowslipledge_own_time_ms summary\n"
-                            "cowslipledge_own_time_ms{{quantile=\"0.5\"}} {}\ncowslipledge_own_time_ms{{quantile=\"0.99\"}} {}\n"
-                            "cowslipledge_own_time_ms_sum {}\ncowslipledge_own_time_ms_count {}\n",
-            own.p50Ms, own.p99Ms, own.sumMs, own.count),
-    };
+    MetricsPage page;
+    const auto& counters = m_callers.counters;
+    page.counter("calls_total", static_cast<double>(counters.answered), "outcome=\"answered\"");
+    page.counter("calls_total", static_cast<double>(counters.notRun), "outcome=\"not-run\"");
+    page.counter("calls_total", static_cast<double>(counters.unknown), "outcome=\"unknown\"");
+    page.counter("malformed_requests_total", static_cast<double>(counters.malformed));
+    page.counter("refused_connections_total", static_cast<double>(counters.refusedConnections));
+    page.counter("pages_total", static_cast<double>(counters.pages));
+    page.gauge("calls_in_flight", m_callers.inFlight);
+    page.gauge("caller_connections", m_callers.connections.count());
+    page.gauge("records_revision", static_cast<double>(m_records.current()->revision));
+    page.summary("own_time_ms", m_callers.ownTimes.quantiles());
+    page.summary("own_cpu_ms", m_callers.ownCpuTimes.quantiles());
+    return { .contentType = "text/plain; version=0.0.4", .body = page.text() };
 }
 
 void Daemon::refreshLoop()
 {
-    while (!m_stopping) {
-        std::this_thread::sleep_for(refreshInterval);
+    std::unique_lock lock(m_wakeMutex);
+    while (!m_wake.wait_for(lock, refreshInterval, [this] { return m_ending; })) {
+        lock.unlock();
         refresh();
+        lock.lock();
     }
 }
 
@@ -179,4 +244,30 @@
     m_servers.apply(*m_records.current(), *m_instances.get());
 }
 
+// Ends everything that runs; what is still in flight is cut.
+void Daemon::endThreads()
+{
+    {
+        std::lock_guard lock(m_wakeMutex);
+        m_ending = true;
+    }
+    m_wake.notify_all();
+    if (m_refresher.joinable())
+        m_refresher.join();
+    m_callers.closing = true;
+    m_server->stop();
+    while (m_callers.connections.count() > 0) {
+        m_callers.connections.abortAll();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    m_server.reset();
+    m_threads.stopAll();
+}
+
+Decisions::ShutdownPhase Daemon::advanceShutdown()
+{
+    std::lock_guard lock(m_shutdownMutex);
+    return m_shutdown.advance(m_hooks.now(), m_callers.inFlight, m_callers.connections.count());
+}
+
 }
--- a/Source/Core/Entry/Daemon.h
+++ b/Source/Core/Entry/Daemon.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -10,6 +12,7 @@
 
 #include "Controllers/BackendServers.h"
 #include "Controllers/RecordController.h"
+#include "Decisions/Shutdown.h"
 #include "Entry/CallerConnection.h"
 #include "Platform/Platform.h"
 #include "Settings/EntrySettings.h"
@@ -26,20 +29,29 @@
 
     // Binds and serves. Error: Internal where the address cannot be bound.
     Common::Result<void> start();
-    // Graceful shutdown; returns whether nothing was cut.
+    // Graceful shutdown: out of the directory, serve what still comes, finish what is in flight, end. Returns whether nothing was cut.
     bool stop();
+    // Ends a stop() under way without waiting any longer. Thread-safe.
+    void forceStop();
+    // Ends at once, as a crash would: connections are cut, nobody is told.
+    void kill();
 
     // The bound address for callers, ip:port.
-    std::string address() const;
+    std::string address() const { return m_address; }
     const CallerContext& callers() const { return m_callers; }
+    const Controllers::RecordController& records() const { return m_records; }
+    Controllers::BackendServers& servers() { return m_servers; }
     Common::EventLog& log() { return m_log; }
 
 private:
+    Common::Result<void> listen();
     std::optional<Page> page(const std::string& method, const std::string& target) const;
     Page directory(const std::string& target) const;
     Page metrics() const;
     void refreshLoop();
     void refresh();
+    void endThreads();
+    Decisions::ShutdownPhase advanceShutdown();
 
     Settings::EntrySettings m_settings;
     Platform::Services m_platform;
@@ -52,7 +64,13 @@
     CallerContext m_callers;
     Poco::ThreadPool m_threads;
     std::unique_ptr<Poco::Net::TCPServer> m_server;
-    std::atomic<bool> m_stopping { false };
+    std::string m_address;
+
+    mutable std::mutex m_shutdownMutex; // guards m_shutdown
+    Decisions::Shutdown m_shutdown;
+    std::mutex m_wakeMutex;
+    std::condition_variable m_wake; // the refresher's
+    bool m_ending = false; // under m_wakeMutex
     std::thread m_refresher;
 };
 
--- /dev/null
+++ b/Source/UnitTests/Entry/EntryFixture.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "Entry/Daemon.h"
+
+namespace EntryTests {
+
+// One raw HTTP exchange's answer.
+struct RawAnswer {
+    int status = 0; // 0: closed without an answer
+    std::string text; // head and body as received
+};
+
+// Sends bytes as they are and reads until the entry closes or `quietMs` pass without a byte.
+inline RawAnswer sendRaw(Poco::Net::StreamSocket& socket, const std::string& bytes, int quietMs)
+{
+    RawAnswer answer;
+    try {
+        if (!bytes.empty())
+            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        std::array<char, 4096> buf {};
+        while (socket.poll(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(quietMs) * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
+            auto n = socket.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+            if (n <= 0)
+                break;
+            answer.text.append(buf.data(), static_cast<std::size_t>(n));
+        }
+    } catch (const Poco::Exception&) {
+        // A reset after the answer: what was read counts.
+        return answer;
+    }
+    return answer;
+}
+
+// Status of an answer's first line; 0 without one.
+inline int statusOf(const RawAnswer& answer)
+{
+    constexpr std::size_t statusAt = 9; // behind "HTTP/1.1 "
+    constexpr std::size_t statusLength = 3;
+    return answer.text.starts_with("HTTP/1.") ? std::stoi(answer.text.substr(statusAt, statusLength)) : 0;
+}
+
+// The platform's hooks without a network: fixed records and instances.
+inline Platform::Services fixedPlatform(const std::string& recordText, const std::vector<Platform::Instance>& instances)
+{
+    return {
+        .table = {
+            .get = [](const std::string& key) -> Common::Result<Platform::Row> { return Platform::Row { .key = key, .value = "1", .version = 1 }; },
+            .scan = [recordText](const Platform::Range& range) -> Common::Result<std::vector<Platform::Row>> {
+                return std::vector<Platform::Row> { { .key = range.prefix + "s", .value = recordText, .version = 1 } };
+            },
+            .commit = [](const Platform::Transaction&) -> Common::Result<Platform::TransactionAnswer> { return Platform::TransactionAnswer { .committed = true, .found = {} }; },
+        },
+        .objects = {
+            .get = [](const std::string&) -> Common::Result<std::optional<Platform::Object>> { return std::optional<Platform::Object>(); },
+            .put = [](const std::string&, const std::string&, const std::string&) -> Common::Result<std::string> { return std::string("1"); },
+        },
+        .instances = [instances]() -> Common::Result<std::vector<Platform::Instance>> { return instances; },
+    };
+}
+
+inline Settings::EntrySettings testSettings()
+{
+    return {
+        .address = "127.0.0.1:0",
+        .peerAddress = "127.0.0.1:0",
+        .failureDomain = "a",
+        .platformAddress = "127.0.0.1:0",
+        .sharedKey = "0123456789abcdef",
+        .logFormat = Common::LogFormat::Off,
+        .limits = { .bodyBytes = 1000, .headTimeoutMs = 300 },
+        .directoryTtlMs = 100,
+        .shutdownLimitMs = 5000,
+    };
+}
+
+inline Poco::Net::StreamSocket connectTo(const Entry::Daemon& daemon)
+{
+    return Poco::Net::StreamSocket(Poco::Net::SocketAddress(daemon.address()));
+}
+
+}
