--- a/Source/Core/Entry/CallerConnection.cpp
+++ b/Source/Core/Entry/CallerConnection.cpp
@@ -52,7 +52,7 @@
     // The library's own limits on single lines of a head share one exception type with all other mistakes; only the text tells.
     bool isTooLarge(const Poco::Exception& ec)
     {
-        auto text = ec.message();
+        const auto& text = ec.message();
         return text.find("too long") != std::string::npos || text.find("Too many") != std::string::npos;
     }
 
