--- a/Source/UnitTests/Entry/EntryFixture.h
+++ b/Source/UnitTests/Entry/EntryFixture.h
@@ -1,13 +1,19 @@
 #pragma once
 
 #include <array>
+#include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <doctest/doctest.h>
 
 #include "Entry/Daemon.h"
+#include "Records/RecordWrite.h"
+
+#include "Fakes/FakeTable.h"
 
 namespace EntryTests {
 
@@ -46,16 +52,27 @@
     return answer.text.starts_with("HTTP/1.") ? std::stoi(answer.text.substr(statusAt, statusLength)) : 0;
 }
 
-// The platform's hooks without a network: fixed records and instances.
+// The platform's hooks without a network: one record and fixed instances; for use from several threads.
 inline Platform::Services fixedPlatform(const std::string& recordText, const std::vector<Platform::Instance>& instances)
 {
+    struct Shared {
+        std::mutex mutex;
+        Fakes::FakeTable table;
+    };
+    auto shared = std::make_shared<Shared>();
+    auto seeded = Records::writeRecord({ .hooks = Common::systemHooks() }, shared->table.table(), { .service = "s", .by = "test", .forms = { recordText } });
+    REQUIRE(seeded.state == Records::WriteState::Applied);
+    auto locked = [shared](auto member) {
+        return [shared, member](const auto& argument) {
+            std::lock_guard lock(shared->mutex);
+            return (shared->table.table().*member)(argument);
+        };
+    };
     return {
         .table = {
-            .get = [](const std::string& key) -> Common::Result<Platform::Row> { return Platform::Row { .key = key, .value = "1", .version = 1 }; },
-            .scan = [recordText](const Platform::Range& range) -> Common::Result<std::vector<Platform::Row>> {
-                return std::vector<Platform::Row> { { .key = range.prefix + "s", .value = recordText, .version = 1 } };
-            },
-            .commit = [](const Platform::Transaction&) -> Common::Result<Platform::TransactionAnswer> { return Platform::TransactionAnswer { .committed = true, .found = {} }; },
+            .get = locked(&Platform::Table::get),
+            .scan = locked(&Platform::Table::scan),
+            .commit = locked(&Platform::Table::commit),
         },
         .objects = {
             .get = [](const std::string&) -> Common::Result<std::optional<Platform::Object>> { return std::optional<Platform::Object>(); },
--- a/Source/UnitTests/Entry/ShutdownUnderLoadTest.cpp
+++ b/Source/UnitTests/Entry/ShutdownUnderLoadTest.cpp
@@ -49,10 +49,15 @@
     return "schema = 1\nservice = \"s\"\nservers = [\"" + server.address() + "\"]\n";
 }
 
+// Waits for another thread; the test's own time limit ends a wait in vain with a failure, not with a hang.
 void waitUntil(const std::function<bool()>& condition)
 {
-    while (!condition())
+    constexpr int mostSteps = 20'000;
+    int steps = 0;
+    while (!condition()) {
+        REQUIRE(++steps < mostSteps);
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
 }
 
 }
