Order events by a hybrid logical clock and keep calls' events in a ring of their own

Cause: wall clocks of instances differ, so events of several processes could not be put in causal order; and events of single calls pushed the rare control events out of the one ring. Two bounded rings, merged by sequence on reading.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -97,12 +97,15 @@
 
 EventLog::EventLog(EventLogOptions options)
     : m_options(std::move(options))
+    , m_clock(wallMilliseconds)
+    , m_ring { .size = m_options.ringSize }
+    , m_traceRing { .size = m_options.traceRingSize }
 {
 }
 
 void EventLog::log(EventId id, std::vector<EventField> fields)
 {
-    auto event = remember(id, std::move(fields));
+    auto event = remember(m_ring, id, std::move(fields));
     if (m_options.format == LogFormat::Off)
         return;
     auto line = m_options.format == LogFormat::Json ? jsonLine(m_options.process, event) : textLine(m_options.process, event);
@@ -112,24 +115,32 @@
 
 void EventLog::trace(EventId id, std::vector<EventField> fields)
 {
-    remember(id, std::move(fields));
+    remember(m_traceRing, id, std::move(fields));
 }
 
-std::vector<Event> EventLog::since(std::uint64_t sequence) const
+std::vector<Event> EventLog::since(std::uint64_t sequence, std::size_t limit) const
 {
     std::lock_guard lock(m_mutex);
-    auto it = std::find_if(m_ring.begin(), m_ring.end(), [&](const Event& event) { return event.sequence > sequence; });
-    return { it, m_ring.end() };
+    auto older = [](std::uint64_t bound, const Event& event) { return bound < event.sequence; };
+    auto it = std::upper_bound(m_ring.events.begin(), m_ring.events.end(), sequence, older);
+    auto trace = std::upper_bound(m_traceRing.events.begin(), m_traceRing.events.end(), sequence, older);
+    std::vector<Event> events;
+    while (events.size() < limit && (it != m_ring.events.end() || trace != m_traceRing.events.end())) {
+        auto takeTrace = it == m_ring.events.end() || (trace != m_traceRing.events.end() && trace->sequence < it->sequence);
+        events.push_back(takeTrace ? *trace++ : *it++);
+    }
+    return events;
 }
 
-Event EventLog::remember(EventId id, std::vector<EventField> fields)
+Event EventLog::remember(Ring& ring, EventId id, std::vector<EventField> fields)
 {
     Event event { .wallMs = wallMilliseconds(), .id = id, .fields = std::move(fields) };
     std::lock_guard lock(m_mutex);
     event.sequence = ++m_lastSequence;
-    m_ring.push_back(event);
-    if (m_ring.size() > m_options.ringSize)
-        m_ring.pop_front();
+    event.clock = m_clock.tick();
+    ring.events.push_back(event);
+    if (ring.events.size() > ring.size)
+        ring.events.pop_front();
     return event;
 }
 
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -2,12 +2,15 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <mutex>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "Common/HybridClock.h"
+
 namespace Common {
 
 // Numbered events; docs/EVENTS.md lists them and a test holds both together.
@@ -67,6 +70,7 @@
 
 struct Event {
     std::uint64_t sequence = 0; // per process, from 1
+    std::uint64_t clock = 0; // hybrid logical clock: events sort by it in causal order over all processes
     std::int64_t wallMs = 0;
     EventId id = EventId::EntryStarted;
     std::vector<EventField> fields;
@@ -81,10 +85,11 @@
 struct EventLogOptions {
     std::string process; // who logs: the instance's address
     LogFormat format = LogFormat::Text;
-    std::size_t ringSize = 4096; // events kept for the time line
+    std::size_t ringSize = 2048; // control events kept for the time line
+    std::size_t traceRingSize = 4096; // events of single calls kept; a ring of their own, so that calls push out no control event
 };
 
-// One line a numbered event to standard error, and a bounded ring of the latest for the time line.
+// One line a numbered event to standard error, and bounded rings of the latest for the time line.
 class EventLog {
 public:
     explicit EventLog(EventLogOptions);
@@ -94,16 +99,24 @@
     // To the ring only: events of single calls would flood the log.
     void trace(EventId, std::vector<EventField>);
 
-    // Events with a greater sequence number, oldest first.
-    std::vector<Event> since(std::uint64_t sequence) const;
+    // Events with a greater sequence number, oldest first, at most `limit`.
+    std::vector<Event> since(std::uint64_t sequence, std::size_t limit = std::numeric_limits<std::size_t>::max()) const;
+    HybridClock& clock() { return m_clock; }
     const std::string& process() const { return m_options.process; }
 
 private:
-    Event remember(EventId, std::vector<EventField>);
+    struct Ring {
+        std::size_t size = 0;
+        std::deque<Event> events {};
+    };
+
+    Event remember(Ring&, EventId, std::vector<EventField>);
 
     EventLogOptions m_options;
+    HybridClock m_clock;
     mutable std::mutex m_mutex;
-    std::deque<Event> m_ring;
+    Ring m_ring;
+    Ring m_traceRing;
     std::uint64_t m_lastSequence = 0;
 };
 
