Decide membership by gossip with suspicion and incarnations

Cause: the platform's list of instances is late by seconds, so entries did not know one another's state. Change: Decisions/Membership, pure: messages, ticks and the list in; datagrams, changes, hints and newer heads out. Pings, indirect pings, suspicion, refutation, leaving, what an entry offers. A failure only heard of counts as a suspicion, so that the two halves of a split do not remove each other's members when they meet. Tests in virtual time over a small network fake (loss, delay, split, pause, restart). Each of these faults, put into a scratch copy, fails at least one of them: no refutation, failed members never pinged, no pushes, failures trusted on hearsay, no bound on datagrams, a pause not noticed (the first test for that could not fail; the one on a pending suspicion was added).

--- a/Source/Core/Decisions/GossipMessage.h
+++ b/Source/Core/Decisions/GossipMessage.h
@@ -23,6 +23,8 @@
     std::uint64_t incarnation = 0; // start time in ms since the epoch, raised by each refutation
     MemberState state = MemberState::Alive;
     bool leaving = false;
+    bool ready = true; // its records are in force; not named to callers before
+    std::vector<std::uint32_t> unoffered {}; // services it cannot serve, as serviceTag(), at most maxUnoffered
 
     bool operator==(const MemberRecord&) const = default;
 };
@@ -51,6 +53,11 @@
     GossipMessage message;
 };
 
+inline constexpr std::size_t maxUnoffered = 16;
+
+// Stands for a service's name in `unoffered`.
+std::uint32_t serviceTag(const std::string& service);
+
 // Upper bounds of what one item adds to a datagram, in bytes.
 std::size_t encodedBytes(const MemberRecord&);
 std::size_t encodedBytes(const ServerHint&);
--- a/Source/Core/Decisions/Membership.cpp
+++ b/Source/Core/Decisions/Membership.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Common/Hash.h"
+
 namespace Decisions {
 
 namespace {
@@ -35,10 +37,15 @@
 
 }
 
+std::uint32_t serviceTag(const std::string& service)
+{
+    return static_cast<std::uint32_t>(Common::hash(service));
+}
+
 std::size_t encodedBytes(const MemberRecord& record)
 {
-    constexpr std::size_t fixedBytes = 3 + 8 + 1;
-    return fixedBytes + record.peerAddress.size() + record.address.size() + record.failureDomain.size();
+    constexpr std::size_t fixedBytes = 3 + 8 + 1 + 1;
+    return fixedBytes + record.peerAddress.size() + record.address.size() + record.failureDomain.size() + record.unoffered.size() * sizeof(std::uint32_t);
 }
 
 std::size_t encodedBytes(const ServerHint& hint)
@@ -141,7 +148,7 @@
 void Membership::hearOfSelf(const MemberRecord& record)
 {
     auto& self = m_options.self;
-    auto wrong = record.state != MemberState::Alive || record.leaving != self.leaving || record.address != self.address;
+    auto wrong = record != self;
     if (record.incarnation > self.incarnation || (record.incarnation == self.incarnation && wrong))
         raiseIncarnation(record.incarnation);
 }
@@ -460,6 +467,21 @@
     raiseIncarnation(m_options.self.incarnation);
 }
 
+void Membership::setOffer(bool ready, std::vector<std::uint32_t> unoffered)
+{
+    auto& self = m_options.self;
+    // Too many to name: better not named to callers at all than for a service that it cannot serve.
+    if (unoffered.size() > maxUnoffered) {
+        unoffered.clear();
+        ready = false;
+    }
+    if (self.ready == ready && self.unoffered == unoffered)
+        return;
+    self.ready = ready;
+    self.unoffered = std::move(unoffered);
+    raiseIncarnation(self.incarnation);
+}
+
 std::vector<MemberView> Membership::live() const
 {
     std::vector<MemberView> views { { .record = m_options.self, .headRevision = m_head } };
--- a/Source/Core/Decisions/Membership.h
+++ b/Source/Core/Decisions/Membership.h
@@ -84,6 +84,8 @@
     // The revision in force here; pushed to others when it grows.
     void setHead(std::uint64_t revision);
     void publishHint(const ServerHint&);
+    // Whether this entry may be named to callers, and for which services it may not.
+    void setOffer(bool ready, std::vector<std::uint32_t> unoffered);
     // Announces that this entry is leaving.
     void leave();
 
--- a/Source/UnitTests/Decisions/MembershipTest.cpp
+++ b/Source/UnitTests/Decisions/MembershipTest.cpp
@@ -141,6 +141,17 @@
     CHECK(countEvents(network, MemberChange::Failed) == 0);
 }
 
+TEST_CASE("silence during a pause of one's own proves nothing")
+{
+    Common::TimePoint now {};
+    Decisions::Membership membership({ .hooks = { .now = [&] { return now; }, .random = [] { return 0; } }, .self = { .peerAddress = "1.1.1.1:1" } });
+    Decisions::MemberRecord member { .peerAddress = "1.1.1.3:1", .incarnation = 10, .state = MemberState::Suspect };
+    membership.receive({ .sender = { .peerAddress = "1.1.1.2:1", .incarnation = 1 }, .updates = { member } });
+    now += 30s;
+    CHECK(membership.tick().events.empty());
+    CHECK(membership.live().size() == 3);
+}
+
 TEST_CASE("an entry that was paused removes nobody when it wakes")
 {
     GossipNetwork network(5, 10);
