--- a/Source/UnitTests/Settings/EntrySettingsTest.cpp
+++ b/Source/UnitTests/Settings/EntrySettingsTest.cpp
@@ -64,3 +64,24 @@
     CHECK_FALSE(Settings::parseEntrySettings("", "entry.toml", errors).has_value());
     CHECK(errors.size() == 5);
 }
+
+TEST_CASE("the example in the operators' pages is valid and states the defaults")
+{
+    std::vector<Common::FileError> errors;
+    std::string path = std::string(DOCS_DIR) + "/examples/entry.toml";
+    auto text = Common::readFile(path, errors);
+    REQUIRE(text.has_value());
+    auto settings = Settings::parseEntrySettings(*text, path, errors);
+    REQUIRE(settings.has_value());
+    Settings::EntrySettings defaults;
+    CHECK(settings->defaultDeadlineMs == defaults.defaultDeadlineMs);
+    CHECK(settings->directoryTtlMs == defaults.directoryTtlMs);
+    CHECK(settings->shutdownLimitMs == defaults.shutdownLimitMs);
+    CHECK(settings->logFormat == defaults.logFormat);
+    CHECK(settings->limits.connections == defaults.limits.connections);
+    CHECK(settings->limits.headBytes == defaults.limits.headBytes);
+    CHECK(settings->limits.bodyBytes == defaults.limits.bodyBytes);
+    CHECK(settings->limits.answerBytes == defaults.limits.answerBytes);
+    CHECK(settings->limits.headTimeoutMs == defaults.limits.headTimeoutMs);
+    CHECK(settings->limits.idleTimeoutMs == defaults.limits.idleTimeoutMs);
+}
