Operators' commands for records

Cause: records could be written only by hand into the table. Change: cowslipledge record put, replace, retire, get, list, history and wait.

--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -7,6 +7,7 @@
 #include "Entry/Daemon.h"
 #include "Operator/CheckCommand.h"
 #include "Operator/ExitCode.h"
+#include "Operator/RecordCommandLine.h"
 #include "Platform/HttpPlatform.h"
 
 namespace {
@@ -16,11 +17,24 @@
 Usage:
   cowslipledge entry --settings FILE
   cowslipledge check FILE
+  cowslipledge record put RECORD... --platform ADDR [--operator NAME] [--json]
+  cowslipledge record replace RECORD... --expect REV --platform ADDR [--operator NAME] [--dry-run] [--json]
+  cowslipledge record retire SERVICE --expect REV --platform ADDR [--operator NAME] [--json]
+  cowslipledge record get SERVICE --platform ADDR [--json]
+  cowslipledge record list --platform ADDR [--json]
+  cowslipledge record history [SERVICE] --platform ADDR [--json]
+  cowslipledge record wait REVISION --platform ADDR [--timeout-ms T] [--json]
   cowslipledge --help
   cowslipledge --version
 
 Options:
   --settings FILE  TOML settings of an entry instance.
+  --platform ADDR  The platform's address, ip:port.
+  --expect REV     The revision of the record that is to be changed.
+  --operator NAME  Who makes the change; the user's name when absent.
+  --dry-run        Show the difference and change nothing.
+  --timeout-ms T   How long to wait [default: 10000].
+  --json           Print JSON.
   --help           Show this text.
   --version        Show the version.
 )";
@@ -66,6 +80,32 @@
     return Operator::toInt(clean ? Operator::ExitCode::Ok : Operator::ExitCode::Failed);
 }
 
+std::string textOf(const docopt::value& value)
+{
+    return value.isString() ? value.asString() : std::string();
+}
+
+int recordCommand(std::map<std::string, docopt::value>& args)
+{
+    Operator::RecordArguments arguments {
+        .verb = {},
+        .files = args["RECORD"].isStringList() ? args["RECORD"].asStringList() : std::vector<std::string> {},
+        .service = textOf(args["SERVICE"]),
+        .platform = textOf(args["--platform"]),
+        .revision = textOf(args["REVISION"]),
+        .expect = textOf(args["--expect"]),
+        .timeoutMs = textOf(args["--timeout-ms"]),
+        .operatorName = textOf(args["--operator"]),
+        .dryRun = args["--dry-run"].asBool(),
+        .json = args["--json"].asBool(),
+    };
+    for (const auto* verb : { "put", "replace", "retire", "get", "list", "history", "wait" }) {
+        if (args[verb].asBool())
+            arguments.verb = verb;
+    }
+    return Operator::recordCommand(arguments);
+}
+
 }
 
 int main(int argc, char* argv[])
@@ -73,5 +113,7 @@
     auto args = docopt::docopt(usage, { argv + 1, argv + argc }, true, "cowslipledge 0.1.0");
     if (args["entry"].asBool())
         return entryCommand(args["--settings"].asString());
+    if (args["record"].asBool())
+        return recordCommand(args);
     return Operator::checkCommand(args["FILE"].asString());
 }
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -9,6 +9,7 @@
 
 #include "Entry/CallerSocket.h"
 #include "Entry/MetricsPage.h"
+#include "Entry/StatusPage.h"
 #include "Requests/AnswerFilters.h"
 #include "Requests/AttemptFilter.h"
 #include "Requests/ParseFilter.h"
@@ -166,7 +167,7 @@
     if (target.starts_with("/services/"))
         return std::nullopt;
     auto path = std::string_view(target).substr(0, target.find('?'));
-    auto known = path == "/healthz" || path == "/metrics" || path == "/v1/entries";
+    auto known = path == "/healthz" || path == "/metrics" || path == "/v1/entries" || path == "/v1/status";
     if (!known)
         return std::nullopt;
     if (method != "GET")
@@ -175,6 +176,8 @@
         return Page { .contentType = "text/plain", .body = "ok\n" };
     if (path == "/metrics")
         return metrics();
+    if (path == "/v1/status")
+        return Page { .body = statusPage(*m_records.current(), true) };
     return directory(target);
 }
 
--- /dev/null
+++ b/Source/Core/Entry/StatusPage.cpp
@@ -0,0 +1,23 @@
+#include "Entry/StatusPage.h"
+
+#include <json/json.h>
+
+namespace Entry {
+
+std::string statusPage(const Records::RecordSet& records, bool ready)
+{
+    Json::Value json;
+    json["revision"] = Json::UInt64(records.revision);
+    json["ready"] = ready;
+    json["services"] = Json::arrayValue;
+    for (const auto& [service, record] : records.services)
+        json["services"].append(service);
+    json["not_understood"] = Json::arrayValue;
+    for (const auto& service : records.notUnderstood)
+        json["not_understood"].append(service);
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
+}
--- a/Source/Core/Records/RecordWrite.cpp
+++ b/Source/Core/Records/RecordWrite.cpp
@@ -1,7 +1,6 @@
 #include "Records/RecordWrite.h"
 
 #include <algorithm>
-#include <thread>
 
 #include <fmt/format.h>
 
@@ -150,7 +149,7 @@
 {
     RecordWrite write(options, table, request);
     while (auto wait = write.step())
-        std::this_thread::sleep_for(*wait);
+        options.sleep(*wait);
     return write.answer();
 }
 
--- a/Source/Core/Records/RecordWrite.h
+++ b/Source/Core/Records/RecordWrite.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "Common/Clock.h"
 #include "Platform/Platform.h"
@@ -40,6 +41,7 @@
 struct RecordWriteOptions {
     Common::Hooks hooks;
     std::function<std::int64_t()> wallMs = Common::wallMilliseconds;
+    std::function<void(Common::Duration)> sleep = [](Common::Duration duration) { std::this_thread::sleep_for(duration); };
     Common::Duration limit = std::chrono::seconds(30); // for retries, from the first step
     Common::Duration firstBackOff = std::chrono::milliseconds(50);
     Common::Duration maxBackOff = std::chrono::seconds(2);
