--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include "Bench/ScenarioRun.h"
+#include "Bench/SlopeRuns.h"
 #include "Common/Tables.h"
 
 namespace {
@@ -13,6 +14,7 @@
 Usage:
   cowslipledge-bench run --list
   cowslipledge-bench run SCENARIO [--deployment D] [--policy P] [--goal G] [--seed N] [--seconds T] [--table]
+  cowslipledge-bench slopes [--report DIR]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -23,6 +25,7 @@
   --goal G        latency or probe-cost; the deployment's own without it.
   --seed N        Seed of arrivals and faults [default: 1].
   --seconds T     Length of the load [default: 5].
+  --report DIR    Folder for CSV files and plots [default: report].
   --table         Print a table of the services before the line of JSON.
 )";
 
@@ -34,6 +37,13 @@
     return 0;
 }
 
+int slopes(const std::string& folder)
+{
+    auto measured = Bench::measureSlopes({});
+    fmt::print("{}", Bench::slopeTable(measured));
+    return Bench::writeSlopes(folder, measured) ? 0 : 1;
+}
+
 int listScenarios()
 {
     for (const auto& scenario : Bench::scenarios())
@@ -62,6 +72,8 @@
 int main(int argc, char* argv[])
 {
     auto args = docopt::docopt(usage, { argv + 1, argv + argc });
+    if (args["slopes"].asBool())
+        return slopes(args["--report"].asString());
     if (args["tables"].asBool())
         return writeTables(args["DOCS"].asString());
     if (args["--list"].asBool())
