Request path: one attempt as a hook, hedging, budgets, admission, cancellation

Cause: the attempt filter held choice, sockets and retries in one, so that it could be tested only over sockets, and knew neither hedges nor budgets nor a caller that leaves.

Change: Attempt.h is the hook for one attempt; AttemptRunner makes it over sockets, on the caller's thread: it polls one or two backend servers and the caller's socket at once, closes the loser and reports both ends to the pool. AttemptFilter decides on what follows. A connect timeout before the deadline is connect-failed, no longer deadline-expired. 503 answers carry Retry-After. RequestPath wires the chain for the daemon.

--- a/Source/Core/Entry/CallerConnection.cpp
+++ b/Source/Core/Entry/CallerConnection.cpp
@@ -93,6 +93,7 @@
             InFlight inFlight(m_context, place);
             Call call;
             call.received = m_context.hooks.now();
+            call.callerSocket = socket().impl()->sockfd();
             auto cpuAtStart = takesCpuSample() ? threadCpuTime() : Common::Duration::zero();
             auto keep = exchange(session, call);
             noteOwnTimes(call, cpuAtStart);
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -10,9 +10,6 @@
 #include "Entry/CallerSocket.h"
 #include "Entry/MetricsPage.h"
 #include "Entry/StatusPage.h"
-#include "Requests/AnswerFilters.h"
-#include "Requests/AttemptFilter.h"
-#include "Requests/ParseFilter.h"
 
 namespace Entry {
 
@@ -28,15 +25,6 @@
     constexpr int busyRetryAfterMs = 1000;
     constexpr auto shutdownStep = std::chrono::milliseconds(5);
 
-    Requests::FilterChain makeChain(const Settings::EntrySettings& settings, const Common::Hooks& hooks, Controllers::RecordController& records, Controllers::BackendServers& servers, Common::EventLog& log)
-    {
-        return Requests::FilterChain({
-            Requests::timelineFilter(log),
-            Requests::parseFilter({ .hooks = hooks, .defaultDeadline = std::chrono::milliseconds(settings.defaultDeadlineMs) }, records),
-            Requests::attemptFilter({ .hooks = hooks }, servers, log),
-        });
-    }
-
     // Refuses connections above the limit, with an answer: a caller left to wait in a queue would learn nothing.
     class ConnectionLimit : public Poco::Net::TCPServerConnectionFilter {
     public:
@@ -82,8 +70,8 @@
     , m_log({ .process = m_settings.address, .format = m_settings.logFormat })
     , m_records(m_platform.table, m_log)
     , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes) }, m_log)
-    , m_chain(makeChain(m_settings, m_hooks, m_records, m_servers, m_log))
-    , m_callers(m_settings.limits, m_hooks, m_chain)
+    , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs) }, m_records, m_servers, m_log)
+    , m_callers(m_settings.limits, m_hooks, m_requests.chain())
     , m_threads("callers", 2, m_settings.limits.connections + 1, idleThreadSeconds, threadStackBytes)
     , m_address(m_settings.address)
     , m_shutdown({ .directoryTtl = std::chrono::milliseconds(m_settings.directoryTtlMs), .limit = std::chrono::milliseconds(m_settings.shutdownLimitMs) })
--- a/Source/Core/Entry/Daemon.h
+++ b/Source/Core/Entry/Daemon.h
@@ -15,6 +15,7 @@
 #include "Decisions/Shutdown.h"
 #include "Entry/CallerConnection.h"
 #include "Platform/Platform.h"
+#include "Requests/RequestPath.h"
 #include "Settings/EntrySettings.h"
 
 namespace Entry {
@@ -41,6 +42,7 @@
     const CallerContext& callers() const { return m_callers; }
     const Controllers::RecordController& records() const { return m_records; }
     Controllers::BackendServers& servers() { return m_servers; }
+    const Requests::CallStats& callStats() const { return m_requests.stats(); }
     Common::EventLog& log() { return m_log; }
 
 private:
@@ -60,7 +62,7 @@
     Controllers::RecordController m_records;
     Controllers::BackendServers m_servers;
     Common::Snapshot<std::vector<Platform::Instance>> m_instances;
-    Requests::FilterChain m_chain;
+    Requests::RequestPath m_requests;
     CallerContext m_callers;
     Poco::ThreadPool m_threads;
     std::unique_ptr<Poco::Net::TCPServer> m_server;
--- a/Source/Core/Requests/AttemptFilter.cpp
+++ b/Source/Core/Requests/AttemptFilter.cpp
@@ -1,106 +1,121 @@
 #include "Requests/AttemptFilter.h"
 
-#include <algorithm>
-#include <array>
-
-#include <Poco/String.h>
-#include <fmt/format.h>
-
-#include "Requests/LoadHeaders.h"
-
 namespace Requests {
 
 namespace {
 
     using Common::ResultCode;
-    using Decisions::AttemptEnd;
-    using Decisions::AttemptStage;
+    using Decisions::AttemptFault;
 
-    // Headers that belong to one connection or are set anew for the backend server.
-    bool isForwarded(const std::string& name)
+    // Sets the call's outcome from its latest attempt. An attempt that may have run is not forgotten when a later one did not.
+    void conclude(Call& call, AttemptResult& result, Common::TimePoint now)
     {
-        static const std::array hopHeaders { "connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade", "proxy-connection", "expect",
-            "host", "idempotency-key", "cowslipledge-deadline-ms", "cowslipledge-retry", "cowslipledge-repeat" };
-        return std::none_of(hopHeaders.begin(), hopHeaders.end(), [&](const char* hop) { return Poco::icompare(name, hop) == 0; });
+        auto outcome = Decisions::attemptOutcome(result.end);
+        if (outcome == Common::Outcome::Answered) {
+            call.code = ResultCode::Ok;
+            call.outcome = outcome;
+            call.errorText.clear();
+            call.answer = std::move(result.answer);
+            return;
+        }
+        auto ranBefore = call.mayHaveRun;
+        call.mayHaveRun = ranBefore || outcome == Common::Outcome::Unknown || result.otherMayHaveRun;
+        if (ranBefore && outcome == Common::Outcome::NotRun)
+            return;
+        auto code = Decisions::attemptCode(result.end);
+        if (code == ResultCode::DeadlineExpired && now < call.deadline)
+            code = ResultCode::ConnectFailed;
+        if (result.end.fault == AttemptFault::Malformed && outcome == Common::Outcome::NotRun)
+            code = ResultCode::BadRequest;
+        fail(call, code, std::string(Common::resultRow(code).meaning));
     }
 
-    Backends::BackendRequest requestFor(const Call& call, Common::Duration timeLeft)
+    AttemptPlan planFor(const Call& call, const AttemptOptions& options, ServiceState& state, CallStats& stats)
     {
-        Backends::BackendRequest request { .method = call.method, .target = call.servicePath, .headers = {}, .body = call.body };
-        for (const auto& header : call.headers) {
-            if (isForwarded(header.first))
-                request.headers.push_back(header);
-        }
-        request.headers.emplace_back("Idempotency-Key", call.id);
-        request.headers.emplace_back("Cowslipledge-Deadline-Ms", fmt::format("{}", static_cast<std::int64_t>(Common::toMilliseconds(timeLeft))));
-        request.headers.emplace_back("Cowslipledge-Retry", fmt::format("{}", call.outerRetries + call.attempts - 1));
-        return request;
+        AttemptPlan plan;
+        auto idempotent = call.rule.repeat == Records::Repeat::Safe;
+        if (!idempotent)
+            plan.freshness = options.freshness;
+        if (!idempotent || !call.rule.hedge || call.outerRetries > 0 || call.sends > 0)
+            return plan;
+        std::lock_guard lock(state.mutex);
+        plan.hedgeAfter = state.hedging.delay();
+        plan.takeHedge = [&state, &stats, &options] {
+            std::lock_guard inner(state.mutex);
+            // More requests do not help servers that have too many.
+            if (state.admission.overloaded(options.hooks.now(), state.slots) || !state.hedging.take())
+                return false;
+            ++stats.hedges;
+            return true;
+        };
+        return plan;
     }
 
-    // One attempt on one connection.
-    AttemptEnd attempt(Call& call, Backends::ConnectionPool::Lease& lease, const AttemptOptions& options)
+    void learn(const AttemptResult& result, ServiceState& state, CallStats& stats)
     {
-        if (!lease.session)
-            return { .stage = AttemptStage::BeforeConnect, .fault = Decisions::AttemptFault::Refused };
-        auto now = options.hooks.now();
-        if (now >= call.deadline)
-            return { .stage = AttemptStage::BeforeConnect, .fault = Decisions::AttemptFault::TimedOut };
-        if (!lease.kept) {
-            auto end = lease.session->open(std::min<Common::Duration>(options.connectTimeout, call.deadline - now));
-            if (end.stage != AttemptStage::BeforeSend)
-                return end;
-            now = options.hooks.now();
-        }
-        auto end = lease.session->send(requestFor(call, call.deadline - now), call.deadline - now);
-        if (end.stage != AttemptStage::Sent)
-            return end;
-        if (call.firstSent == Common::TimePoint())
-            call.firstSent = options.hooks.now();
-        call.answer = {};
-        return lease.session->receive(call.answer, call.deadline);
+        stats.sends += static_cast<std::uint64_t>(result.sends);
+        stats.hedgesWon += result.hedgeWon ? 1 : 0;
+        stats.cancelled += result.end.fault == AttemptFault::Cancelled ? 1 : 0;
+        if (Decisions::attemptOutcome(result.end) != Common::Outcome::Answered)
+            return;
+        std::lock_guard lock(state.mutex);
+        state.retry.onSuccess();
+        state.hedging.onAnswer(result.ended - result.firstSent);
     }
 
-    // Sets the call's outcome from its latest attempt. An attempt that may have run is not forgotten when a later one did not.
-    void conclude(Call& call, const AttemptEnd& end)
+    bool goesOn(const Call& call, const AttemptResult& result, const AttemptOptions& options, ServiceState& state, CallStats& stats)
     {
-        auto outcome = Decisions::attemptOutcome(end);
-        if (outcome == Common::Outcome::Answered) {
-            call.code = ResultCode::Ok;
-            call.outcome = outcome;
-            call.errorText.clear();
-            return;
+        auto now = options.hooks.now();
+        auto verdict = Decisions::retryVerdict({
+            .end = result.end,
+            .idempotent = call.rule.repeat == Records::Repeat::Safe,
+            .sent = result.sends > 0,
+            .timeLeft = now < call.deadline,
+            .attempts = call.attempts,
+            .maxAttempts = options.maxAttempts,
+            .outerRetries = call.outerRetries,
+        });
+        if (verdict != Decisions::RetryVerdict::Budgeted) {
+            stats.movedOn += verdict == Decisions::RetryVerdict::Free ? 1 : 0;
+            return verdict == Decisions::RetryVerdict::Free;
         }
-        if (call.mayHaveRun && outcome == Common::Outcome::NotRun)
-            return;
-        call.mayHaveRun = outcome == Common::Outcome::Unknown;
-        auto code = Decisions::attemptCode(end);
-        fail(call, code, std::string(Common::resultRow(code).meaning));
+        std::lock_guard lock(state.mutex);
+        auto granted = state.retry.take(now);
+        ++(granted ? stats.retries : stats.retriesRefused);
+        return granted;
     }
 
 }
 
-Filter attemptFilter(AttemptOptions options, Controllers::BackendServers& servers, Common::EventLog& log)
+Filter attemptFilter(AttemptOptions options, RunAttempt run, ServiceStates& states, CallStats& stats)
 {
-    return [options = std::move(options), &servers, &log](Call& call, const Next&) {
+    return [options = std::move(options), run = std::move(run), &states, &stats](Call& call, const Next&) {
+        auto state = states.of(call.service);
+        {
+            std::lock_guard lock(state->mutex);
+            state->retry.onCall();
+            state->hedging.onCall();
+        }
         std::vector<std::string> tried;
         while (true) {
-            auto hold = servers.begin(call.service, tried);
-            if (!hold) {
+            auto plan = planFor(call, options, *state, stats);
+            plan.exclude = tried;
+            auto attempt = run(call, plan);
+            if (!attempt) {
                 if (call.attempts == 0)
-                    fail(call, hold.error().code, hold.error().text);
+                    fail(call, attempt.error().code, attempt.error().text);
                 return;
             }
-            ++call.attempts;
-            auto server = hold.value().ticket.address;
-            auto end = attempt(call, hold.value().connection, options);
-            call.answerRead = options.hooks.now();
-            auto load = end.stage == AttemptStage::Answered ? loadReport(call.answer.headers) : std::nullopt;
-            servers.end(call.service, std::move(hold).value(), { .end = end, .load = load });
-            log.trace(Common::EventId::CallAttempt, { { "request", call.id }, { "service", call.service }, { "server", server }, { "status", std::to_string(end.status) } });
-            conclude(call, end);
-            tried.push_back(server);
-            auto idempotent = call.rule.repeat == Records::Repeat::Safe;
-            if (call.attempts >= options.maxAttempts || call.outerRetries > 0 || options.hooks.now() >= call.deadline || !Decisions::mayTryAgain(end, idempotent))
+            auto& result = attempt.value();
+            call.attempts += static_cast<int>(result.servers.size());
+            call.sends += result.sends;
+            call.answerRead = result.ended;
+            if (call.firstSent == Common::TimePoint())
+                call.firstSent = result.firstSent;
+            tried.insert(tried.end(), result.servers.begin(), result.servers.end());
+            learn(result, *state, stats);
+            conclude(call, result, options.hooks.now());
+            if (!goesOn(call, result, options, *state, stats))
                 return;
         }
     };
--- a/Source/Core/Requests/Call.h
+++ b/Source/Core/Requests/Call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
     std::vector<Backends::Header> headers;
     std::string body;
     Common::TimePoint received;
+    int callerSocket = -1; // watched for the caller's leaving while a backend server works; -1: nothing to watch
 
     // Filled by filters.
     std::string service;
@@ -29,6 +31,7 @@
     int outerRetries = 0; // Cowslipledge-Retry: above 0 no retry or hedge here
     Records::Rule rule;
     std::shared_ptr<const Records::ServiceRecord> record;
+    std::function<bool()> mayCancel; // whether the attempt may end when the caller has gone; empty: yes
 
     // The answer.
     Common::ResultCode code = Common::ResultCode::Internal;
@@ -36,6 +39,7 @@
     std::string errorText; // where code is not Ok
     int retryAfterMs = 0; // 0: none
     int attempts = 0;
+    int sends = 0; // attempts of which a byte left
     bool mayHaveRun = false; // an attempt ended unknown
     Backends::BackendAnswer answer;
 
--- a/Source/Core/Requests/FilterChain.cpp
+++ b/Source/Core/Requests/FilterChain.cpp
@@ -1,5 +1,6 @@
 #include "Requests/FilterChain.h"
 
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/String.h>
 
 namespace Requests {
@@ -15,8 +16,12 @@
 
 void fail(Call& call, Common::ResultCode code, std::string text)
 {
+    constexpr int defaultRetryAfterMs = 1000;
+    const auto& row = Common::resultRow(code);
     call.code = code;
-    call.outcome = Common::resultRow(code).outcome;
+    call.outcome = row.outcome;
+    if (row.httpStatus == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE && call.retryAfterMs == 0)
+        call.retryAfterMs = defaultRetryAfterMs;
     call.errorText = std::move(text);
     call.answer = {};
 }
--- a/Source/UnitTests/Backends/BackendSessionTest.cpp
+++ b/Source/UnitTests/Backends/BackendSessionTest.cpp
@@ -98,6 +98,7 @@
         { "silent", answering(""), Sent, Fault::TimedOut, false, "GET", shortWait },
         { "head trickled past the deadline", { ReadRequest {}, Trickle { "HTTP/1.1 200 OK" } }, PartlyAnswered, Fault::TimedOut, false, "GET", shortWait },
         { "body trickled past the deadline", { ReadRequest {}, SendBytes { "HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n" }, Trickle { "x" } }, PartlyAnswered, Fault::TimedOut, false, "GET", shortWait },
+        { "interim answers without a pause", { ReadRequest {}, Flood { "HTTP/1.1 103 Early Hints\r\n\r\n" } }, PartlyAnswered, Fault::TimedOut, false, "GET", shortWait },
         { "interim answers without end", { ReadRequest {}, Trickle { "HTTP/1.1 103 Early Hints\r\n\r\n" } }, PartlyAnswered, Fault::TimedOut, false, "GET", shortWait },
     };
 }
--- a/Source/UnitTests/Backends/ScriptedServer.h
+++ b/Source/UnitTests/Backends/ScriptedServer.h
@@ -20,11 +20,14 @@
 struct Trickle {
     std::string bytes; // one at a time, over and over, until the client leaves
 };
+struct Flood {
+    std::string bytes; // over and over without a pause, until the client leaves
+};
 struct CloseConnection { };
 struct ResetConnection { };
 struct WaitForClient { }; // says nothing until the client leaves
 
-using Step = std::variant<ReadRequest, SendBytes, Trickle, CloseConnection, ResetConnection, WaitForClient>;
+using Step = std::variant<ReadRequest, SendBytes, Trickle, Flood, CloseConnection, ResetConnection, WaitForClient>;
 using Script = std::vector<Step>;
 
 // A TCP server on loopback that follows a script for each connection, the last one for all later connections, and counts
@@ -118,6 +121,12 @@
         }
     }
 
+    void run(const Flood& step, Poco::Net::StreamSocket& socket) const
+    {
+        while (!m_stopping)
+            run(SendBytes { step.bytes }, socket);
+    }
+
     static void run(const CloseConnection&, Poco::Net::StreamSocket& socket) { socket.close(); }
 
     static void run(const ResetConnection&, Poco::Net::StreamSocket& socket)
