Hedge test: one connection for each answer

Cause: the quick server's script ended after one answer, so a kept connection made the second call wait for ever (seen once: 40 s, failed). Now its answers close the connection; what is checked is unchanged.

--- a/Source/UnitTests/Requests/AttemptRunnerTest.cpp
+++ b/Source/UnitTests/Requests/AttemptRunnerTest.cpp
@@ -86,7 +86,8 @@
 TEST_CASE("a hedge answers for a silent server, and the loser is reported")
 {
     ScriptedServer slow({ silent });
-    ScriptedServer quick({ answering });
+    // A connection for each answer: the script of one ends with it.
+    ScriptedServer quick({ { ReadRequest {}, SendBytes { "HTTP/1.1 200 OK\r\nConnection: close\r\nCowslipledge-Outcome: not-run\r\nContent-Length: 4\r\n\r\nbody" }, WaitForClient {} } });
     Fixture fixture({ slow.address(), quick.address() });
     // The choice may fall on the quick server first: go on until the hedge had to win.
     constexpr int mostCalls = 200;
@@ -97,7 +98,7 @@
         CHECK(result.value().end.stage == AttemptStage::Answered);
         CHECK(result.value().answer.body == "body");
         CHECK(result.value().sends == static_cast<int>(result.value().servers.size()));
-        CHECK(result.value().answer.headers.size() == 1); // none that could pass for the entry's own
+        CHECK(result.value().answer.headers.size() == 2); // none that could pass for the entry's own
         CHECK(fixture.inFlight() == 0);
         won = result.value().hedgeWon;
     }
