--- a/Source/Core/Controllers/RecordController.cpp
+++ b/Source/Core/Controllers/RecordController.cpp
@@ -62,6 +62,12 @@
     return m_held.updateSince(since);
 }
 
+Records::RecordImage RecordController::image() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_held.image();
+}
+
 void RecordController::publish()
 {
     auto next = std::make_shared<Records::RecordSet>(*m_records.get());
--- a/Source/Core/Controllers/RecordController.h
+++ b/Source/Core/Controllers/RecordController.h
@@ -22,6 +22,8 @@
     Decisions::ApplyState offer(const Records::RecordUpdate&);
     // What an entry that holds `since` lacks.
     Records::RecordUpdate updateSince(std::uint64_t since) const;
+    // All that is held, for the snapshot object.
+    Records::RecordImage image() const;
     std::shared_ptr<const Records::RecordSet> current() const { return m_records.get(); }
 
 private:
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -69,6 +69,7 @@
     , m_hooks(std::move(hooks))
     , m_log({ .process = m_settings.address, .format = m_settings.logFormat })
     , m_records(m_platform.table, m_log)
+    , m_recordSync({ .hooks = m_hooks, .schedule = {} }, m_platform, m_records, m_log)
     , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes) }, m_log)
     , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs) }, m_records, m_servers, m_log)
     , m_callers(m_settings.limits, m_hooks, m_requests.chain())
@@ -86,10 +87,12 @@
 
 Common::Result<void> Daemon::start()
 {
+    m_recordSync.step();
     refresh();
     auto listening = listen();
     if (!listening)
         return listening;
+    m_recordSync.start();
     m_refresher = std::thread([this] { refreshLoop(); });
     m_log.log(EventId::EntryStarted, { { "address", m_address } });
     return boost::outcome_v2::success();
@@ -165,7 +168,7 @@
     if (path == "/metrics")
         return metrics();
     if (path == "/v1/status")
-        return Page { .body = statusPage(*m_records.current(), true) };
+        return Page { .body = statusPage(*m_records.current(), m_recordSync.ready()) };
     return directory(target);
 }
 
@@ -227,11 +230,15 @@
 
 void Daemon::refresh()
 {
-    auto changed = m_records.poll();
-    if (auto instances = m_platform.instances())
-        m_instances.set(std::make_shared<const std::vector<Platform::Instance>>(std::move(instances).value()));
-    else if (!changed)
+    // New records first: the instance list may be slow to come.
+    auto records = m_records.current();
+    if (records->revision > m_appliedRevision)
+        m_servers.apply(*records, *m_instances.get());
+    m_appliedRevision = records->revision;
+    auto instances = m_platform.instances();
+    if (!instances)
         return;
+    m_instances.set(std::make_shared<const std::vector<Platform::Instance>>(std::move(instances).value()));
     m_servers.apply(*m_records.current(), *m_instances.get());
 }
 
@@ -245,6 +252,7 @@
     m_wake.notify_all();
     if (m_refresher.joinable())
         m_refresher.join();
+    m_recordSync.stop();
     m_callers.closing = true;
     m_server->stop();
     while (m_callers.connections.count() > 0) {
--- a/Source/Core/Entry/Daemon.h
+++ b/Source/Core/Entry/Daemon.h
@@ -12,6 +12,7 @@
 
 #include "Controllers/BackendServers.h"
 #include "Controllers/RecordController.h"
+#include "Controllers/RecordSync.h"
 #include "Decisions/Shutdown.h"
 #include "Entry/CallerConnection.h"
 #include "Platform/Platform.h"
@@ -60,6 +61,7 @@
     Common::Hooks m_hooks;
     Common::EventLog m_log;
     Controllers::RecordController m_records;
+    Controllers::RecordSync m_recordSync;
     Controllers::BackendServers m_servers;
     Common::Snapshot<std::vector<Platform::Instance>> m_instances;
     Requests::RequestPath m_requests;
@@ -73,6 +75,7 @@
     std::mutex m_wakeMutex;
     std::condition_variable m_wake; // the refresher's
     bool m_ending = false; // under m_wakeMutex
+    std::uint64_t m_appliedRevision = 0; // of the records that m_servers knows; the refresher's
     std::thread m_refresher;
 };
 
