Server pools by index, with ejection, slow start, drain state and probe planning

Cause: the pool was a scan over all servers at each choice and look-up, and knew nothing of a server but its open requests. Change: look-ups by hash, choices in constant time (least-in-flight: logarithmic), all five policies; adaptive scores five draws by answer time, aged reports and the age of open requests. Ejection on evidence, at most 30% of a pool; slow start; sticky drain signs; hints in and out; a probe budget that fills with time alone; a planner of probes.

--- a/Source/Core/Controllers/BackendServers.cpp
+++ b/Source/Core/Controllers/BackendServers.cpp
@@ -31,7 +31,7 @@
     auto next = std::make_shared<Shards>();
     for (const auto& [name, record] : records.services) {
         auto known = shard(name);
-        Decisions::PoolOptions options { .policy = record->policy, .slots = record->slots };
+        Decisions::PoolOptions options { .service = name, .policy = record->policy, .goal = record->goal, .slots = record->slots };
         auto target = known ? known : std::make_shared<Shard>(options, m_options.hooks);
         applyService(*target, *record, instances);
         next->emplace(name, std::move(target));
@@ -87,7 +87,7 @@
 {
     auto specs = specsFor(record, instances);
     std::lock_guard lock(target.mutex);
-    target.pool.setOptions({ .policy = record.policy, .slots = record.slots });
+    target.pool.setOptions({ .service = record.service, .policy = record.policy, .goal = record.goal, .slots = record.slots });
     target.pool.setServers(specs);
     std::map<std::string, std::shared_ptr<Backends::ConnectionPool>, std::less<>> connections;
     for (const auto& spec : specs) {
--- /dev/null
+++ b/Source/Core/Decisions/AnswerTime.cpp
@@ -0,0 +1,47 @@
+#include "Decisions/AnswerTime.h"
+
+#include <algorithm>
+
+#include "Decisions/Decay.h"
+
+namespace Decisions {
+
+namespace {
+
+    constexpr double recentGain = 0.3;
+    constexpr double longTermGain = 0.05;
+    constexpr auto recentMemory = std::chrono::milliseconds(300);
+    constexpr auto longTermMemory = std::chrono::seconds(10);
+    constexpr int samplesCounted = 1'000'000;
+
+}
+
+void AnswerTime::learn(double ms, Common::TimePoint now, double usualMs)
+{
+    if (m_samples == 0) {
+        m_recentMs = ms;
+        m_longTermMs = ms;
+    } else {
+        m_recentMs = expectedMs(now, usualMs);
+        m_longTermMs = longTermMs(now, usualMs);
+        m_recentMs += recentGain * (ms - m_recentMs);
+        m_longTermMs += std::max(longTermGain, 1.0 / (m_samples + 1)) * (ms - m_longTermMs);
+    }
+    m_samples = std::min(m_samples + 1, samplesCounted);
+    m_at = now;
+}
+
+double AnswerTime::expectedMs(Common::TimePoint now, double usualMs) const
+{
+    if (m_samples == 0)
+        return usualMs;
+    auto base = longTermMs(now, usualMs);
+    return base + (m_recentMs - base) * decay(now - m_at, recentMemory);
+}
+
+double AnswerTime::longTermMs(Common::TimePoint now, double usualMs) const
+{
+    return usualMs + (m_longTermMs - usualMs) * decay(now - m_at, longTermMemory);
+}
+
+}
--- /dev/null
+++ b/Source/Core/Decisions/ProbeBudget.cpp
@@ -0,0 +1,54 @@
+#include "Decisions/ProbeBudget.h"
+
+#include <algorithm>
+
+namespace Decisions {
+
+namespace {
+
+    constexpr double capacity = 1; // probes
+    constexpr auto settleTime = std::chrono::seconds(3);
+
+    double seconds(Common::Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+}
+
+ProbeBudget::ProbeBudget(Common::TimePoint start)
+    : m_filledTo(start + settleTime)
+{
+}
+
+void ProbeBudget::setRate(double probesPerSecond, const CarrierShare& share, Common::TimePoint now)
+{
+    // What was earned at the old rate is settled first.
+    fill(now);
+    auto divisor = std::max({ 1, share.mostCarriers, share.carriers });
+    m_rate = share.carries ? probesPerSecond / divisor : 0;
+}
+
+bool ProbeBudget::take(Common::TimePoint now)
+{
+    if (!has(now))
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+bool ProbeBudget::has(Common::TimePoint now)
+{
+    fill(now);
+    return m_tokens >= 1;
+}
+
+void ProbeBudget::fill(Common::TimePoint now)
+{
+    if (now <= m_filledTo)
+        return;
+    m_tokens = std::min(capacity, m_tokens + m_rate * seconds(now - m_filledTo));
+    m_filledTo = now;
+}
+
+}
