Adaptive choice by turns: weighted round-robin that skips the clearly worse

Cause: five random draws spread one entry's calls less evenly than round-robin does, and followed noise in answer times. Change: servers take turns, weighted by slots and long-term answer time; of the four due next the first is taken unless another's expected time is under 3/4 of it, and those clearly worse lose their turn. Own open requests count threefold. Test: PolicyComparisonTest holds the order.

--- a/Source/Core/Decisions/AnswerTime.cpp
+++ b/Source/Core/Decisions/AnswerTime.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr double recentGain = 0.3;
+    constexpr double recentGain = 0.1;
     constexpr double longTermGain = 0.05;
     constexpr auto recentMemory = std::chrono::milliseconds(300);
     constexpr auto longTermMemory = std::chrono::seconds(10);
@@ -41,6 +41,8 @@
 
 double AnswerTime::longTermMs(Common::TimePoint now, double usualMs) const
 {
+    if (m_samples == 0)
+        return usualMs;
     return usualMs + (m_longTermMs - usualMs) * decay(now - m_at, longTermMemory);
 }
 
--- a/Source/Core/Decisions/AnswerTime.h
+++ b/Source/Core/Decisions/AnswerTime.h
@@ -11,11 +11,11 @@
     void learn(double ms, Common::TimePoint now, double usualMs);
     // `usualMs` is the pool's typical answer time; it is the answer while nothing is known.
     double expectedMs(Common::TimePoint now, double usualMs) const;
+    // The same without sudden changes.
+    double longTermMs(Common::TimePoint now, double usualMs) const;
     int samples() const { return m_samples; }
 
 private:
-    double longTermMs(Common::TimePoint now, double usualMs) const;
-
     double m_recentMs = 0;
     double m_longTermMs = 0;
     int m_samples = 0;
--- a/Source/Core/Decisions/ServerChoice.cpp
+++ b/Source/Core/Decisions/ServerChoice.cpp
@@ -1,16 +1,17 @@
 #include "Decisions/ServerChoice.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Decisions {
 
 namespace {
 
-    constexpr int adaptiveCandidates = 5;
-    constexpr int drawsEach = 2; // draws for each candidate wanted: some are excluded, or refused by slow start
+    constexpr std::size_t adaptiveCandidates = 4;
+    constexpr double firstTurnMs = 5; // spread of first turns
     constexpr int randomDraws = 4;
     constexpr std::uint64_t firstTurn = 1ULL << 32;
-    constexpr double clearlyBetter = 0.9; // of another's expected time: less is noise, and following it would herd
+    constexpr double clearlyBetter = 0.75; // of another's expected time: less is noise, and following it would herd
 
     bool contains(std::span<ServerState* const> servers, const ServerState* server)
     {
@@ -24,14 +25,17 @@
 
 }
 
-void ServerChoice::setPolicy(Records::Policy policy)
+void ServerChoice::setPolicy(Records::Policy policy, const Common::Hooks& hooks)
 {
     m_policy = policy;
     m_order.clear();
-    if (m_policy != Records::Policy::LeastInFlight)
-        return;
-    for (auto* server : m_servers)
-        m_order.insert(orderKey(*server));
+    m_turns.clear();
+    for (auto* server : m_servers) {
+        if (m_policy == Records::Policy::LeastInFlight)
+            m_order.insert(orderKey(*server));
+        if (m_policy == Records::Policy::Adaptive)
+            enqueue(*server, hooks);
+    }
 }
 
 void ServerChoice::add(ServerState& server, const Common::Hooks& hooks)
@@ -42,11 +46,15 @@
     server.tieBreak = Common::randomBelow(hooks, firstTurn);
     if (m_policy == Records::Policy::LeastInFlight)
         m_order.insert(orderKey(server));
+    if (m_policy == Records::Policy::Adaptive)
+        enqueue(server, hooks);
 }
 
 void ServerChoice::remove(ServerState& server)
 {
     beforeChange(server);
+    if (m_policy == Records::Policy::Adaptive)
+        m_turns.erase({ server.turn, server.id, &server });
     m_servers[server.position] = m_servers.back();
     m_servers[server.position]->position = server.position;
     m_servers.pop_back();
@@ -82,7 +90,7 @@
     case Records::Policy::PowerOfTwo:
         return pickPowerOfTwo(exclude, hooks);
     case Records::Policy::Adaptive:
-        return pickAdaptive(exclude, now, usual, hooks);
+        return pickAdaptive(exclude, now, usual);
     }
     return nullptr;
 }
@@ -127,27 +135,52 @@
     return first && second->inFlight() < first->inFlight() ? second : first;
 }
 
-ServerState* ServerChoice::pickAdaptive(std::span<ServerState* const> exclude, Common::TimePoint now, const PoolUsual& usual, const Common::Hooks& hooks) const
+// Weighted round-robin over all servers, which spreads one entry's requests more evenly than draws can, but of the few due
+// next the one clearly better is taken, and those clearly worse lose their turn.
+ServerState* ServerChoice::pickAdaptive(std::span<ServerState* const> exclude, Common::TimePoint now, const PoolUsual& usual)
 {
-    ServerState* best = nullptr;
-    double bestMs = 0;
-    int candidates = 0;
-    for (int draw = 0; draw < drawsEach * adaptiveCandidates && candidates < adaptiveCandidates; ++draw) {
-        auto* server = m_servers[Common::randomBelow(hooks, m_servers.size())];
+    struct Candidate {
+        ServerState* server;
+        double ms;
+    };
+    std::array<Candidate, adaptiveCandidates> candidates {};
+    std::size_t n = 0;
+    Candidate best {};
+    for (auto it = m_turns.begin(); it != m_turns.end() && n < candidates.size(); ++it) {
+        auto* server = std::get<ServerState*>(*it);
         if (contains(exclude, server))
             continue;
-        auto share = server->slowStart.share(now);
-        // Squared, for a server with nothing to do wins most draws it takes part in.
-        if (share < 1 && Common::randomUnit(hooks) >= share * share)
-            continue;
-        ++candidates;
-        auto ms = scoreServer(*server, now, usual).answerMs;
-        if (!best || ms < clearlyBetter * bestMs) {
-            best = server;
-            bestMs = ms;
-        }
+        candidates[n] = { .server = server, .ms = scoreServer(*server, now, usual).answerMs };
+        if (!best.server || candidates[n].ms < clearlyBetter * best.ms)
+            best = candidates[n];
+        ++n;
+    }
+    m_virtualTime = std::max(m_virtualTime, std::get<double>(*m_turns.begin()));
+    for (const auto& candidate : std::span(candidates.data(), n)) {
+        if (candidate.server == best.server || best.ms < clearlyBetter * candidate.ms)
+            passTurn(*candidate.server, now, usual);
     }
-    return best ? best : pickRandom(exclude, hooks);
+    return best.server;
+}
+
+void ServerChoice::enqueue(ServerState& server, const Common::Hooks& hooks)
+{
+    // Entries begin in unlike orders, or their requests would meet; and a server that was away has no arrears to work off.
+    server.turn = std::max(server.turn, m_virtualTime + Common::randomUnit(hooks) * firstTurnMs / server.slots);
+    m_turns.emplace(server.turn, server.id, &server);
+}
+
+void ServerChoice::passTurn(ServerState& server, Common::TimePoint now, const PoolUsual& usual)
+{
+    // The faster and larger, the sooner its next turn.
+    auto answerMs = server.answerTime.longTermMs(now, usual.answerMs);
+    auto share = server.slowStart.share(now);
+    // A starting server earns no more than the usual by first answers that are quick because it is empty.
+    auto turnMs = (share < 1 ? std::max(answerMs, usual.answerMs) : answerMs) / share / server.slots;
+    auto node = m_turns.extract({ server.turn, server.id, &server });
+    server.turn += turnMs * server.failures.penalty(now);
+    node.value() = { server.turn, server.id, &server };
+    m_turns.insert(std::move(node));
 }
 
 }
--- a/Source/Core/Decisions/ServerPool.cpp
+++ b/Source/Core/Decisions/ServerPool.cpp
@@ -23,7 +23,7 @@
 void ServerPool::setOptions(const PoolOptions& options)
 {
     if (options.policy != m_options.policy)
-        m_choice.setPolicy(options.policy);
+        m_choice.setPolicy(options.policy, m_hooks);
     m_options = options;
     for (auto& [address, server] : m_servers) {
         if (!server->report || server->report->slots <= 0)
--- a/Source/Core/Decisions/ServerScore.cpp
+++ b/Source/Core/Decisions/ServerScore.cpp
@@ -9,8 +9,12 @@
 namespace {
 
     // A report is old news after a few answer times: by then the requests it counted have gone.
-    constexpr double reportMemoryAnswers = 4;
+    constexpr double reportMemoryAnswers = 10;
     constexpr double shortestMemoryMs = 2;
+    // Our own open requests are the only fresh news: each counts as more than one.
+    constexpr double ownWeight = 2;
+    // A request open for long has as much again before it, on average.
+    constexpr double openAgeFactor = 2;
 
 }
 
@@ -37,10 +41,10 @@
 
 ServerScore scoreServer(const ServerState& server, Common::TimePoint now, const PoolUsual& usual)
 {
-    auto factor = loadFactor(estimatedInFlight(server, now, usual), server.slots);
+    auto factor = loadFactor(estimatedInFlight(server, now, usual) + ownWeight * server.inFlight(), server.slots);
     auto expected = server.answerTime.expectedMs(now, usual.answerMs) * factor;
     if (server.inFlight() > 0)
-        expected = std::max(expected, openAgeMs(server, now));
+        expected = std::max(expected, openAgeFactor * openAgeMs(server, now));
     return { .answerMs = expected * server.failures.penalty(now), .loadFactor = factor };
 }
 
--- a/Source/Core/Decisions/ServerState.h
+++ b/Source/Core/Decisions/ServerState.h
@@ -29,6 +29,7 @@
     bool present = true; // false: dropped from the pool, kept until its last request has ended
     std::size_t position = nowhere; // in the list of servers that take work
     std::uint64_t tieBreak = 0; // its place among servers with as many open requests
+    double turn = 0; // when it is due, in the virtual time of weighted round-robin
 
     std::vector<OpenRequest> open; // oldest first
     Common::TimePoint latestAnsweredSentAt; // when the youngest request answered so far was sent
--- a/Source/UnitTests/Decisions/FakeServers.h
+++ b/Source/UnitTests/Decisions/FakeServers.h
@@ -24,15 +24,14 @@
 struct Options {
     Records::Policy policy = Records::Policy::Adaptive;
     std::uint64_t seed = 1;
-    int entries = 4;
+    int entries = 8;
     std::vector<int> slots = std::vector<int>(24, 4); // of each server
-    double serviceMs = 6; // mean, exponential
+    double serviceMs = 6; // mean; half of it fixed, half exponential
     double networkMs = 1.5; // one way
     double use = 0.7; // of all slots
     double seconds = 8;
     double warmUpSeconds = 2; // not counted
     std::function<double(int server, double atSeconds)> slowness = [](int, double) { return 1.0; };
-    std::function<double(double atSeconds)> burst = [](double) { return 1.0; };
     std::function<int(int server, int inFlight)> report = [](int, int inFlight) { return inFlight; };
     std::function<bool(int server, double atSeconds)> failing = [](int, double) { return false; }; // answers 500 at once
 };
@@ -110,7 +109,7 @@
         auto total = 0;
         for (auto n : m_options.slots)
             total += n;
-        auto perMs = m_options.use * total / m_options.serviceMs * m_options.burst(seconds());
+        auto perMs = m_options.use * total / m_options.serviceMs;
         after(exponential(1 / perMs), [this] { arrive(); });
         if (m_now == TimePoint())
             return;
@@ -138,7 +137,7 @@
     void serve(const Request& request)
     {
         ++m_servers[static_cast<std::size_t>(request.server)].busy;
-        after(exponential(m_options.serviceMs) * m_options.slowness(request.server, seconds()), [this, request] {
+        after((m_options.serviceMs / 2 + exponential(m_options.serviceMs / 2)) * m_options.slowness(request.server, seconds()), [this, request] {
             auto& server = m_servers[static_cast<std::size_t>(request.server)];
             --server.busy;
             auto load = m_options.report(request.server, server.busy + static_cast<int>(server.queue.size()));
