--- a/Source/UnitTests/Decisions/ServerPoolTest.cpp
+++ b/Source/UnitTests/Decisions/ServerPoolTest.cpp
@@ -358,19 +358,19 @@
 TEST_CASE("hints of other entries")
 {
     struct Row {
-        HintKind first;
         std::uint64_t firstIncarnation;
-        HintKind second;
         std::uint64_t secondIncarnation;
+        HintKind first;
+        HintKind second;
         bool leaving;
     };
     const Row rows[] = {
-        { HintKind::Draining, 5, HintKind::Live, 4, true },
-        { HintKind::Draining, 5, HintKind::Live, 5, true },
-        { HintKind::Draining, 5, HintKind::Live, 6, false },
-        { HintKind::Live, 6, HintKind::Draining, 5, false },
-        { HintKind::Live, 6, HintKind::Draining, 6, true },
-        { HintKind::Ejected, 5, HintKind::Ejected, 6, false },
+        { 5, 4, HintKind::Draining, HintKind::Live, true },
+        { 5, 5, HintKind::Draining, HintKind::Live, true },
+        { 5, 6, HintKind::Draining, HintKind::Live, false },
+        { 6, 5, HintKind::Live, HintKind::Draining, false },
+        { 6, 6, HintKind::Live, HintKind::Draining, true },
+        { 5, 6, HintKind::Ejected, HintKind::Ejected, false },
     };
     for (const auto& row : rows) {
         Bed bed(Policy::Adaptive);
