Request path: duplicates joined or refused, claims in the table, counters, design notes

Change: DuplicateFilter and ClaimFilter in the chain, counters of the request path on /metrics, docs/design/outcomes.md and retries.md, rows of promises.

Trials on scratch copies, each seen failing: claims released without fencing a late write (property test, claim test), an earlier unknown attempt forgotten (property test), finished requests not remembered (property test, duplicate test), requests that must not repeat treated as idempotent (property test).

--- a/Source/Core/Common/Result.cpp
+++ b/Source/Core/Common/Result.cpp
@@ -35,7 +35,7 @@
         ResultRow { AnswerTimeout, "answer-timeout", 504, Outcome::Unknown, "No answer before the deadline after the request was sent." },
         ResultRow { AnswerCut, "answer-cut", 504, Outcome::Unknown, "The answer ended before its stated length." },
         ResultRow { AnswerTooLarge, "answer-too-large", 504, Outcome::Unknown, "The answer exceeds the entry's limit." },
-        ResultRow { ClaimUnsettled, "claim-unsettled", 504, Outcome::Unknown, "A claim may stand in the store and could not be settled in time; nothing was sent by this entry." },
+        ResultRow { ClaimUnsettled, "claim-unsettled", 504, Outcome::Unknown, "A claim may stand in the store and could not be settled in time; no backend server ran the request through this entry, but a resend may be refused." },
         ResultRow { SettingsInvalid, "settings-invalid", 0, Outcome::NotRun, "The settings file has errors." },
         ResultRow { RecordInvalid, "record-invalid", 0, Outcome::NotRun, "The record file has errors." },
         ResultRow { UsageError, "usage-error", 0, Outcome::NotRun, "The command line is not valid." },
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -71,7 +71,7 @@
     , m_records(m_platform.table, m_log)
     , m_recordSync({ .hooks = m_hooks, .schedule = {} }, m_platform, m_records, m_log)
     , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes) }, m_log)
-    , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs) }, m_records, m_servers, m_log)
+    , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs) }, m_records, m_servers, m_platform.table, m_log)
     , m_callers(m_settings.limits, m_hooks, m_requests.chain())
     , m_threads("callers", 2, m_settings.limits.connections + 1, idleThreadSeconds, threadStackBytes)
     , m_address(m_settings.address)
@@ -210,6 +210,8 @@
     page.counter("malformed_requests_total", static_cast<double>(counters.malformed));
     page.counter("refused_connections_total", static_cast<double>(counters.refusedConnections));
     page.counter("pages_total", static_cast<double>(counters.pages));
+    for (const auto& [name, count] : Requests::namedCounts(m_requests.stats()))
+        page.counter(name, static_cast<double>(count));
     page.gauge("calls_in_flight", m_callers.inFlight);
     page.gauge("caller_connections", m_callers.connections.count());
     page.gauge("records_revision", static_cast<double>(m_records.current()->revision));
--- a/Source/Core/Requests/CallStats.h
+++ b/Source/Core/Requests/CallStats.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <cstdint>
+#include <string_view>
+#include <vector>
 
 namespace Requests {
 
@@ -29,4 +31,12 @@
     Counter claimsUnsettled { 0 };
 };
 
+struct NamedCount {
+    std::string_view name; // as on the page of metrics
+    std::uint64_t count = 0;
+};
+
+// The counters for the page of metrics, but for those of outcomes.
+std::vector<NamedCount> namedCounts(const CallStats&);
+
 }
--- a/Source/Core/Requests/RequestPath.cpp
+++ b/Source/Core/Requests/RequestPath.cpp
@@ -6,6 +6,8 @@
 #include "Requests/AnswerFilters.h"
 #include "Requests/AttemptFilter.h"
 #include "Requests/AttemptRunner.h"
+#include "Requests/ClaimFilter.h"
+#include "Requests/DuplicateFilter.h"
 #include "Requests/ParseFilter.h"
 
 namespace Requests {
@@ -33,12 +35,15 @@
 
 }
 
-RequestPath::RequestPath(const RequestPathOptions& options, const Controllers::RecordController& records, Controllers::BackendServers& servers, Common::EventLog& log)
+RequestPath::RequestPath(const RequestPathOptions& options, const Controllers::RecordController& records, Controllers::BackendServers& servers, const Platform::Table& table, Common::EventLog& log)
     : m_states(stateOptions(options, records, servers))
     , m_chain({
           timelineFilter(log, m_stats),
           parseFilter({ .hooks = options.hooks, .defaultDeadline = options.defaultDeadline }, records),
+          // Before admission: a duplicate costs no backend server anything.
+          duplicateFilter({ .hooks = options.hooks }, m_stats, log),
           admissionFilter(options.hooks, m_states, m_stats),
+          claimFilter({ .hooks = options.hooks, .sleep = {} }, table, m_stats, log),
           attemptFilter({ .hooks = options.hooks }, socketAttempts({ .hooks = options.hooks }, servers, log), m_states, m_stats),
       })
 {
--- a/Source/Core/Requests/RequestPath.h
+++ b/Source/Core/Requests/RequestPath.h
@@ -4,6 +4,7 @@
 #include "Controllers/BackendServers.h"
 #include "Controllers/RecordController.h"
 #include "Decisions/CarrierShare.h"
+#include "Platform/Platform.h"
 #include "Requests/CallStats.h"
 #include "Requests/FilterChain.h"
 #include "Requests/ServiceStates.h"
@@ -20,7 +21,7 @@
 // The whole request path of one entry: the filters in their order and what they share.
 class RequestPath {
 public:
-    RequestPath(const RequestPathOptions&, const Controllers::RecordController&, Controllers::BackendServers&, Common::EventLog&);
+    RequestPath(const RequestPathOptions&, const Controllers::RecordController&, Controllers::BackendServers&, const Platform::Table&, Common::EventLog&);
     RequestPath(const RequestPath&) = delete;
     RequestPath& operator=(const RequestPath&) = delete;
 
