--- a/Source/Core/Bench/BackendConnection.cpp
+++ b/Source/Core/Bench/BackendConnection.cpp
@@ -68,12 +68,13 @@
     BackendCall call {
         .id = std::string(headerValue(head, "Idempotency-Key")),
         .path = head.substr(first + 1, head.find(' ', first + 1) - first - 1),
-        .deadlineMs = toInteger(headerValue(head, "Cowslipledge-Deadline-Ms")),
+        .deadline = {},
         .retry = toInteger(headerValue(head, "Cowslipledge-Retry")),
     };
     auto kind = call.path == "/probe" ? WorkKind::Probe : WorkKind::Call;
-    auto deadline = call.deadlineMs > 0 ? Common::TimePoint(std::chrono::steady_clock::now()) + std::chrono::milliseconds(call.deadlineMs) : Common::TimePoint();
-    m_server->enqueue({ .kind = kind, .connection = weak_from_this(), .call = std::move(call), .deadline = deadline });
+    if (auto leftMs = toInteger(headerValue(head, "Cowslipledge-Deadline-Ms")); leftMs > 0)
+        call.deadline = Common::TimePoint(std::chrono::steady_clock::now()) + std::chrono::milliseconds(leftMs);
+    m_server->enqueue({ .kind = kind, .connection = weak_from_this(), .call = std::move(call) });
 }
 
 std::string BackendConnection::headText(const BackendAnswerText& answer, std::string_view length)
--- a/Source/Core/Bench/BackendServer.cpp
+++ b/Source/Core/Bench/BackendServer.cpp
@@ -108,7 +108,7 @@
     m_counts.openConnections = static_cast<int>(m_connections.size());
     m_counts.mostConnections = std::max<int>(m_counts.mostConnections, m_counts.openConnections);
     if (m_options.connectCost > Common::Duration::zero())
-        enqueue({ .kind = WorkKind::Connect, .connection = connection, .call = {}, .deadline = {} });
+        enqueue({ .kind = WorkKind::Connect, .connection = connection, .call = {} });
     const auto& slow = m_faults[static_cast<std::size_t>(FaultKind::SlowAccept)];
     connection->start(slow ? slow->delay : Common::Duration::zero());
 }
@@ -159,7 +159,7 @@
         return true;
     if (!connection || connection->hasEnded())
         return false;
-    if (work.deadline == Common::TimePoint() || now() < work.deadline)
+    if (work.call.deadline == Common::TimePoint() || now() < work.call.deadline)
         return true;
     connection->answer({ .status = 503, .body = "deadline", .provenNotRun = true });
     return false;
--- a/Source/Core/Bench/BackendServer.h
+++ b/Source/Core/Bench/BackendServer.h
@@ -24,7 +24,6 @@
     WorkKind kind = WorkKind::Call;
     std::weak_ptr<BackendConnection> connection;
     BackendCall call;
-    Common::TimePoint deadline; // epoch: none
 };
 
 // What a server answers.
--- a/Source/Core/Bench/BackendStandIn.h
+++ b/Source/Core/Bench/BackendStandIn.h
@@ -16,7 +16,7 @@
 struct BackendCall {
     std::string id;
     std::string path;
-    int deadlineMs = 0; // time left on arrival; 0: none
+    Common::TimePoint deadline; // epoch: none
     int retry = 0; // Cowslipledge-Retry
 };
 
@@ -25,7 +25,7 @@
 
 struct BackendOptions {
     int number = 0; // in the ledger
-    std::string service;
+    std::string service {};
     int slots = 4;
     int connections = 300;
     Common::Duration serviceTime = std::chrono::milliseconds(1); // mean, at speed 1
@@ -35,7 +35,7 @@
     Common::Duration probeCost = std::chrono::milliseconds(6); // a slot's time for each probe
     int queueLimit = 256; // waiting requests; more are shed with proof
     std::uint64_t seed = 1;
-    CallOn callOn; // for paths /deep/N with N > 0
+    CallOn callOn {}; // for paths /deep/N with N > 0
 };
 
 // What one backend server counted.
--- a/Source/Core/Bench/Deployment.cpp
+++ b/Source/Core/Bench/Deployment.cpp
@@ -51,8 +51,8 @@
             .slots = 6,
             .probeBudget = 8,
             .calls = {
-                { .method = "GET", .path = "/balance", .share = 0.8 },
-                { .method = "POST", .path = "/fees", .share = 0.2, .never = true, .claim = true },
+                { .method = "GET", .path = "/balance", .share = 0.9 },
+                { .method = "POST", .path = "/fees", .share = 0.1, .never = true, .claim = true },
             },
         };
         return { .name = "luzon", .entries = 22, .failureDomains = 4, .serviceTime = meanWork, .goal = Records::Goal::ProbeCost, .services = { desk, cashier } };
--- a/Source/Core/Bench/Faults.h
+++ b/Source/Core/Bench/Faults.h
@@ -35,6 +35,7 @@
     InstancesLag, // the instance list is `delay` old
     // Entries.
     EntryRestart, // graceful shutdown of the entries one after another, each followed by a new one
+    EntryPause, // what the platform answers an entry is held back until the fault ends
     EntryKill, // the entries end abruptly; new ones start after the fault's length
     // Operators.
     RecordChange, // a change of the records of all services
@@ -62,6 +63,7 @@
     Common::EnumName<FaultKind> { FaultKind::LostWriteAnswers, "lost-write-answers" },
     Common::EnumName<FaultKind> { FaultKind::InstancesLag, "instances-lag" },
     Common::EnumName<FaultKind> { FaultKind::EntryRestart, "entry-restart" },
+    Common::EnumName<FaultKind> { FaultKind::EntryPause, "entry-pause" },
     Common::EnumName<FaultKind> { FaultKind::EntryKill, "entry-kill" },
     Common::EnumName<FaultKind> { FaultKind::RecordChange, "record-change" },
 };
@@ -71,7 +73,7 @@
     FaultKind kind = FaultKind::Slow;
     Common::Duration at {}; // from the start of the load
     Common::Duration length {}; // zero: to the end
-    std::vector<int> targets; // backend servers or entries, by number; empty: all
+    std::vector<int> targets {}; // backend servers or entries, by number; empty: all
     double factor = 1;
     double share = 1; // of requests, answers or writes hit
     Common::Duration delay {};
--- a/Source/Core/Bench/Fleet.cpp
+++ b/Source/Core/Bench/Fleet.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <fmt/format.h>
 
+#include "Bench/EntryAccess.h"
 #include "Bench/Revisions.h"
 #include "Platform/HttpPlatform.h"
 
@@ -50,6 +51,10 @@
 {
     stopEntries();
     m_platform.onListing(nullptr);
+    m_servers.clear();
+    for (auto& loop : m_loops)
+        loop->stop();
+    m_deepCalls.clear();
 }
 
 void Fleet::addServers()
@@ -64,7 +69,7 @@
                 .serviceTime = plan.serviceTime > Common::Duration::zero() ? plan.serviceTime : m_options.deployment.serviceTime,
                 .fixedServiceTime = plan.fixedServiceTime,
                 .seed = m_options.seed,
-                .callOn = nullptr,
+                .callOn = plan.depth > 0 ? m_deepCalls.hook(service.name) : nullptr,
             };
             // Half of the pool is large, half small: slots apart by the root of the ratio from the middle, each way.
             auto scale = i % 2 == 0 ? std::sqrt(plan.sizeRatio) : 1 / std::sqrt(plan.sizeRatio);
@@ -82,36 +87,40 @@
         return false;
     publishInstances();
     for (int i = 0; i < m_options.deployment.entries; ++i) {
-        auto entry = startEntry(i);
-        if (!entry)
+        auto slot = startEntry(i);
+        if (!slot.daemon)
             return false;
         std::lock_guard lock(m_mutex);
-        m_entries.push_back(std::move(entry));
-        m_entryLeaving.push_back(false);
+        m_entries.push_back(std::move(slot));
     }
     publishInstances();
     return true;
 }
 
-std::unique_ptr<Entry::Daemon> Fleet::startEntry(int number)
+Fleet::EntrySlot Fleet::startEntry(int number)
 {
-    auto settings = entrySettings(m_platform.address(), domainName(number % m_options.deployment.failureDomains), m_options.plan.directoryTtlMs);
-    auto entry = std::make_unique<Entry::Daemon>(settings, Platform::httpPlatform({ .address = m_platform.address() }), Common::systemHooks());
-    return entry->start() ? std::move(entry) : nullptr;
+    auto settings = entrySettings(m_platform.address(), domainOf(static_cast<std::size_t>(number)), m_options.plan.directoryTtlMs);
+    EntrySlot slot;
+    slot.platform = std::make_shared<PausedPlatform>(Platform::httpPlatform({ .address = m_platform.address() }));
+    slot.daemon = std::make_unique<Entry::Daemon>(settings, slot.platform->services(), Common::systemHooks());
+    if (!slot.daemon->start())
+        slot.daemon.reset();
+    return slot;
 }
 
 void Fleet::stopEntries()
 {
-    std::vector<std::unique_ptr<Entry::Daemon>> entries;
+    std::vector<EntrySlot> entries;
     {
         std::lock_guard lock(m_mutex);
         entries = std::move(m_entries);
         m_entries.clear();
-        m_entryLeaving.clear();
     }
     std::vector<std::thread> stops;
-    for (auto& entry : entries)
-        stops.emplace_back([&entry, this] { m_forcedStops += entry->stop() ? 0 : 1; });
+    for (auto& slot : entries) {
+        slot.platform->pause(false);
+        stops.emplace_back([&slot] { slot.daemon->stop(); });
+    }
     for (auto& stop : stops)
         stop.join();
 }
@@ -124,18 +133,40 @@
         std::lock_guard lock(m_mutex);
         if (index >= m_entries.size())
             return;
-        old = m_entries[index].get();
-        m_entryLeaving[index] = true;
+        old = m_entries[index].daemon.get();
+        m_entries[index].leaving = true;
     }
     publishInstances();
     m_forcedStops += old->stop() ? 0 : 1;
-    auto next = startEntry(number);
+    replaceEntry(number);
+}
+
+void Fleet::killEntry(int number)
+{
+    auto index = static_cast<std::size_t>(number);
+    Entry::Daemon* daemon = nullptr;
     {
         std::lock_guard lock(m_mutex);
         if (index >= m_entries.size())
             return;
-        std::swap(m_entries[index], next);
-        m_entryLeaving[index] = false;
+        daemon = m_entries[index].daemon.get();
+        m_entries[index].dead = true;
+    }
+    Bench::killEntry(*daemon);
+    publishInstances();
+}
+
+void Fleet::replaceEntry(int number)
+{
+    auto index = static_cast<std::size_t>(number);
+    auto slot = startEntry(number);
+    if (!slot.daemon)
+        return;
+    {
+        std::lock_guard lock(m_mutex);
+        if (index >= m_entries.size())
+            return;
+        std::swap(m_entries[index], slot);
     }
     publishInstances();
 }
@@ -143,16 +174,25 @@
 void Fleet::publishInstances()
 {
     std::vector<Platform::Instance> instances;
+    std::vector<std::string> live;
     std::lock_guard lock(m_mutex);
-    for (std::size_t i = 0; i < m_servers.size(); ++i) {
-        auto domain = domainName(static_cast<int>(i) % m_options.deployment.failureDomains);
-        instances.push_back({ .address = m_servers[i]->address(), .kind = Platform::InstanceKind::Backend, .pool = m_servers[i]->options().service, .failureDomain = domain, .leaving = m_serverLeaving[i], .peerAddress = {} });
-    }
+    for (std::size_t i = 0; i < m_servers.size(); ++i)
+        instances.push_back({ .address = m_servers[i]->address(), .kind = Platform::InstanceKind::Backend, .pool = m_servers[i]->options().service, .failureDomain = domainOf(i), .leaving = m_serverLeaving[i], .peerAddress = {} });
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        auto domain = domainName(static_cast<int>(i) % m_options.deployment.failureDomains);
-        instances.push_back({ .address = m_entries[i]->address(), .kind = Platform::InstanceKind::Entry, .pool = {}, .failureDomain = domain, .leaving = m_entryLeaving[i], .peerAddress = peerAddressOf(*m_entries[i]) });
+        const auto& slot = m_entries[i];
+        if (slot.dead)
+            continue;
+        instances.push_back({ .address = slot.daemon->address(), .kind = Platform::InstanceKind::Entry, .pool = {}, .failureDomain = domainOf(i), .leaving = slot.leaving, .peerAddress = peerAddressOf(*slot.daemon) });
+        if (!slot.leaving)
+            live.push_back(slot.daemon->address());
     }
     m_platform.setInstances(std::move(instances));
+    m_deepCalls.setEntries(std::move(live));
+}
+
+std::string Fleet::domainOf(std::size_t number) const
+{
+    return domainName(static_cast<int>(number) % m_options.deployment.failureDomains);
 }
 
 void Fleet::noteListing(const std::vector<Platform::Instance>& instances)
@@ -169,33 +209,60 @@
         return m_platform.begin(fault);
     if (fault.kind == FaultKind::RecordChange)
         return changeRecords();
-    if (fault.kind == FaultKind::EntryRestart) {
-        for (auto target : fault.targets)
-            restartEntry(target);
-        return;
-    }
     if (!isServerFault(fault.kind))
-        return;
+        return beginOnEntries(fault);
     for (auto target : fault.targets)
         m_servers[static_cast<std::size_t>(target)]->begin(fault);
-    if (fault.kind != FaultKind::DrainWithWarning)
-        return;
-    {
+    if (fault.kind == FaultKind::DrainWithWarning)
+        setServersLeaving(fault.targets);
+}
+
+void Fleet::beginOnEntries(const Fault& fault)
+{
+    for (auto target : fault.targets) {
+        if (fault.kind == FaultKind::EntryRestart)
+            restartEntry(target);
+        if (fault.kind == FaultKind::EntryKill)
+            killEntry(target);
         std::lock_guard lock(m_mutex);
-        for (auto target : fault.targets)
-            m_serverLeaving[static_cast<std::size_t>(target)] = true;
+        if (fault.kind == FaultKind::EntryPause && static_cast<std::size_t>(target) < m_entries.size())
+            m_entries[static_cast<std::size_t>(target)].platform->pause(true);
     }
-    publishInstances();
 }
 
 void Fleet::end(const Fault& fault)
 {
     if (isPlatformFault(fault.kind))
         return m_platform.end(fault.kind);
-    if (!isServerFault(fault.kind))
-        return;
-    for (auto target : fault.targets)
-        m_servers[static_cast<std::size_t>(target)]->end(fault.kind);
+    for (auto target : fault.targets) {
+        auto index = static_cast<std::size_t>(target);
+        if (isServerFault(fault.kind))
+            m_servers[index]->end(fault.kind);
+        if (fault.kind == FaultKind::EntryKill)
+            replaceEntry(target);
+        std::lock_guard lock(m_mutex);
+        if (fault.kind == FaultKind::EntryPause && index < m_entries.size())
+            m_entries[index].platform->pause(false);
+    }
+}
+
+void Fleet::setServersLeaving(const std::vector<int>& servers)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto server : servers)
+            m_serverLeaving[static_cast<std::size_t>(server)] = true;
+    }
+    publishInstances();
+}
+
+void Fleet::forEachEntry(const std::function<void(Entry::Daemon&)>& look) const
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto& slot : m_entries) {
+        if (!slot.dead)
+            look(*slot.daemon);
+    }
 }
 
 void Fleet::changeRecords()
@@ -212,8 +279,10 @@
 {
     std::lock_guard lock(m_mutex);
     std::vector<std::string> addresses;
-    for (const auto& entry : m_entries)
-        addresses.push_back(entry->address());
+    for (const auto& slot : m_entries) {
+        if (!slot.dead && !slot.leaving)
+            addresses.push_back(slot.daemon->address());
+    }
     return addresses;
 }
 
--- a/Source/Core/Bench/Report.cpp
+++ b/Source/Core/Bench/Report.cpp
@@ -83,6 +83,10 @@
     json["work_factor"] = number(report.workFactor);
     json["goodput"] = number(report.goodput);
     json["config_in_force_ms"] = number(report.configInForceMs, report.configInForceMs > 0);
+    json["config_reverts"] = report.configReverts;
+    json["record_writes"] = report.operators.writes;
+    json["record_writes_wrong"] = report.operators.wronglyReported;
+    json["forced_stops"] = report.forcedStops;
     json["store_reads_per_s"] = number(report.storeReadsPerSecond);
     json["most_connections"] = report.mostConnections;
     json["connect_failures"] = Json::UInt64(report.connectFailures);
--- a/Source/Core/Bench/Revisions.cpp
+++ b/Source/Core/Bench/Revisions.cpp
@@ -44,9 +44,4 @@
     return Common::toMilliseconds(std::chrono::steady_clock::now() - begun);
 }
 
-std::string peerAddressOf(const Entry::Daemon&)
-{
-    return {};
-}
-
 }
--- a/Source/Core/Bench/Scenario.cpp
+++ b/Source/Core/Bench/Scenario.cpp
@@ -10,6 +10,16 @@
 
     using std::chrono::milliseconds;
 
+    std::vector<int> allServers(const Deployment& deployment)
+    {
+        std::vector<int> all;
+        for (std::size_t service = 0; service < deployment.services.size(); ++service) {
+            auto servers = serversOf(deployment, service);
+            all.insert(all.end(), servers.begin(), servers.end());
+        }
+        return all;
+    }
+
     Plan steady(const PlanInput& input)
     {
         Plan plan;
@@ -184,6 +194,117 @@
         return plan;
     }
 
+    // Calls 18 servers deep; in the second half every server cuts every answer, so that every layer would try again.
+    Plan deepCalls(const PlanInput& input)
+    {
+        constexpr int depth = 18;
+        Plan plan;
+        plan.depth = depth;
+        plan.load = 0.4;
+        plan.deadlineMs = 4000;
+        plan.faults.push_back({ .kind = FaultKind::ResetAnswers, .at = input.duration / 2, .length = {}, .targets = allServers(input.deployment) });
+        plan.expectation = { .leastAnswered = 0.4, .mostUnknown = 0.6, .mostWorkFactor = 1.2 };
+        return plan;
+    }
+
+    // All entries, in a few lanes beside one another.
+    Plan rollingRestart(const PlanInput& input)
+    {
+        constexpr int lanes = 4;
+        Plan plan;
+        plan.load = 0.5;
+        std::vector<Fault> restarts(lanes, { .kind = FaultKind::EntryRestart, .at = input.duration / 10, .length = {}, .targets = {} });
+        for (int entry = 0; entry < input.deployment.entries; ++entry)
+            restarts[static_cast<std::size_t>(entry % lanes)].targets.push_back(entry);
+        std::erase_if(restarts, [](const auto& fault) { return fault.targets.empty(); });
+        plan.faults = restarts;
+        plan.failureDomains = 2;
+        plan.expectation.mostConnectFailures = 0;
+        return plan;
+    }
+
+    Plan lostWriteAnswers(const PlanInput& input)
+    {
+        Plan plan;
+        plan.load = 0.3;
+        plan.resendUnknown = true;
+        for (auto kind : { FaultKind::LostWriteAnswers, FaultKind::LostWrites })
+            plan.faults.push_back({ .kind = kind, .at = input.duration / 10, .length = input.duration * 4 / 5, .targets = {}, .factor = 1, .share = 0.2 });
+        for (int i = 1; i <= 4; ++i)
+            plan.faults.push_back({ .kind = FaultKind::RecordChange, .at = input.duration * i / 6, .length = {}, .targets = {} });
+        plan.expectation = { .leastAnswered = 0.95, .mostUnknown = 0.02 };
+        return plan;
+    }
+
+    Plan operatorRace(const PlanInput& input)
+    {
+        Plan plan;
+        plan.load = 0.4;
+        plan.operators = 4;
+        plan.faults.push_back({ .kind = FaultKind::LostWriteAnswers, .at = input.duration / 10, .length = input.duration * 3 / 5, .targets = {}, .factor = 1, .share = 0.2 });
+        return plan;
+    }
+
+    // Entries and backend servers of one failure domain go at once, and come back later.
+    Plan domainLost(const PlanInput& input)
+    {
+        Plan plan;
+        plan.load = 0.4;
+        plan.failureDomains = 2;
+        auto domains = input.deployment.failureDomains;
+        auto lost = static_cast<int>(input.seed % static_cast<std::uint64_t>(domains));
+        auto inDomain = [&](int number) { return number % domains != lost; };
+        auto servers = allServers(input.deployment);
+        std::erase_if(servers, inDomain);
+        std::vector<int> entries;
+        for (int entry = 0; entry < input.deployment.entries; ++entry)
+            entries.push_back(entry);
+        std::erase_if(entries, inDomain);
+        plan.faults.push_back({ .kind = FaultKind::Crash, .at = input.duration / 4, .length = input.duration / 3, .targets = servers });
+        plan.faults.push_back({ .kind = FaultKind::EntryKill, .at = input.duration / 4, .length = input.duration / 3, .targets = entries });
+        plan.expectation = { .leastAnswered = 0.95, .mostUnknown = 0.05, .entriesMayDie = true };
+        return plan;
+    }
+
+    // Some entries stand still in the middle of their talk with the store, while records change.
+    Plan pausedReader(const PlanInput& input)
+    {
+        Plan plan;
+        plan.load = 0.4;
+        std::vector<int> paused;
+        for (int entry = 0; entry < input.deployment.entries; entry += 3)
+            paused.push_back(entry);
+        plan.faults.push_back({ .kind = FaultKind::EntryPause, .at = input.duration / 4, .length = input.duration / 3, .targets = paused });
+        for (int i = 1; i <= 8; ++i)
+            plan.faults.push_back({ .kind = FaultKind::RecordChange, .at = input.duration * i / 10, .length = {}, .targets = {} });
+        return plan;
+    }
+
+    // Everything that may come at any moment, one after another at random, each on a few servers.
+    Plan soak(const PlanInput& input)
+    {
+        constexpr std::array kinds { FaultKind::Slow, FaultKind::Crash, FaultKind::ShedWithProof, FaultKind::ShedWithoutProof, FaultKind::LyingReports, FaultKind::FrozenReports,
+            FaultKind::ResetAnswers, FaultKind::CutAnswers, FaultKind::CutChunkedAnswers, FaultKind::LateAnswers, FaultKind::SilentConnections, FaultKind::SlowAccept,
+            FaultKind::StoreDown, FaultKind::StoreSlow, FaultKind::LostWriteAnswers, FaultKind::LostWrites, FaultKind::RecordChange };
+        Plan plan;
+        plan.load = 0.4;
+        plan.resendUnknown = true;
+        std::mt19937_64 random(input.seed);
+        auto servers = allServers(input.deployment);
+        constexpr auto meanGap = milliseconds(700);
+        std::exponential_distribution<double> gapMs(1 / static_cast<double>(meanGap.count()));
+        for (Common::Duration at = milliseconds(1000); at < input.duration; at += Common::fromMilliseconds(gapMs(random))) {
+            Fault fault { .kind = kinds[random() % kinds.size()], .at = at, .length = milliseconds(500 + random() % 1500), .targets = {} };
+            fault.targets = { servers[random() % servers.size()] };
+            fault.factor = 6;
+            fault.share = 0.05;
+            fault.delay = milliseconds(400);
+            plan.faults.push_back(fault);
+        }
+        plan.expectation = { .leastAnswered = 0.9, .mostUnknown = 0.03 };
+        return plan;
+    }
+
     constexpr std::array scenarioTable {
         Scenario { "steady", "70% load and one change of records; at small 3,000 calls/s with direct and relayed slices between", steady },
         Scenario { "steady-90", "90% load", steady90 },
@@ -200,6 +321,13 @@
         Scenario { "cut-answers", "answers cut short, chunked or not, and reset half-way", cutAnswers },
         Scenario { "late-answers", "some answers come after the deadline", lateAnswers },
         Scenario { "overload", "three times the capacity", overload },
+        Scenario { "deep-calls", "calls 18 servers deep, every answer cut in the second half", deepCalls },
+        Scenario { "rolling-restart", "every entry is shut down and replaced under load", rollingRestart },
+        Scenario { "lost-write-answers", "writes to the store lost, or applied without an answer; claims are sent again", lostWriteAnswers },
+        Scenario { "operator-race", "operators change one record at once while answers to writes are lost", operatorRace },
+        Scenario { "domain-lost", "entries and servers of one failure domain go at once", domainLost },
+        Scenario { "paused-reader", "entries stand still in the middle of reading the store, then wake up", pausedReader },
+        Scenario { "soak", "mixed faults at random", soak },
         Scenario { "store-outage", "the platform's store is down, then slow", storeOutage },
     };
 
--- a/Source/Core/Bench/Scenario.h
+++ b/Source/Core/Bench/Scenario.h
@@ -20,6 +20,7 @@
     bool entriesMayDie = false; // a call may end without any answer
     double leastGoodput = 0; // answered calls over the capacity of the servers
     double mostWorkFactor = 0; // requests at backend servers over those that callers' calls need; 0: any
+    int mostConnectFailures = -1; // callers sent to an entry that took no connection; below 0: any
 };
 
 // One scenario made concrete: load, faults and what is expected.
@@ -34,7 +35,9 @@
     int deadlineMs = 2000;
     bool resendUnknown = false;
     bool baselines = false; // direct and relayed slices between the entry's
-    int depth = 0; // calls that call on, this deep
+    int depth = 0; // calls that call on, so many servers deep
+    int operators = 0; // that race one another for a record
+    int failureDomains = 1; // the fewest that the scenario makes sense with
     Common::Duration instancesLag = std::chrono::seconds(2);
     int directoryTtlMs = 1000;
     Expectation expectation;
--- a/Source/Core/Bench/ScenarioRun.cpp
+++ b/Source/Core/Bench/ScenarioRun.cpp
@@ -5,9 +5,13 @@
 
 #include <fmt/format.h>
 
+#include "Bench/EntryAccess.h"
 #include "Bench/FaultRunner.h"
+#include "Bench/Figures.h"
 #include "Bench/Fleet.h"
 #include "Bench/Relay.h"
+#include "Bench/RevisionWatch.h"
+#include "Platform/HttpPlatform.h"
 
 namespace Bench {
 
@@ -31,7 +35,7 @@
             .relay = {},
         };
         for (std::size_t i = 0; i < deployment.services.size(); ++i) {
-            auto byLoad = plan.load * fleet.capacity(i);
+            auto byLoad = plan.load * fleet.capacity(i) / std::max(plan.depth, 1);
             load.services.push_back({ .name = deployment.services[i].name, .callsPerSecond = plan.callsPerSecond > 0 ? plan.callsPerSecond : byLoad, .calls = deployment.services[i].calls });
         }
         if (plan.baselines)
@@ -39,56 +43,7 @@
         return load;
     }
 
-    // Connections are opened in this time; its calls are checked, but their latency is not stated.
-    constexpr auto warmUp = std::chrono::milliseconds(500);
-
-    RouteLatency latencyOf(const std::vector<CallRecord>& calls, Route route, int service = -1)
-    {
-        std::vector<Common::Duration> latencies;
-        auto first = calls.empty() ? Common::TimePoint() : std::min_element(calls.begin(), calls.end(), [](const auto& a, const auto& b) { return a.intended < b.intended; })->intended;
-        for (const auto& call : calls) {
-            if (call.intended < first + warmUp)
-                continue;
-            if (call.route == route && call.outcome != "not-run" && (service < 0 || call.service == service))
-                latencies.push_back(call.latency);
-        }
-        constexpr double median = 0.5;
-        return { .calls = latencies.size(), .p50 = quantileMs(latencies, median), .p99 = quantileMs(latencies, 0.99), .p999 = quantileMs(latencies, 0.999) };
-    }
-
-    double lagP99(const std::vector<CallRecord>& calls)
-    {
-        std::vector<Common::Duration> lags;
-        for (const auto& call : calls)
-            lags.push_back(call.lag);
-        return quantileMs(std::move(lags), 0.99);
-    }
-
-    ServiceSummary summarize(std::size_t index, const Deployment& deployment, const LoadResult& load, Fleet& fleet, double seconds)
-    {
-        const auto& shape = deployment.services[index];
-        ServiceSummary summary { .name = shape.name, .latency = latencyOf(load.calls, Route::Entry, static_cast<int>(index)), .probeBudget = shape.probeBudget };
-        for (const auto& call : load.calls) {
-            if (call.route != Route::Entry || call.service != static_cast<int>(index))
-                continue;
-            ++summary.calls;
-            ++(call.outcome == "answered" ? summary.answered : (call.outcome == "not-run" ? summary.notRun : summary.unknown));
-        }
-        auto probes = static_cast<double>(fleet.ledger().probes(shape.name).size());
-        summary.probesPerSecond = probes / seconds;
-        double slotSeconds = 0;
-        double probeSeconds = 0;
-        for (const auto& server : fleet.servers()) {
-            if (server->options().service == shape.name) {
-                slotSeconds += server->options().slots * seconds;
-                probeSeconds += static_cast<double>(server->counts().probes) * std::chrono::duration<double>(server->options().probeCost).count();
-            }
-        }
-        summary.probeCostShare = probeSeconds / slotSeconds;
-        return summary;
-    }
-
-    void countServers(const Fleet& fleet, RunReport& report)
+    void countServers(const Fleet& fleet, int depth, RunReport& report)
     {
         std::uint64_t requests = 0;
         for (const auto& server : fleet.servers()) {
@@ -97,7 +52,7 @@
             report.connectionsRefused += server->counts().connectionsRefused;
         }
         if (report.verdict.calls > 0)
-            report.workFactor = static_cast<double>(requests - std::min(requests, report.baselineCalls)) / static_cast<double>(report.verdict.calls);
+            report.workFactor = static_cast<double>(requests - std::min(requests, report.baselineCalls)) / static_cast<double>(report.verdict.calls) / std::max(depth, 1);
     }
 
     void judge(const Expectation& expectation, RunReport& report)
@@ -123,9 +78,29 @@
         require(unknown <= expectation.mostUnknown, fmt::format("unknown {:.4f} of calls, expected at most {}", unknown, expectation.mostUnknown));
         require(report.goodput >= expectation.leastGoodput, fmt::format("goodput {:.3f} of capacity, expected {}", report.goodput, expectation.leastGoodput));
         require(expectation.mostWorkFactor <= 0 || report.workFactor <= expectation.mostWorkFactor, fmt::format("work factor {:.2f}, expected at most {}", report.workFactor, expectation.mostWorkFactor));
+        require(expectation.mostConnectFailures < 0 || report.connectFailures <= static_cast<std::uint64_t>(expectation.mostConnectFailures), fmt::format("{} times a caller was sent to an entry that took no connection", report.connectFailures));
+        require(report.configReverts == 0, fmt::format("{} times records went back", report.configReverts));
+        require(report.operators.wronglyReported == 0, fmt::format("{} writes of records wrongly reported", report.operators.wronglyReported));
+        require(report.forcedStops == 0, fmt::format("{} graceful shutdowns had to be forced", report.forcedStops));
         require(report.lagP99Ms <= mostLagMs, fmt::format("the load fell behind its plan: {:.1f} ms at p99", report.lagP99Ms));
     }
 
+    // The deployment as the plan needs it: calls that call on, or claims where there are none.
+    Deployment adapted(Deployment deployment, const Plan& plan)
+    {
+        auto claims = false;
+        for (auto& service : deployment.services) {
+            if (plan.depth > 0)
+                service.calls = { { .method = "GET", .path = fmt::format("/deep/{}", plan.depth - 1) } };
+            claims = claims || std::any_of(service.calls.begin(), service.calls.end(), [](const auto& call) { return call.claim; });
+        }
+        for (auto& service : deployment.services) {
+            for (auto& call : service.calls)
+                call.claim = call.claim || (plan.resendUnknown && !claims && call.never);
+        }
+        return deployment;
+    }
+
     void fill(RunReport& report, const Deployment& deployment, const Plan& plan, const LoadResult& load, Fleet& fleet)
     {
         auto seconds = static_cast<double>(report.options.seconds);
@@ -142,7 +117,8 @@
             report.services.push_back(summarize(i, deployment, load, fleet, seconds));
             capacity += fleet.capacity(i);
         }
-        report.goodput = static_cast<double>(report.verdict.answered) / (capacity * seconds);
+        auto inTime = std::count_if(load.calls.begin(), load.calls.end(), [&](const auto& call) { return call.route == Route::Entry && call.outcome == "answered" && call.latency <= std::chrono::milliseconds(plan.deadlineMs); });
+        report.goodput = static_cast<double>(inTime) / (capacity * seconds);
         std::uint64_t attempts = 0;
         for (const auto& call : load.calls) {
             report.baselineCalls += call.route == Route::Entry ? 0 : 1;
@@ -152,7 +128,9 @@
         report.attemptsPerCall = static_cast<double>(attempts) / static_cast<double>(std::max<std::uint64_t>(report.verdict.calls, 1));
         report.storeReadsPerSecond = static_cast<double>(fleet.platform().counts().reads) / seconds;
         report.configInForceMs = fleet.configInForceMs();
-        countServers(fleet, report);
+        report.forcedStops = fleet.forcedStops();
+        report.oracleP99Ms = oracleP99Ms(deployment, plan, load, fleet);
+        countServers(fleet, plan.depth, report);
         judge(plan.expectation, report);
     }
 
@@ -163,32 +141,46 @@
     RunReport report;
     report.options = options;
     const auto* scenario = findScenario(options.scenario);
-    const auto* deployment = findDeployment(options.deployment);
-    if (!scenario || !deployment) {
+    const auto* named = findDeployment(options.deployment);
+    if (!scenario || !named) {
         report.reasons.push_back(scenario ? "no deployment " + options.deployment : "no scenario " + options.scenario);
         return report;
     }
-    auto plan = scenario->plan({ .deployment = *deployment, .seed = options.seed, .duration = std::chrono::seconds(options.seconds) });
-    Fleet fleet({ .deployment = *deployment, .plan = plan, .records = { .policy = options.policy, .goal = options.goal }, .seed = options.seed });
-    fmt::print(stderr, "run: {} on {}, {} entries, {} backend servers, {} faults\n", options.scenario, options.deployment, deployment->entries, fleet.servers().size(), plan.faults.size());
+    auto plan = scenario->plan({ .deployment = *named, .seed = options.seed, .duration = std::chrono::seconds(options.seconds) });
+    if (named->failureDomains < plan.failureDomains) {
+        report.reasons.push_back(options.scenario + " needs a deployment of several failure domains");
+        return report;
+    }
+    auto deployment = adapted(*named, plan);
+    Fleet fleet({ .deployment = deployment, .plan = plan, .records = { .policy = options.policy, .goal = options.goal }, .seed = options.seed });
+    fmt::print(stderr, "run: {} on {}, {} entries, {} backend servers, {} faults\n", options.scenario, options.deployment, deployment.entries, fleet.servers().size(), plan.faults.size());
     if (!fleet.start()) {
         report.reasons.emplace_back("an entry could not start");
         return report;
     }
-    auto load = loadOptions(options, *deployment, plan, fleet);
+    auto load = loadOptions(options, deployment, plan, fleet);
     std::unique_ptr<Relay> relay;
     if (plan.baselines) {
         relay = std::make_unique<Relay>(load.direct);
         load.relay = relay->address();
     }
+    std::unique_ptr<OperatorRace> race;
+    if (plan.operators > 0)
+        race = std::make_unique<OperatorRace>(Platform::httpPlatform({ .address = fleet.platform().address() }).table, OperatorRaceOptions { .deployment = deployment, .policy = options.policy, .operators = plan.operators });
+    RevisionWatch watch(fleet);
     FaultRunner faults(plan.faults, { .begin = [&](const Fault& fault) { fleet.begin(fault); }, .end = [&](const Fault& fault) { fleet.end(fault); } });
     auto result = runLoad(load, [&](Common::TimePoint start) { faults.start(start); });
     faults.stop();
     fmt::print(stderr, "run: {} calls made, checking them\n", result.calls.size());
-    if (!fleet.entries().empty())
-        report.ownP99Ms = fleet.entries().front()->callers().ownTimes.quantiles().p99Ms;
+    report.configReverts = watch.stop();
+    if (race)
+        report.operators = race->stop();
+    fleet.forEachEntry([&](Entry::Daemon& entry) {
+        report.ownP99Ms = std::max(report.ownP99Ms, entry.callers().ownTimes.quantiles().p99Ms);
+        report.ownCpuP99Ms = std::max(report.ownCpuP99Ms, ownCpuP99Ms(entry.callers()));
+    });
     fleet.stopEntries();
-    fill(report, *deployment, plan, result, fleet);
+    fill(report, deployment, plan, result, fleet);
     for (const auto& reason : report.reasons)
         fmt::print(stderr, "run: not ok: {}\n", reason);
     return report;
--- a/Source/Core/Bench/ScenarioRun.h
+++ b/Source/Core/Bench/ScenarioRun.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "Bench/OperatorRace.h"
 #include "Bench/Scenario.h"
 #include "Bench/Verdict.h"
 
@@ -54,6 +55,9 @@
     double hedgesShare = 0;
     double configInForceMs = 0;
     double storeReadsPerSecond = 0;
+    int configReverts = 0; // times an entry was seen to go back to an older revision
+    OperatorRaceResult operators;
+    int forcedStops = 0; // graceful shutdowns that did not end by themselves
     double goodput = 0; // answered calls over the servers' capacity
     double oracleP99Ms = 0; // bound: one queue for all servers, the fastest free slot first
     std::uint64_t baselineCalls = 0; // direct and relayed
