--- a/Source/Core/Bench/Fleet.cpp
+++ b/Source/Core/Bench/Fleet.cpp
@@ -7,7 +7,6 @@
 #include <Poco/Net/SocketAddress.h>
 #include <fmt/format.h>
 
-#include "Bench/EntryAccess.h"
 #include "Bench/Revisions.h"
 #include "Platform/HttpPlatform.h"
 
@@ -152,7 +151,7 @@
         daemon = m_entries[index].daemon.get();
         m_entries[index].dead = true;
     }
-    Bench::killEntry(*daemon);
+    daemon->kill();
     publishInstances();
 }
 
@@ -182,7 +181,7 @@
         const auto& slot = m_entries[i];
         if (slot.dead)
             continue;
-        instances.push_back({ .address = slot.daemon->address(), .kind = Platform::InstanceKind::Entry, .pool = {}, .failureDomain = domainOf(i), .leaving = slot.leaving, .peerAddress = peerAddressOf(*slot.daemon) });
+        instances.push_back({ .address = slot.daemon->address(), .kind = Platform::InstanceKind::Entry, .pool = {}, .failureDomain = domainOf(i), .leaving = slot.leaving, .peerAddress = {} });
         if (!slot.leaving)
             live.push_back(slot.daemon->address());
     }
--- a/Source/Core/Bench/RevisionWatch.cpp
+++ b/Source/Core/Bench/RevisionWatch.cpp
@@ -2,8 +2,6 @@
 
 #include <map>
 
-#include "Bench/EntryAccess.h"
-
 namespace Bench {
 
 RevisionWatch::RevisionWatch(const Fleet& fleet)
@@ -32,7 +30,7 @@
     while (!m_stopping) {
         m_fleet.forEachEntry([&](Entry::Daemon& entry) {
             auto& last = seen[entry.address()];
-            auto revision = revisionOf(entry);
+            auto revision = entry.records().current()->revision;
             m_reverts += revision < last ? 1 : 0;
             last = revision;
         });
--- a/Source/Core/Bench/ScenarioRun.cpp
+++ b/Source/Core/Bench/ScenarioRun.cpp
@@ -5,7 +5,6 @@
 
 #include <fmt/format.h>
 
-#include "Bench/EntryAccess.h"
 #include "Bench/FaultRunner.h"
 #include "Bench/Figures.h"
 #include "Bench/Fleet.h"
@@ -175,7 +174,7 @@
         report.operators = race->stop();
     fleet.forEachEntry([&](Entry::Daemon& entry) {
         report.ownP99Ms = std::max(report.ownP99Ms, entry.callers().ownTimes.quantiles().p99Ms);
-        report.ownCpuP99Ms = std::max(report.ownCpuP99Ms, ownCpuP99Ms(entry.callers()));
+        report.ownCpuP99Ms = std::max(report.ownCpuP99Ms, entry.callers().ownCpuTimes.quantiles().p99Ms);
     });
     fleet.stopEntries();
     fill(report, deployment, plan, result, fleet);
--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -1,9 +1,12 @@
 #include <fstream>
+#include <sstream>
 
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
+#include "Bench/Compare.h"
 #include "Bench/Processes.h"
+#include "Bench/Saturation.h"
 #include "Bench/ScenarioRun.h"
 #include "Bench/SlopeRuns.h"
 #include "Common/Tables.h"
@@ -16,6 +19,9 @@
   cowslipledge-bench run --list
   cowslipledge-bench run SCENARIO [--deployment D] [--policy P] [--goal G] [--seed N] [--seconds T] [--table]
   cowslipledge-bench slopes [--report DIR]
+  cowslipledge-bench compare SCENARIO --policies LIST [--deployment D] [--goal G] [--seed N] [--seconds T] [--rounds N] [--out FOLDER]
+  cowslipledge-bench compare --from FILE... [--out FOLDER]
+  cowslipledge-bench saturation [--seconds T]
   cowslipledge-bench platform
   cowslipledge-bench backend [--servers N] [--slots N] [--service-ms T]
   cowslipledge-bench load SERVICE PATH ENTRY... [--method M] [--rate R] [--seconds T] [--seed N]
@@ -30,6 +36,10 @@
   --seed N        Seed of arrivals and faults [default: 1].
   --seconds T     Length of the load [default: 5].
   --report DIR    Folder for CSV files and plots [default: report].
+  --policies LIST Policies to run side by side, with commas; ratios are against the first.
+  --rounds N      Seeds, each run by every policy in turn [default: 3].
+  --from          Compare lines that run printed before, by other builds: each FILE is LABEL=PATH.
+  --out FOLDER    Where compare.csv and compare.svg go [default: bench-report].
   --servers N     Backend servers in one process [default: 1].
   --slots N       Requests a backend server works on at once [default: 4].
   --service-ms T  Mean work of a request [default: 20].
@@ -60,6 +70,42 @@
     return 0;
 }
 
+Bench::RunOptions runOptions(std::map<std::string, docopt::value>& args)
+{
+    return {
+        .scenario = args["SCENARIO"].asString(),
+        .deployment = args["--deployment"].asString(),
+        .policy = args["--policy"].asString(),
+        .goal = args["--goal"] ? args["--goal"].asString() : std::string(),
+        .seed = static_cast<std::uint64_t>(args["--seed"].asLong()),
+        .seconds = static_cast<int>(args["--seconds"].asLong()),
+    };
+}
+
+int compare(std::map<std::string, docopt::value>& args)
+{
+    std::vector<Bench::Sample> samples;
+    std::string title = "runs";
+    if (args["--from"].asBool()) {
+        for (const auto& file : args["FILE"].asStringList()) {
+            auto more = Bench::readSamples(file);
+            samples.insert(samples.end(), more.begin(), more.end());
+        }
+    } else {
+        std::vector<std::string> policies;
+        std::istringstream list(args["--policies"].asString());
+        for (std::string policy; std::getline(list, policy, ',');)
+            policies.push_back(policy);
+        title = args["SCENARIO"].asString() + " on " + args["--deployment"].asString();
+        samples = Bench::comparePolicies({ .run = runOptions(args), .policies = policies, .rounds = static_cast<int>(args["--rounds"].asLong()) });
+    }
+    fmt::print("{}\n{}", title, Bench::compareTable(samples));
+    if (Bench::writeComparison(args["--out"].asString(), samples, title))
+        return samples.empty() ? 1 : 0;
+    fmt::print(stderr, "compare: cannot write into {}\n", args["--out"].asString());
+    return 1;
+}
+
 int load(std::map<std::string, docopt::value>& args)
 {
     return Bench::runLoadProcess({
@@ -75,14 +121,7 @@
 
 int run(std::map<std::string, docopt::value>& args)
 {
-    auto report = Bench::runScenario({
-        .scenario = args["SCENARIO"].asString(),
-        .deployment = args["--deployment"].asString(),
-        .policy = args["--policy"].asString(),
-        .goal = args["--goal"] ? args["--goal"].asString() : std::string(),
-        .seed = static_cast<std::uint64_t>(args["--seed"].asLong()),
-        .seconds = static_cast<int>(args["--seconds"].asLong()),
-    });
+    auto report = Bench::runScenario(runOptions(args));
     if (args["--table"].asBool())
         fmt::print("{}", Bench::summaryTable(report));
     fmt::print("{}\n", Bench::reportJson(report));
@@ -104,6 +143,10 @@
         return Bench::runBackendProcess({ .servers = static_cast<int>(args["--servers"].asLong()), .slots = static_cast<int>(args["--slots"].asLong()), .serviceMs = std::stod(args["--service-ms"].asString()) });
     if (args["load"].asBool())
         return load(args);
+    if (args["compare"].asBool())
+        return compare(args);
+    if (args["saturation"].asBool())
+        return Bench::runSaturation({ .seconds = static_cast<int>(args["--seconds"].asLong()) });
     if (args["--list"].asBool())
         return listScenarios();
     return run(args);
--- a/Source/UnitTests/Bench/BackendStandInTest.cpp
+++ b/Source/UnitTests/Bench/BackendStandInTest.cpp
@@ -47,24 +47,24 @@
 TEST_CASE("each fault of a backend stand-in shows as it should")
 {
     const struct {
+        const char* notRun;
         FaultKind kind;
         ClientEnd end;
         int status;
-        const char* notRun;
-        bool wholeBody;
         int leastRuns;
         int mostRuns;
+        bool wholeBody;
     } cases[] {
-        { FaultKind::Slow, ClientEnd::Answered, 200, "", true, 1, 1 },
-        { FaultKind::ShedWithProof, ClientEnd::Answered, 503, "1", false, 0, 0 },
-        { FaultKind::ShedWithoutProof, ClientEnd::Answered, 503, "", false, 0, 1 },
-        { FaultKind::DrainWithWarning, ClientEnd::Answered, 200, "", true, 1, 1 },
-        { FaultKind::LyingReports, ClientEnd::Answered, 200, "", true, 1, 1 },
-        { FaultKind::ResetAnswers, ClientEnd::Broken, 0, "", false, 1, 1 },
-        { FaultKind::CutAnswers, ClientEnd::Broken, 0, "", false, 1, 1 },
-        { FaultKind::LateAnswers, ClientEnd::Answered, 200, "", true, 1, 1 },
-        { FaultKind::SlowAccept, ClientEnd::Answered, 200, "", true, 1, 1 },
-        { FaultKind::Crash, ClientEnd::NotConnected, 0, "", false, 0, 0 },
+        { "", FaultKind::Slow, ClientEnd::Answered, 200, 1, 1, true },
+        { "1", FaultKind::ShedWithProof, ClientEnd::Answered, 503, 0, 0, false },
+        { "", FaultKind::ShedWithoutProof, ClientEnd::Answered, 503, 0, 1, false },
+        { "", FaultKind::DrainWithWarning, ClientEnd::Answered, 200, 1, 1, true },
+        { "", FaultKind::LyingReports, ClientEnd::Answered, 200, 1, 1, true },
+        { "", FaultKind::ResetAnswers, ClientEnd::Broken, 0, 1, 1, false },
+        { "", FaultKind::CutAnswers, ClientEnd::Broken, 0, 1, 1, false },
+        { "", FaultKind::LateAnswers, ClientEnd::Answered, 200, 1, 1, true },
+        { "", FaultKind::SlowAccept, ClientEnd::Answered, 200, 1, 1, true },
+        { "", FaultKind::Crash, ClientEnd::NotConnected, 0, 0, 0, false },
     };
     for (const auto& test : cases) {
         CAPTURE(Common::nameOf(faultNames, test.kind));
