Attempts: a connection closed while idle is replaced by a new one to the same server

Cause: each stale kept connection cost one of three attempts and one server, so that after a quiet time longer than the servers' own idle limit a call could end connect-failed with all servers well.

Change: nothing was sent, so the same server is tried over a new connection within the same attempt.

Test seen failing before the change: stage 2 (before send) instead of 6 (answered), one connection instead of two.

--- a/Source/Core/Backends/BackendSession.cpp
+++ b/Source/Core/Backends/BackendSession.cpp
@@ -179,6 +179,12 @@
     return end;
 }
 
+void BackendSession::closeStale()
+{
+    close();
+    m_socket->resetCounts();
+}
+
 int BackendSession::write(const char* buffer, std::streamsize length)
 {
     // Collected, so that head and body leave in one write, and so that the library's own write, which may reconnect
--- a/Source/Core/Backends/BackendSession.h
+++ b/Source/Core/Backends/BackendSession.h
@@ -58,6 +58,8 @@
     Common::TimePoint lastHeard() const { return m_lastHeard; }
     // When the request was sent that got no byte back until its deadline; nothing after any other end.
     std::optional<Common::TimePoint> silentSince() const { return m_silentSince; }
+    // Closes a connection found stale by send(); open() may follow.
+    void closeStale();
     // Ends a wait without an answer; the connection cannot be used again.
     Decisions::AttemptEnd abandon(Decisions::AttemptFault);
 
--- a/Source/Core/Requests/AttemptRunner.cpp
+++ b/Source/Core/Requests/AttemptRunner.cpp
@@ -72,7 +72,19 @@
             return boost::outcome_v2::success();
         }
 
+        // A kept connection that the server closed while it was idle says nothing of the server: the same one is tried over a new
+        // connection. Nothing was sent.
         AttemptEnd send(Backends::ConnectionPool::Lease& lease, Common::Duration connectTimeout) const
+        {
+            auto end = sendOver(lease, connectTimeout);
+            if (!lease.kept || end.stage != AttemptStage::BeforeSend || end.fault != AttemptFault::Closed)
+                return end;
+            lease.kept = false;
+            lease.session->closeStale();
+            return sendOver(lease, connectTimeout);
+        }
+
+        AttemptEnd sendOver(Backends::ConnectionPool::Lease& lease, Common::Duration connectTimeout) const
         {
             if (!lease.session)
                 return { .stage = AttemptStage::BeforeConnect, .fault = AttemptFault::Refused };
--- a/Source/UnitTests/Backends/ScriptedServer.h
+++ b/Source/UnitTests/Backends/ScriptedServer.h
@@ -55,6 +55,8 @@
     std::string address() const { return m_listener.address().toString(); }
     int connections() const { return m_connections; }
     int requests() const { return m_requests; }
+    // Connections closed by a script; what the client has received by then includes the close.
+    int closes() const { return m_closes; }
     // Bytes of the latest whole request head.
     std::string head() const
     {
@@ -127,7 +129,11 @@
             run(SendBytes { step.bytes }, socket);
     }
 
-    static void run(const CloseConnection&, Poco::Net::StreamSocket& socket) { socket.close(); }
+    void run(const CloseConnection&, Poco::Net::StreamSocket& socket)
+    {
+        socket.close();
+        ++m_closes;
+    }
 
     static void run(const ResetConnection&, Poco::Net::StreamSocket& socket)
     {
@@ -148,6 +154,7 @@
     std::atomic<bool> m_stopping { false };
     std::atomic<int> m_connections { 0 };
     std::atomic<int> m_requests { 0 };
+    std::atomic<int> m_closes { 0 };
     mutable std::mutex m_mutex;
     std::string m_head;
     std::vector<std::thread> m_threads; // of the acceptor until it ends
--- a/Source/UnitTests/Requests/AttemptRunnerTest.cpp
+++ b/Source/UnitTests/Requests/AttemptRunnerTest.cpp
@@ -159,6 +159,22 @@
     }
 }
 
+TEST_CASE("a connection closed while idle is replaced by a new one to the same server, for one attempt")
+{
+    ScriptedServer server({ { ReadRequest {}, SendBytes { wholeAnswer }, CloseConnection {} }, answering });
+    Fixture fixture({ server.address() });
+    for (int connections = 1; connections <= 2; ++connections) {
+        auto result = fixture.run(Fixture::call(longWait), {});
+        REQUIRE(result);
+        CHECK(result.value().end.stage == AttemptStage::Answered);
+        CHECK(result.value().servers.size() == 1);
+        CHECK(server.connections() == connections);
+        CHECK(server.requests() == connections);
+        while (server.closes() == 0)
+            std::this_thread::yield();
+    }
+}
+
 TEST_CASE("an expired deadline sends nothing")
 {
     ScriptedServer server({ answering });
