--- a/Source/Core/Bench/Faults.h
+++ b/Source/Core/Bench/Faults.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <array>
-#include <string>
 #include <vector>
 
 #include "Common/Clock.h"
@@ -77,6 +76,7 @@
     double factor = 1;
     double share = 1; // of requests, answers or writes hit
     Common::Duration delay {};
+    std::vector<int> schemas {}; // RecordChange: forms written, by schema; empty: schema 1
 };
 
 // Whether the fault is one of a backend server.
--- a/Source/Core/Bench/Fleet.cpp
+++ b/Source/Core/Bench/Fleet.cpp
@@ -207,7 +207,7 @@
     if (isPlatformFault(fault.kind))
         return m_platform.begin(fault);
     if (fault.kind == FaultKind::RecordChange)
-        return changeRecords();
+        return changeRecords(fault.schemas);
     if (!isServerFault(fault.kind))
         return beginOnEntries(fault);
     for (auto target : fault.targets)
@@ -264,10 +264,10 @@
     }
 }
 
-void Fleet::changeRecords()
+void Fleet::changeRecords(const std::vector<int>& schemas)
 {
     auto begun = now();
-    auto revision = m_records.write();
+    auto revision = m_records.write(schemas);
     if (revision == 0)
         return;
     auto ms = waitInForce(entryAddresses(), m_options.deployment.services.front().name, revision, begun);
--- a/Source/Core/Bench/Fleet.h
+++ b/Source/Core/Bench/Fleet.h
@@ -70,7 +70,7 @@
     void publishInstances();
     std::string domainOf(std::size_t number) const;
     void noteListing(const std::vector<Platform::Instance>&);
-    void changeRecords();
+    void changeRecords(const std::vector<int>& schemas);
 
     FleetOptions m_options;
     Ledger m_ledger;
--- a/Source/Core/Bench/Report.cpp
+++ b/Source/Core/Bench/Report.cpp
@@ -78,8 +78,9 @@
     addVerdict(report.verdict, json);
     addLatency(report, json);
     addProbes(report, json);
-    json["retries_share"] = number(std::max(0.0, report.attemptsPerCall - 1));
-    json["hedges_share"] = number(report.hedgesShare);
+    auto calls = static_cast<double>(std::max<std::uint64_t>(report.verdict.calls, 1));
+    json["retries_share"] = number(static_cast<double>(report.retries) / calls);
+    json["hedges_share"] = number(static_cast<double>(report.hedges) / calls);
     json["work_factor"] = number(report.workFactor);
     json["goodput"] = number(report.goodput);
     json["config_in_force_ms"] = number(report.configInForceMs, report.configInForceMs > 0);
--- a/Source/Core/Bench/Scenario.cpp
+++ b/Source/Core/Bench/Scenario.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <random>
 
+#include "Bench/RecordSeed.h"
+
 namespace Bench {
 
 namespace {
@@ -174,10 +176,12 @@
         return plan;
     }
 
-    Plan overload(const PlanInput&)
+    Plan overload(const PlanInput& input)
     {
         Plan plan;
         plan.load = 3;
+        // Slower servers, so that three times their capacity is still a load that the bench's own machine can make.
+        plan.serviceTime = 3 * input.deployment.serviceTime;
         plan.deadlineMs = 1000;
         plan.expectation = { .leastAnswered = 0, .mostUnknown = 0.02, .entriesMayDie = false, .leastGoodput = 0.9 };
         return plan;
@@ -200,7 +204,7 @@
         constexpr int depth = 18;
         Plan plan;
         plan.depth = depth;
-        plan.load = 0.4;
+        plan.callsPerSecond = 30;
         plan.deadlineMs = 4000;
         plan.faults.push_back({ .kind = FaultKind::ResetAnswers, .at = input.duration / 5, .length = {}, .targets = allServers(input.deployment) });
         plan.expectation = { .leastAnswered = 0.15, .mostUnknown = 0.85, .mostWorkFactor = 1.2 };
@@ -266,6 +270,17 @@
         return plan;
     }
 
+    // Old and new forms side by side, then only new ones, then one that no entry understands yet: what was in force stays.
+    Plan mixedSchemas(const PlanInput& input)
+    {
+        const std::vector<std::vector<int>> steps { { 1, 2 }, { 2 }, { 2, futureSchema }, { futureSchema }, { 1, 2 } };
+        Plan plan;
+        plan.load = 0.4;
+        for (std::size_t i = 0; i < steps.size(); ++i)
+            plan.faults.push_back({ .kind = FaultKind::RecordChange, .at = input.duration * (static_cast<int>(i) + 1) / 7, .schemas = steps[i] });
+        return plan;
+    }
+
     // Some entries stand still in the middle of their talk with the store, while records change.
     Plan pausedReader(const PlanInput& input)
     {
@@ -338,6 +353,7 @@
         Scenario { "lost-write-answers", "writes to the store lost, or applied without an answer; claims are sent again", lostWriteAnswers },
         Scenario { "operator-race", "operators change one record at once while answers to writes are lost", operatorRace },
         Scenario { "domain-lost", "entries and servers of one failure domain go at once", domainLost },
+        Scenario { "mixed-schemas", "records move from schema 1 to 2, and to one that no entry understands", mixedSchemas },
         Scenario { "paused-reader", "entries stand still in the middle of reading the store, then wake up", pausedReader },
         Scenario { "demo", "a burst while a server of the first service fails", demo },
         Scenario { "soak", "mixed faults at random", soak },
--- a/Source/Core/Bench/ScenarioRun.cpp
+++ b/Source/Core/Bench/ScenarioRun.cpp
@@ -87,8 +87,11 @@
     {
         auto claims = false;
         for (auto& service : deployment.services) {
-            if (plan.depth > 0)
+            if (plan.depth > 0) {
                 service.calls = { { .method = "GET", .path = fmt::format("/deep/{}", plan.depth - 1) } };
+                // A server that waits for others is busy with many calls at once; with few slots the chain would wait for itself.
+                service.slots *= plan.depth;
+            }
             claims = claims || std::any_of(service.calls.begin(), service.calls.end(), [](const auto& call) { return call.claim; });
         }
         for (auto& service : deployment.services) {
@@ -116,13 +119,10 @@
         }
         auto inTime = std::count_if(load.calls.begin(), load.calls.end(), [&](const auto& call) { return call.route == Route::Entry && call.outcome == "answered" && call.latency <= std::chrono::milliseconds(plan.deadlineMs); });
         report.goodput = static_cast<double>(inTime) / (capacity * seconds);
-        std::uint64_t attempts = 0;
         for (const auto& call : load.calls) {
             report.baselineCalls += call.route == Route::Entry ? 0 : 1;
-            attempts += static_cast<std::uint64_t>(call.attempts);
             report.connectFailures += static_cast<std::uint64_t>(call.connectFailures);
         }
-        report.attemptsPerCall = static_cast<double>(attempts) / static_cast<double>(std::max<std::uint64_t>(report.verdict.calls, 1));
         report.storeReadsPerSecond = static_cast<double>(fleet.platform().counts().reads) / seconds;
         report.configInForceMs = fleet.configInForceMs();
         report.forcedStops = fleet.forcedStops();
@@ -174,6 +174,8 @@
         report.operators = race->stop();
     fleet.forEachEntry([&](Entry::Daemon& entry) {
         report.ownP99Ms = std::max(report.ownP99Ms, entry.callers().ownTimes.quantiles().p99Ms);
+        report.retries += entry.callStats().retries;
+        report.hedges += entry.callStats().hedges;
         report.ownCpuP99Ms = std::max(report.ownCpuP99Ms, entry.callers().ownCpuTimes.quantiles().p99Ms);
     });
     fleet.stopEntries();
--- a/Source/Core/Bench/ScenarioRun.h
+++ b/Source/Core/Bench/ScenarioRun.h
@@ -50,9 +50,9 @@
     double ownP99Ms = 0;
     double ownCpuP99Ms = 0; // 0: not measured
     double lagP99Ms = 0; // how late the load began its calls
-    double attemptsPerCall = 0;
+    std::uint64_t retries = 0; // counted by the entries that were up at the end
+    std::uint64_t hedges = 0; // likewise
     double workFactor = 0; // requests at backend servers over calls
-    double hedgesShare = 0;
     double configInForceMs = 0;
     double storeReadsPerSecond = 0;
     int configReverts = 0; // times an entry was seen to go back to an older revision
