--- a/Source/Core/Decisions/Claim.cpp
+++ b/Source/Core/Decisions/Claim.cpp
@@ -12,7 +12,7 @@
 
 }
 
-Claim::Claim(std::string nonce)
+Claim::Claim(const std::string& nonce)
     : m_held(std::string(heldPrefix) + nonce)
     , m_free(std::string(freePrefix) + nonce)
 {
--- a/Source/Core/Decisions/Claim.h
+++ b/Source/Core/Decisions/Claim.h
@@ -44,7 +44,7 @@
 class Claim {
 public:
     // `nonce` must be unique to this claim.
-    explicit Claim(std::string nonce);
+    explicit Claim(const std::string& nonce);
 
     // What to do next; its end is told by one of the two calls below.
     ClaimStep next() const;
