--- a/Source/Core/Backends/ConnectionPool.cpp
+++ b/Source/Core/Backends/ConnectionPool.cpp
@@ -51,7 +51,7 @@
             m_suspectBefore = std::max(m_suspectBefore, *silentSince);
             dropHeardBefore(m_suspectBefore, retired);
         }
-        if (session->reusable() && session->lastHeard() >= m_suspectBefore) {
+        if (session->reusable() && session->lastHeard() >= m_suspectBefore && m_open <= m_options.limit) {
             m_idle.push_back(std::move(session));
         } else {
             --m_open;
@@ -62,6 +62,18 @@
         m_options.onSuspect(static_cast<int>(retired.size()) - 1);
 }
 
+void ConnectionPool::setLimit(int limit)
+{
+    Sessions retired;
+    std::lock_guard lock(m_mutex);
+    m_options.limit = limit;
+    while (m_open > m_options.limit && !m_idle.empty()) {
+        retired.push_back(std::move(m_idle.front()));
+        m_idle.erase(m_idle.begin());
+        --m_open;
+    }
+}
+
 int ConnectionPool::open() const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/Core/Backends/ConnectionPool.h
+++ b/Source/Core/Backends/ConnectionPool.h
@@ -37,6 +37,8 @@
     // before its request was sent: they are replaced.
     void release(std::unique_ptr<BackendSession>);
     int open() const;
+    // Ends idle connections above the new limit; those in use end as they are released.
+    void setLimit(int);
 
 private:
     using Sessions = std::vector<std::unique_ptr<BackendSession>>;
--- /dev/null
+++ b/Source/Core/Decisions/ConnectionShare.cpp
@@ -0,0 +1,24 @@
+#include "Decisions/ConnectionShare.h"
+
+#include <algorithm>
+
+namespace Decisions {
+
+namespace {
+
+    constexpr int reservePart = 10; // one in so many
+
+}
+
+int connectionLimit(int total, const CarrierShare& share)
+{
+    auto reserve = total / reservePart;
+    if (share.carries && share.mostCarriers != CarrierShare::noShare)
+        return (total - reserve) / std::max({ 1, share.mostCarriers, share.carriers });
+    // An entry that has not counted the others yet sees too few of them.
+    if (share.mostCarriers == CarrierShare::noShare)
+        return std::min(reserve, 1);
+    return reserve / std::max(1, share.liveEntries);
+}
+
+}
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -1,5 +1,7 @@
 #include "Entry/Daemon.h"
 
+#include <algorithm>
+
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
@@ -10,6 +12,7 @@
 #include "Entry/CallerSocket.h"
 #include "Entry/MetricsPage.h"
 #include "Entry/StatusPage.h"
+#include "Requests/LoadHeaders.h"
 
 namespace Entry {
 
@@ -70,7 +73,8 @@
     , m_log({ .process = m_settings.address, .format = m_settings.logFormat })
     , m_records(m_platform.table, m_log)
     , m_recordSync({ .hooks = m_hooks, .schedule = {} }, m_platform, m_records, m_log)
-    , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes) }, m_log)
+    , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes), .share = [this](const auto&) { return shareOfBudgets(); } }, m_log)
+    , m_probes({ .hooks = m_hooks, .loadOf = Requests::loadReport }, m_servers)
     , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs) }, m_records, m_servers, m_platform.table, m_log)
     , m_callers(m_settings.limits, m_hooks, m_requests.chain())
     , m_threads("callers", 2, m_settings.limits.connections + 1, idleThreadSeconds, threadStackBytes)
@@ -94,6 +98,7 @@
         return listening;
     m_recordSync.start();
     m_refresher = std::thread([this] { refreshLoop(); });
+    m_probes.start();
     m_log.log(EventId::EntryStarted, { { "address", m_address } });
     return boost::outcome_v2::success();
 }
@@ -215,6 +220,7 @@
     page.gauge("calls_in_flight", m_callers.inFlight);
     page.gauge("caller_connections", m_callers.connections.count());
     page.gauge("records_revision", static_cast<double>(m_records.current()->revision));
+    page.counter("probes_sent_total", static_cast<double>(m_probes.probesSent()));
     page.summary("own_time_ms", m_callers.ownTimes.quantiles());
     page.summary("own_cpu_ms", m_callers.ownCpuTimes.quantiles());
     return { .contentType = "text/plain; version=0.0.4", .body = page.text() };
@@ -240,10 +246,21 @@
     auto instances = m_platform.instances();
     if (!instances)
         return;
+    auto entries = std::count_if(instances.value().begin(), instances.value().end(), [](const auto& instance) { return instance.kind == Platform::InstanceKind::Entry; });
+    m_mostEntries = std::max({ 1, m_mostEntries.load(), static_cast<int>(entries) });
     m_instances.set(std::make_shared<const std::vector<Platform::Instance>>(std::move(instances).value()));
     m_servers.apply(*m_records.current(), *m_instances.get());
 }
 
+// Every listed entry may carry every service: the sum over all stays within each budget.
+Decisions::CarrierShare Daemon::shareOfBudgets() const
+{
+    auto most = m_mostEntries.load();
+    if (most == 0)
+        return { .mostCarriers = Decisions::CarrierShare::noShare };
+    return { .carriers = most, .mostCarriers = most, .liveEntries = most };
+}
+
 // Ends everything that runs; what is still in flight is cut.
 void Daemon::endThreads()
 {
@@ -255,6 +272,7 @@
     if (m_refresher.joinable())
         m_refresher.join();
     m_recordSync.stop();
+    m_probes.stop();
     m_callers.closing = true;
     m_server->stop();
     while (m_callers.connections.count() > 0) {
--- a/Source/Core/Entry/Daemon.h
+++ b/Source/Core/Entry/Daemon.h
@@ -11,6 +11,7 @@
 #include <Poco/ThreadPool.h>
 
 #include "Controllers/BackendServers.h"
+#include "Controllers/Probes.h"
 #include "Controllers/RecordController.h"
 #include "Controllers/RecordSync.h"
 #include "Decisions/Shutdown.h"
@@ -53,6 +54,7 @@
     Page metrics() const;
     void refreshLoop();
     void refresh();
+    Decisions::CarrierShare shareOfBudgets() const;
     void endThreads();
     Decisions::ShutdownPhase advanceShutdown();
 
@@ -63,7 +65,9 @@
     Controllers::RecordController m_records;
     Controllers::RecordSync m_recordSync;
     Controllers::BackendServers m_servers;
+    Controllers::Probes m_probes;
     Common::Snapshot<std::vector<Platform::Instance>> m_instances;
+    std::atomic<int> m_mostEntries { 0 }; // the largest count the instance list showed; 0: not read yet
     Requests::RequestPath m_requests;
     CallerContext m_callers;
     Poco::ThreadPool m_threads;
--- /dev/null
+++ b/Source/UnitTests/Decisions/ConnectionShareTest.cpp
@@ -0,0 +1,46 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "Decisions/ConnectionShare.h"
+
+using Decisions::CarrierShare;
+using Decisions::connectionLimit;
+
+TEST_CASE("a server's connections, divided")
+{
+    struct Row {
+        int total;
+        CarrierShare share;
+        int limit;
+    };
+    const Row rows[] = {
+        { 300, {}, 270 },
+        { 300, { .carriers = 8, .mostCarriers = 8, .liveEntries = 22 }, 33 },
+        { 300, { .carriers = 4, .mostCarriers = 8, .liveEntries = 12 }, 33 },
+        { 300, { .carries = false, .carriers = 8, .mostCarriers = 8, .liveEntries = 22 }, 1 },
+        { 300, { .carriers = 1, .mostCarriers = CarrierShare::noShare, .liveEntries = 1 }, 1 },
+        { 1, {}, 1 },
+        { 5, { .carriers = 8, .mostCarriers = 8, .liveEntries = 22 }, 0 },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.total);
+        CAPTURE(row.share.mostCarriers);
+        CHECK(connectionLimit(row.total, row.share) == row.limit);
+    }
+}
+
+TEST_CASE("all entries together keep the limit while they count the carriers differently")
+{
+    CHECK(rc::check([] {
+        auto total = *rc::gen::inRange(1, 1000);
+        auto entries = *rc::gen::inRange(1, 30);
+        auto carriers = *rc::gen::inRange(1, entries + 1);
+        int sum = 0;
+        for (int i = 0; i < entries; ++i) {
+            // Each sees some of them live now, and has seen all lately.
+            auto seen = *rc::gen::inRange(1, carriers + 1);
+            sum += connectionLimit(total, { .carries = i < carriers, .carriers = seen, .mostCarriers = carriers, .liveEntries = entries });
+        }
+        RC_ASSERT(sum <= total);
+    }));
+}
