--- a/Source/UnitTests/Decisions/FakeServers.h
+++ b/Source/UnitTests/Decisions/FakeServers.h
@@ -29,7 +29,7 @@
     double serviceMs = 6; // mean; half of it fixed, half exponential
     double networkMs = 1.5; // one way
     double use = 0.7; // of all slots
-    double seconds = 8;
+    double seconds = 5;
     double warmUpSeconds = 2; // not counted
     std::function<double(int server, double atSeconds)> slowness = [](int, double) { return 1.0; };
     std::function<int(int server, int inFlight)> report = [](int, int inFlight) { return inFlight; };
