--- a/Source/Core/Controllers/BackendServers.cpp
+++ b/Source/Core/Controllers/BackendServers.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include <Poco/Exception.h>
+
 #include "Common/NameTable.h"
 #include "Decisions/ConnectionShare.h"
 
@@ -130,8 +132,12 @@
             order.hold.ticket = *ticket;
             order.hold.pool = connectionsOf(*target, ticket->address);
         }
-        if (order.hold.pool)
-            order.hold.connection = order.hold.pool->acquire();
+        try {
+            if (order.hold.pool)
+                order.hold.connection = order.hold.pool->acquire();
+        } catch (const Poco::Exception&) {
+            // Without a connection the probe ends as not sent; the others go on.
+        }
         orders.push_back(std::move(order));
     }
     return orders;
