--- a/Source/Core/Controllers/BackendServers.h
+++ b/Source/Core/Controllers/BackendServers.h
@@ -72,7 +72,7 @@
     struct Shard {
         Shard(const Decisions::PoolOptions& options, const Common::Hooks& hooks)
             : pool(options, hooks)
-            , budget(hooks.now())
+            , budget(hooks.now(), Common::randomUnit(hooks))
         {
         }
 
--- a/Source/Core/Decisions/ProbeBudget.cpp
+++ b/Source/Core/Decisions/ProbeBudget.cpp
@@ -1,12 +1,14 @@
 #include "Decisions/ProbeBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Decisions {
 
 namespace {
 
     constexpr double capacity = 1; // probes
+    constexpr Common::Duration turnLength = std::chrono::milliseconds(100);
     constexpr auto settleTime = std::chrono::seconds(3);
 
     double seconds(Common::Duration duration)
@@ -16,8 +18,9 @@
 
 }
 
-ProbeBudget::ProbeBudget(Common::TimePoint start)
+ProbeBudget::ProbeBudget(Common::TimePoint start, double phase)
     : m_filledTo(start + settleTime)
+    , m_tokens(-phase)
 {
 }
 
@@ -47,7 +50,11 @@
 {
     if (now <= m_filledTo)
         return;
-    m_tokens = std::min(capacity, m_tokens + m_rate * seconds(now - m_filledTo));
+    m_tokens += m_rate * seconds(now - m_filledTo);
+    // A probe not sent in its turn is lost, and the turns keep their phase: saved ones of all entries would meet as soon as
+    // all see the same reason to probe.
+    if (auto most = capacity + m_rate * seconds(turnLength); m_tokens > most)
+        m_tokens -= std::floor(m_tokens);
     m_filledTo = now;
 }
 
--- a/Source/Core/Decisions/ProbeBudget.h
+++ b/Source/Core/Decisions/ProbeBudget.h
@@ -10,7 +10,8 @@
 // of W seconds then sees at most budget * W probes and one more for each entry; docs/design/probing.md.
 class ProbeBudget {
 public:
-    explicit ProbeBudget(Common::TimePoint start);
+    // `phase` in [0, 1) spreads the probes of entries that start together.
+    explicit ProbeBudget(Common::TimePoint start, double phase = 0);
 
     // Probes a second for the whole service, and this entry's share of them.
     void setRate(double probesPerSecond, const CarrierShare&, Common::TimePoint now);
--- a/Source/UnitTests/Decisions/ProbeTest.cpp
+++ b/Source/UnitTests/Decisions/ProbeTest.cpp
@@ -27,14 +27,17 @@
         auto restartOdds = *rc::gen::element(0, 3, 30); // of 1000, a step and entry
         std::mt19937_64 random(*rc::gen::arbitrary<std::uint32_t>());
         Common::TimePoint now { milliseconds(1000) };
-        std::vector<ProbeBudget> budgets(static_cast<std::size_t>(entries), ProbeBudget(now));
+        auto phase = [&random] { return static_cast<double>(random() % 1000) / 1000; };
+        std::vector<ProbeBudget> budgets;
+        for (int i = 0; i < entries; ++i)
+            budgets.emplace_back(now, phase());
         std::deque<Common::TimePoint> sent;
         std::size_t total = 0;
         for (int tick = 0; tick < 1500; ++tick) {
             now += milliseconds(20);
             for (auto& budget : budgets) {
                 if (static_cast<int>(random() % 1000) < restartOdds)
-                    budget = ProbeBudget(now);
+                    budget = ProbeBudget(now, phase());
                 // In a split an entry sees fewer carriers; the most seen lately stays.
                 CarrierShare share { .carriers = 1 + static_cast<int>(random() % static_cast<std::uint64_t>(entries)), .mostCarriers = entries, .liveEntries = entries };
                 budget.setRate(rate, share, now);
@@ -50,8 +53,8 @@
             RC_ASSERT(static_cast<double>(sent.size()) <= rate + entries);
         }
         // Without restarts the budget is there to be used.
-        constexpr double filling = 27; // of 30 s, without the first 3
-        if (restartOdds == 0 && rate / entries * filling > 1)
+        constexpr double filling = 27; // of 30 s, without the first 3; the phase may cost a turn
+        if (restartOdds == 0 && rate / entries * filling > 2)
             RC_ASSERT(total > 0U);
     }));
 }
