Count the sender's own record against a datagram's size; test indirect pings

Change: the sender's record is part of the payload bound. The network fake can block single links; an entry that only others can reach must not be suspected.

--- a/Source/Core/Decisions/Membership.cpp
+++ b/Source/Core/Decisions/Membership.cpp
@@ -27,7 +27,7 @@
 
     std::size_t payload(const GossipMessage& message)
     {
-        std::size_t bytes = 0;
+        auto bytes = encodedBytes(message.sender);
         for (const auto& update : message.updates)
             bytes += encodedBytes(update);
         for (const auto& hint : message.hints)
@@ -413,7 +413,7 @@
 void Membership::addUpdates(GossipMessage& message, const std::string& to)
 {
     // Half of the room, so that hints always get through.
-    auto room = m_options.payloadBytes / 2;
+    auto room = (m_options.payloadBytes - std::min(m_options.payloadBytes, payload(message))) / 2;
     // Whoever is doubted here is told so in every message: only it can refute.
     if (auto it = m_members.find(to); it != m_members.end() && it->second.record.state != MemberState::Alive) {
         message.updates.push_back(it->second.record);
--- a/Source/UnitTests/Decisions/GossipNetwork.h
+++ b/Source/UnitTests/Decisions/GossipNetwork.h
@@ -122,7 +122,7 @@
 
     static std::size_t payloadOf(const Decisions::GossipMessage& message)
     {
-        std::size_t bytes = 0;
+        auto bytes = Decisions::encodedBytes(message.sender);
         for (const auto& update : message.updates)
             bytes += Decisions::encodedBytes(update);
         for (const auto& hint : message.hints)
@@ -148,6 +148,8 @@
             now = std::max(now, flying.due);
             for (std::size_t i = 0; i < nodes.size(); ++i) {
                 auto& node = nodes[i];
+                if (blocked(flying.from, static_cast<int>(i)))
+                    continue;
                 if (listed[i].peerAddress != flying.send.to || !node.membership || node.paused || node.side != nodes[static_cast<std::size_t>(flying.from)].side)
                     continue;
                 carryOut(static_cast<int>(i), node.membership->receive(flying.send.message));
@@ -163,6 +165,7 @@
 public:
     Common::TimePoint now { std::chrono::hours(1) };
     double loss = 0;
+    std::function<bool(int from, int to)> blocked = [](int, int) { return false; };
     std::vector<Decisions::ListedEntry> listed;
     std::vector<Node> nodes;
 };
--- a/Source/UnitTests/Decisions/MembershipTest.cpp
+++ b/Source/UnitTests/Decisions/MembershipTest.cpp
@@ -141,6 +141,17 @@
     CHECK(countEvents(network, MemberChange::Failed) == 0);
 }
 
+TEST_CASE("an entry that only others can reach is not suspected")
+{
+    GossipNetwork network(29, 12);
+    network.run(5s);
+    for (auto& node : network.nodes)
+        node.events.clear();
+    network.blocked = [](int from, int to) { return (from == 0 && to == 1) || (from == 1 && to == 0); };
+    network.run(60s);
+    CHECK(countEvents(network, MemberChange::Suspected) == 0);
+}
+
 TEST_CASE("silence during a pause of one's own proves nothing")
 {
     Common::TimePoint now {};
