Run membership in the entry: directory, shares, records handed on

Cause: the directory came from the platform's lagging list, and records only from the store. Change: Controllers/Members runs the gossip and answers directory and shares from it; an entry that is leaving, not ready or does not understand a record is not named.

--- a/Source/Core/Decisions/Carriers.cpp
+++ b/Source/Core/Decisions/Carriers.cpp
@@ -63,6 +63,12 @@
     };
 }
 
+bool CarrierShares::settling() const
+{
+    auto now = m_options.hooks.now();
+    return std::any_of(m_services.begin(), m_services.end(), [&](const auto& item) { return item.second.holds && now - item.second.since < m_options.settling; });
+}
+
 void CarrierShares::noteCount(Holding& holding, int count) const
 {
     auto now = m_options.hooks.now();
--- a/Source/Core/Decisions/Carriers.h
+++ b/Source/Core/Decisions/Carriers.h
@@ -38,6 +38,8 @@
 
     // `live` and `known` hold this entry too.
     CarrierShare update(const std::string& service, int perDomain, std::span<const MemberRecord> live, std::span<const MemberRecord> known);
+    // Whether a share waits for its time to come.
+    bool settling() const;
     void forget(const std::string& service) { m_services.erase(service); }
 
 private:
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -28,6 +28,11 @@
     constexpr int busyRetryAfterMs = 1000;
     constexpr auto shutdownStep = std::chrono::milliseconds(5);
 
+    Controllers::MembersOptions membersOptions(const Settings::EntrySettings& settings, const Common::Hooks& hooks)
+    {
+        return { .hooks = hooks, .peerAddress = settings.peerAddress, .failureDomain = settings.failureDomain, .sharedKey = settings.sharedKey };
+    }
+
     // Refuses connections above the limit, with an answer: a caller left to wait in a queue would learn nothing.
     class ConnectionLimit : public Poco::Net::TCPServerConnectionFilter {
     public:
@@ -75,7 +80,8 @@
     , m_recordSync({ .hooks = m_hooks, .schedule = {} }, m_platform, m_records, m_log)
     , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes), .share = [this](const auto&) { return shareOfBudgets(); } }, m_log)
     , m_probes({ .hooks = m_hooks, .loadOf = Requests::loadReport }, m_servers)
-    , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs) }, m_records, m_servers, m_platform.table, m_log)
+    , m_peers({ .members = membersOptions(m_settings, m_hooks) }, m_records, m_recordSync, m_servers, m_log)
+    , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs), .share = [this](const auto& service) { return m_peers.members().share(service); } }, m_records, m_servers, m_platform.table, m_log)
     , m_callers(m_settings.limits, m_hooks, m_requests.chain())
     , m_threads("callers", 2, m_settings.limits.connections + 1, idleThreadSeconds, threadStackBytes)
     , m_address(m_settings.address)
@@ -91,11 +97,15 @@
 
 Common::Result<void> Daemon::start()
 {
+    auto bound = m_peers.bind();
+    if (!bound)
+        return bound;
     m_recordSync.step();
     refresh();
     auto listening = listen();
     if (!listening)
         return listening;
+    m_peers.start(m_address);
     m_recordSync.start();
     m_refresher = std::thread([this] { refreshLoop(); });
     m_probes.start();
@@ -111,6 +121,7 @@
         std::lock_guard lock(m_shutdownMutex);
         m_shutdown.begin(m_hooks.now());
     }
+    m_peers.members().announceLeaving();
     m_log.log(EventId::EntryLeaving, { { "calls", std::to_string(m_callers.inFlight) } });
     auto phase = advanceShutdown();
     while (phase != ShutdownPhase::Stopped && phase != ShutdownPhase::Forced) {
@@ -189,16 +200,11 @@
     json["revision"] = Json::UInt64(records->revision);
     json["ttl_ms"] = m_settings.directoryTtlMs;
     json["entries"] = Json::arrayValue;
-    if (records->offered(service)) {
-        auto instances = m_instances.get();
-        for (const auto& instance : *instances) {
-            if (instance.kind != Platform::InstanceKind::Entry || instance.leaving)
-                continue;
-            Json::Value item;
-            item["address"] = instance.address;
-            item["failure_domain"] = instance.failureDomain;
-            json["entries"].append(item);
-        }
+    for (const auto& entry : m_peers.members().directory(service)) {
+        Json::Value item;
+        item["address"] = entry.address;
+        item["failure_domain"] = entry.failureDomain;
+        json["entries"].append(item);
     }
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
@@ -243,6 +249,7 @@
     if (records->revision > m_appliedRevision)
         m_servers.apply(*records, *m_instances.get());
     m_appliedRevision = records->revision;
+    m_peers.refreshed(*m_instances.get());
     auto instances = m_platform.instances();
     if (!instances)
         return;
@@ -250,6 +257,7 @@
     m_mostEntries = std::max({ 1, m_mostEntries.load(), static_cast<int>(entries) });
     m_instances.set(std::make_shared<const std::vector<Platform::Instance>>(std::move(instances).value()));
     m_servers.apply(*m_records.current(), *m_instances.get());
+    m_peers.refreshed(*m_instances.get());
 }
 
 // Every listed entry may carry every service: the sum over all stays within each budget.
@@ -273,6 +281,7 @@
         m_refresher.join();
     m_recordSync.stop();
     m_probes.stop();
+    m_peers.stop();
     m_callers.closing = true;
     m_server->stop();
     while (m_callers.connections.count() > 0) {
--- a/Source/Core/Entry/Daemon.h
+++ b/Source/Core/Entry/Daemon.h
@@ -16,6 +16,7 @@
 #include "Controllers/RecordSync.h"
 #include "Decisions/Shutdown.h"
 #include "Entry/CallerConnection.h"
+#include "Entry/PeerLink.h"
 #include "Platform/Platform.h"
 #include "Requests/RequestPath.h"
 #include "Settings/EntrySettings.h"
@@ -41,6 +42,8 @@
 
     // The bound address for callers, ip:port.
     std::string address() const { return m_address; }
+    // The bound address for other entries and operators, ip:port.
+    std::string peerAddress() const { return m_peers.members().peerAddress(); }
     const CallerContext& callers() const { return m_callers; }
     const Controllers::RecordController& records() const { return m_records; }
     Controllers::BackendServers& servers() { return m_servers; }
@@ -68,6 +71,7 @@
     Controllers::Probes m_probes;
     Common::Snapshot<std::vector<Platform::Instance>> m_instances;
     std::atomic<int> m_mostEntries { 0 }; // the largest count the instance list showed; 0: not read yet
+    PeerLink m_peers;
     Requests::RequestPath m_requests;
     CallerContext m_callers;
     Poco::ThreadPool m_threads;
