--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -8,6 +8,8 @@
 #include "Operator/CheckCommand.h"
 #include "Operator/ExitCode.h"
 #include "Operator/RecordCommandLine.h"
+#include "Operator/StatusCommand.h"
+#include "Operator/TimelineCommand.h"
 #include "Platform/HttpPlatform.h"
 
 namespace {
@@ -24,6 +26,8 @@
   cowslipledge record list --platform ADDR [--json]
   cowslipledge record history [SERVICE] --platform ADDR [--json]
   cowslipledge record wait REVISION --platform ADDR [--timeout-ms T] [--json]
+  cowslipledge status [--platform ADDR] [--peer ADDR] --key-file FILE [--json]
+  cowslipledge timeline [--platform ADDR] [--peer ADDR] --key-file FILE [--since T] [--request ID] [--service S] [--json]
   cowslipledge --help
   cowslipledge --version
 
@@ -34,6 +38,11 @@
   --operator NAME  Who makes the change; the user's name when absent.
   --dry-run        Show the difference and change nothing.
   --timeout-ms T   How long to wait [default: 10000].
+  --peer ADDR      The peer address of any entry; it names the others.
+  --key-file FILE  The key that the entries share.
+  --since T        Events of the last 30s, 10m or 2h, or since milliseconds of the epoch.
+  --request ID     Events of the request with this Idempotency-Key.
+  --service S      Events of this service.
   --json           Print JSON.
   --help           Show this text.
   --version        Show the version.
@@ -106,6 +115,11 @@
     return Operator::recordCommand(arguments);
 }
 
+Operator::PeerFinderOptions peerOptions(std::map<std::string, docopt::value>& args)
+{
+    return { .platformAddress = textOf(args["--platform"]), .peerAddress = textOf(args["--peer"]), .keyFile = textOf(args["--key-file"]) };
+}
+
 }
 
 int main(int argc, char* argv[])
@@ -115,5 +129,9 @@
         return entryCommand(args["--settings"].asString());
     if (args["record"].asBool())
         return recordCommand(args);
+    if (args["status"].asBool())
+        return Operator::statusCommand({ .peers = peerOptions(args), .json = args["--json"].asBool() });
+    if (args["timeline"].asBool())
+        return Operator::timelineCommand({ .peers = peerOptions(args), .since = textOf(args["--since"]), .request = textOf(args["--request"]), .service = textOf(args["--service"]), .json = args["--json"].asBool() });
     return Operator::checkCommand(args["FILE"].asString());
 }
