Measure gossip over loopback

Change: cowslipledge-bench gossip runs the membership of N entries over real sockets and prints bytes, messages and CPU an entry, quiet and with one change a second, and how long changes took to reach all, with a share of datagrams lost.

--- a/Source/Core/Bench/Fleet.cpp
+++ b/Source/Core/Bench/Fleet.cpp
@@ -181,7 +181,7 @@
         const auto& slot = m_entries[i];
         if (slot.dead)
             continue;
-        instances.push_back({ .address = slot.daemon->address(), .kind = Platform::InstanceKind::Entry, .pool = {}, .failureDomain = domainOf(i), .leaving = slot.leaving, .peerAddress = {} });
+        instances.push_back({ .address = slot.daemon->address(), .kind = Platform::InstanceKind::Entry, .pool = {}, .failureDomain = domainOf(i), .leaving = slot.leaving, .peerAddress = slot.daemon->peerAddress() });
         if (!slot.leaving)
             live.push_back(slot.daemon->address());
     }
--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "Bench/Compare.h"
+#include "Bench/GossipBench.h"
 #include "Bench/Processes.h"
 #include "Bench/Saturation.h"
 #include "Bench/ScenarioRun.h"
@@ -27,6 +28,7 @@
   cowslipledge-bench backend [--servers N] [--slots N] [--service-ms T]
   cowslipledge-bench load SERVICE PATH ENTRY... [--method M] [--rate R] [--seconds T] [--seed N]
   cowslipledge-bench replay FILE...
+  cowslipledge-bench gossip [--entries N] [--loss P] [--seconds T]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -47,6 +49,8 @@
   --service-ms T  Mean work of a request [default: 20].
   --method M      HTTP method of the calls [default: GET].
   --rate R        Calls a second [default: 100].
+  --entries N     Entries that gossip [default: 22].
+  --loss P        Share of datagrams lost, 0 to 1 [default: 0].
   --table         Print a table of the services before the line of JSON.
 )";
 
@@ -156,6 +160,8 @@
         return slopes(args["--report"].asString());
     if (args["replay"].asBool())
         return replay(args["FILE"].asStringList());
+    if (args["gossip"].asBool())
+        return Bench::runGossipBench({ .entries = static_cast<int>(args["--entries"].asLong()), .seconds = static_cast<int>(args["--seconds"].asLong()), .loss = std::stod(args["--loss"].asString()) });
     if (args["tables"].asBool())
         return writeTables(args["DOCS"].asString());
     if (args["platform"].asBool())
