Hold the view of members while reading it

Cause: three loops ran over the target of a temporary shared pointer, which died before the loop's body; once the view was replaced meanwhile, 'graceful shutdown answers ...' aborted with std::length_error (once in a run of all tests, not in 40 runs alone). Change: the pointer is held in a variable for the loop.

--- a/Source/Core/Controllers/Members.cpp
+++ b/Source/Core/Controllers/Members.cpp
@@ -231,7 +231,8 @@
 bool Members::isReader() const
 {
     std::vector<MemberRecord> live;
-    for (const auto& member : *view()) {
+    auto members = view();
+    for (const auto& member : *members) {
         if (member.record.state == MemberState::Alive && !member.record.leaving)
             live.push_back(member.record);
     }
--- a/Source/Core/Entry/PeerLink.cpp
+++ b/Source/Core/Entry/PeerLink.cpp
@@ -108,7 +108,8 @@
 {
     std::vector<std::string> ready;
     std::vector<std::string> ahead;
-    for (const auto& member : *m_members.view()) {
+    auto view = m_members.view();
+    for (const auto& member : *view) {
         const auto& record = member.record;
         if (record.peerAddress == m_members.peerAddress() || record.state != MemberState::Alive || !record.ready)
             continue;
@@ -154,7 +155,8 @@
     json["gossip"]["not_sent"] = Json::UInt64(traffic.notSent);
     json["gossip"]["bytes_per_second"] = Json::UInt64(static_cast<double>(traffic.bytesSent + traffic.bytesReceived) / std::max(1.0, seconds));
     json["members"] = Json::arrayValue;
-    for (const auto& member : *m_members.view()) {
+    auto view = m_members.view();
+    for (const auto& member : *view) {
         json["members"].append(toJson(member));
         if (member.record.peerAddress != m_members.peerAddress())
             continue;
