Wire members into the entry: shares of budgets, hints, youth in the directory

Cause: budgets were divided by the listed entries, hints stayed in one entry, and a list without peer addresses left every entry alone. An entry named right after its start held one connection a server and refused calls. Change: shares come from members, hints travel both ways, a peer address that the list lacks is the listed address with the own peer port, directories pass over entries younger than 2.5 s while others are there, and the stale check of a session runs inside its try block (a reset there ended the probe thread).

--- a/Source/Core/Backends/BackendSession.cpp
+++ b/Source/Core/Backends/BackendSession.cpp
@@ -116,9 +116,9 @@
     m_silentSince.reset();
     if (!isCleanRequest(request))
         return endOfSend(AttemptFault::Malformed);
-    if (isStale())
-        return endOfSend(AttemptFault::Closed);
     try {
+        if (isStale())
+            return endOfSend(AttemptFault::Closed);
         m_sentAt = now();
         m_socket->setDeadline(m_sentAt + timeout);
         HTTPRequest head(request.method, request.target, HTTPRequest::HTTP_1_1);
--- a/Source/Core/Controllers/BackendServers.cpp
+++ b/Source/Core/Controllers/BackendServers.cpp
@@ -169,6 +169,15 @@
     report(hint.service, *target);
 }
 
+int BackendServers::connectionLimit(const std::string& service) const
+{
+    auto target = shard(service);
+    if (!target)
+        return 0;
+    std::lock_guard lock(target->mutex);
+    return std::max(0, target->connectionLimit);
+}
+
 std::vector<Decisions::ServerView> BackendServers::view(const std::string& service) const
 {
     auto target = shard(service);
--- a/Source/Core/Controllers/BackendServers.h
+++ b/Source/Core/Controllers/BackendServers.h
@@ -65,6 +65,8 @@
     void applyHint(const Decisions::ServerHint&);
 
     std::vector<Decisions::ServerView> view(const std::string& service) const;
+    // Connections that this entry may open to each server of the service; 0 for an unknown service.
+    int connectionLimit(const std::string& service) const;
 
 private:
     using Connections = std::shared_ptr<Backends::ConnectionPool>;
--- a/Source/Core/Controllers/Members.cpp
+++ b/Source/Core/Controllers/Members.cpp
@@ -9,6 +9,14 @@
 
 namespace {
 
+    // A list that names no peer addresses is that of a fleet whose entries all use the same port for peers.
+    std::string peerAddressOf(const Platform::Instance& instance, const std::string& own)
+    {
+        if (!instance.peerAddress.empty())
+            return instance.peerAddress;
+        return instance.address.substr(0, instance.address.rfind(':')) + own.substr(own.rfind(':'));
+    }
+
     using Common::EventId;
     using Decisions::MemberChange;
     using Decisions::MemberRecord;
@@ -45,6 +53,14 @@
         return record.ready && !record.leaving && offered;
     }
 
+    // An entry that has just started holds few connections until its share has settled, and would refuse calls that others
+    // can serve. The incarnation begins as the entry's start by its wall clock.
+    bool isYoung(const MemberRecord& record, std::int64_t nowMs)
+    {
+        constexpr std::int64_t youthMs = 2500;
+        return static_cast<std::int64_t>(record.incarnation) > nowMs - youthMs;
+    }
+
     // TCP and UDP on one port; with port 0 another port is tried while UDP's is taken.
     void bindBoth(const Poco::Net::SocketAddress& address, Poco::Net::ServerSocket& listener, Poco::Net::DatagramSocket& datagrams)
     {
@@ -147,8 +163,8 @@
 {
     std::vector<Decisions::ListedEntry> listed;
     for (const auto& instance : instances) {
-        if (instance.kind == Platform::InstanceKind::Entry && !instance.peerAddress.empty() && !instance.leaving)
-            listed.push_back({ .peerAddress = instance.peerAddress, .address = instance.address, .failureDomain = instance.failureDomain });
+        if (instance.kind == Platform::InstanceKind::Entry && !instance.leaving)
+            listed.push_back({ .peerAddress = peerAddressOf(instance, peerAddress()), .address = instance.address, .failureDomain = instance.failureDomain });
     }
     std::lock_guard lock(m_mutex);
     m_listed = std::move(listed);
@@ -379,8 +395,11 @@
     for (const auto& [service, servers] : m_serviceSizes)
         services->emplace(service, assign(service, servers, live, known));
     m_services.set(services);
-    if (m_shares->settling())
+    auto settling = m_shares->settling();
+    if (settling)
         m_viewChanged = true;
+    else
+        m_settled = true;
 }
 
 Members::Service Members::assign(const std::string& service, std::size_t servers, std::span<const MemberRecord> live, std::span<const MemberRecord> known)
@@ -392,11 +411,15 @@
     Service assigned { .share = m_shares->update(service, perDomain, able, known) };
     assigned.share.liveEntries = static_cast<int>(live.size());
     auto carriers = Decisions::chooseCarriers(service, perDomain, able);
-    auto unsuspected = [](const MemberRecord& record) { return record.state == MemberState::Alive; };
+    auto nowMs = Common::wallMilliseconds();
+    auto dependable = [nowMs](const MemberRecord& record) { return record.state == MemberState::Alive && !isYoung(record, nowMs); };
     // With every carrier in doubt, a doubtful one is better than none.
-    auto anyAlive = std::any_of(carriers.begin(), carriers.end(), unsuspected);
+    auto anyDependable = std::any_of(carriers.begin(), carriers.end(), dependable);
     for (const auto& carrier : carriers) {
-        if (!anyAlive || unsuspected(carrier))
+        // The youth of an entry ends without any event.
+        if (isYoung(carrier, nowMs))
+            m_viewChanged = true;
+        if (!anyDependable || dependable(carrier))
             assigned.carriers.push_back({ .address = carrier.address, .failureDomain = carrier.failureDomain });
     }
     return assigned;
--- a/Source/Core/Controllers/Members.h
+++ b/Source/Core/Controllers/Members.h
@@ -65,6 +65,8 @@
     void announceLeaving();
 
     Decisions::CarrierShare share(const std::string& service) const;
+    // Whether the shares of the services known at the start have come into use; it never goes back.
+    bool settled() const { return m_settled; }
     // Live entries that carry the service, this failure domain's first, each group in an order that varies by call.
     std::vector<DirectoryEntry> directory(const std::string& service) const;
     // Whether this entry is one of those of its failure domain that poll the store for all; true before start().
@@ -116,6 +118,7 @@
     Common::Snapshot<std::vector<Decisions::MemberView>> m_view;
     Common::Snapshot<Services> m_services;
     std::atomic<bool> m_viewChanged { true };
+    std::atomic<bool> m_settled { false };
     std::atomic<std::int64_t> m_refusalLoggedMs { 0 };
 
     std::mutex m_wakeMutex;
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -78,7 +78,7 @@
     , m_log({ .process = m_settings.address, .format = m_settings.logFormat })
     , m_records(m_platform.table, m_log)
     , m_recordSync({ .hooks = m_hooks, .schedule = {} }, m_platform, m_records, m_log)
-    , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes), .share = [this](const auto&) { return shareOfBudgets(); } }, m_log)
+    , m_servers({ .hooks = m_hooks, .answerBytes = static_cast<std::size_t>(m_settings.limits.answerBytes), .share = [this](const auto& service) { return m_peers.members().share(service); }, .publishHint = [this](const auto& hint) { m_peers.members().publishHint(hint); } }, m_log)
     , m_probes({ .hooks = m_hooks, .loadOf = Requests::loadReport }, m_servers)
     , m_peers({ .members = membersOptions(m_settings, m_hooks) }, m_records, m_recordSync, m_servers, m_log)
     , m_requests({ .hooks = m_hooks, .defaultDeadline = std::chrono::milliseconds(m_settings.defaultDeadlineMs), .share = [this](const auto& service) { return m_peers.members().share(service); } }, m_records, m_servers, m_platform.table, m_log)
@@ -184,7 +184,7 @@
     if (path == "/metrics")
         return metrics();
     if (path == "/v1/status")
-        return Page { .body = statusPage(*m_records.current(), m_recordSync.ready()) };
+        return Page { .body = statusPage(*m_records.current(), ready()) };
     return directory(target);
 }
 
@@ -253,22 +253,11 @@
     auto instances = m_platform.instances();
     if (!instances)
         return;
-    auto entries = std::count_if(instances.value().begin(), instances.value().end(), [](const auto& instance) { return instance.kind == Platform::InstanceKind::Entry; });
-    m_mostEntries = std::max({ 1, m_mostEntries.load(), static_cast<int>(entries) });
     m_instances.set(std::make_shared<const std::vector<Platform::Instance>>(std::move(instances).value()));
     m_servers.apply(*m_records.current(), *m_instances.get());
     m_peers.refreshed(*m_instances.get());
 }
 
-// Every listed entry may carry every service: the sum over all stays within each budget.
-Decisions::CarrierShare Daemon::shareOfBudgets() const
-{
-    auto most = m_mostEntries.load();
-    if (most == 0)
-        return { .mostCarriers = Decisions::CarrierShare::noShare };
-    return { .carriers = most, .mostCarriers = most, .liveEntries = most };
-}
-
 // Ends everything that runs; what is still in flight is cut.
 void Daemon::endThreads()
 {
--- a/Source/Core/Entry/Daemon.h
+++ b/Source/Core/Entry/Daemon.h
@@ -40,6 +40,8 @@
     // Ends at once, as a crash would: connections are cut, nobody is told.
     void kill();
 
+    // Whether it has the newest records, and its shares of connections and probes are in use.
+    bool ready() const { return m_peers.ready(); }
     // The bound address for callers, ip:port.
     std::string address() const { return m_address; }
     // The bound address for other entries and operators, ip:port.
@@ -57,7 +59,6 @@
     Page metrics() const;
     void refreshLoop();
     void refresh();
-    Decisions::CarrierShare shareOfBudgets() const;
     void endThreads();
     Decisions::ShutdownPhase advanceShutdown();
 
@@ -70,7 +71,6 @@
     Controllers::BackendServers m_servers;
     Controllers::Probes m_probes;
     Common::Snapshot<std::vector<Platform::Instance>> m_instances;
-    std::atomic<int> m_mostEntries { 0 }; // the largest count the instance list showed; 0: not read yet
     PeerLink m_peers;
     Requests::RequestPath m_requests;
     CallerContext m_callers;
--- a/Source/Core/Entry/PeerLink.cpp
+++ b/Source/Core/Entry/PeerLink.cpp
@@ -28,13 +28,6 @@
         return json;
     }
 
-    Controllers::MembersOptions withHooks(Controllers::MembersOptions options, std::function<void(std::uint64_t, const std::string&)> onHead, std::function<void()> beforeTick)
-    {
-        options.onHead = std::move(onHead);
-        options.beforeTick = std::move(beforeTick);
-        return options;
-    }
-
 }
 
 PeerLink::PeerLink(PeerLinkOptions options, Controllers::RecordController& records, Controllers::RecordSync& sync, Controllers::BackendServers& servers, Common::EventLog& log)
@@ -44,12 +37,19 @@
     , m_servers(servers)
     , m_log(log)
     , m_started(m_options.members.hooks.now())
-    , m_members(withHooks(
-                    m_options.members, [this](auto revision, const auto&) { m_sync.onHeadSeen(revision); }, [this] { announceRecords(); }),
-          log)
+    , m_members(memberOptions(), log)
 {
 }
 
+Controllers::MembersOptions PeerLink::memberOptions()
+{
+    auto options = m_options.members;
+    options.onHead = [this](auto revision, const auto&) { m_sync.onHeadSeen(revision); };
+    options.onHint = [this](const auto& hint) { m_servers.applyHint(hint); };
+    options.beforeTick = [this] { announceRecords(); };
+    return options;
+}
+
 Common::Result<void> PeerLink::bind()
 {
     auto bound = m_members.bind();
@@ -103,6 +103,11 @@
     m_members.setOffer(m_sync.ready(), { records->notUnderstood.begin(), records->notUnderstood.end() });
 }
 
+bool PeerLink::ready() const
+{
+    return m_sync.ready() && m_members.settled();
+}
+
 // A random ready entry, one that is known to have more than `since` where there is any; empty where there is none.
 std::string PeerLink::choosePeer(std::uint64_t since) const
 {
--- a/Source/Core/Entry/PeerLink.h
+++ b/Source/Core/Entry/PeerLink.h
@@ -32,7 +32,11 @@
     Controllers::Members& members() { return m_members; }
     const Controllers::Members& members() const { return m_members; }
 
+    // Whether this entry has the newest records, and its shares of connections and probes are in use.
+    bool ready() const;
+
 private:
+    Controllers::MembersOptions memberOptions();
     Common::Result<Records::RecordUpdate> fetch(std::uint64_t since) const;
     std::string choosePeer(std::uint64_t since) const;
     void announceRecords();
--- a/Source/UnitTests/Entry/ShutdownUnderLoadTest.cpp
+++ b/Source/UnitTests/Entry/ShutdownUnderLoadTest.cpp
@@ -57,6 +57,8 @@
     HeldServer server;
     Entry::Daemon daemon(EntryTests::testSettings(), EntryTests::fixedPlatform(recordFor(server), {}), Common::systemHooks());
     REQUIRE(daemon.start());
+    // Two calls at once need two connections: until its share has settled the entry holds one.
+    waitUntil([&] { return daemon.servers().connectionLimit("s") > 1; });
     auto idle = connectTo(daemon);
     auto inFlight = connectTo(daemon);
     EntryTests::RawAnswer first;
