Directories drop a leaving entry at once; shutdown waits for them

Change: the directory names only members that are not known to leave; a shutdown serves for the directory's ttl and one second for the news to spread.

--- a/Source/Core/Controllers/Members.cpp
+++ b/Source/Core/Controllers/Members.cpp
@@ -237,7 +237,18 @@
     auto it = services->find(service);
     if (it == services->end())
         return {};
-    auto entries = it->second.carriers;
+    // Carriers are assigned anew about once a second; who is leaving must not be named from the moment it is known.
+    auto nameable = m_nameable.get();
+    std::vector<DirectoryEntry> entries;
+    for (const auto& carrier : it->second.carriers) {
+        if (nameable->contains(carrier.address))
+            entries.push_back(carrier);
+    }
+    // Others hold a reserve of connections, for the time until new carriers are assigned.
+    if (entries.empty()) {
+        for (const auto& [address, failureDomain] : *nameable)
+            entries.push_back({ .address = address, .failureDomain = failureDomain });
+    }
     for (auto i = entries.size(); i > 1; --i)
         std::swap(entries[i - 1], entries[Common::randomBelow(m_options.hooks, i)]);
     std::stable_partition(entries.begin(), entries.end(), [&](const auto& entry) { return entry.failureDomain == m_options.failureDomain; });
@@ -377,7 +388,14 @@
 void Members::publishView()
 {
     std::lock_guard lock(m_mutex);
-    m_view.set(std::make_shared<const std::vector<Decisions::MemberView>>(m_membership->live()));
+    auto live = std::make_shared<const std::vector<Decisions::MemberView>>(m_membership->live());
+    auto nameable = std::make_shared<std::map<std::string, std::string>>();
+    for (const auto& member : *live) {
+        if (!member.record.leaving)
+            nameable->emplace(member.record.address, member.record.failureDomain);
+    }
+    m_nameable.set(std::move(nameable));
+    m_view.set(std::move(live));
 }
 
 void Members::assignCarriers()
--- a/Source/Core/Controllers/Members.h
+++ b/Source/Core/Controllers/Members.h
@@ -116,6 +116,7 @@
     std::unique_ptr<Decisions::CarrierShares> m_shares;
 
     Common::Snapshot<std::vector<Decisions::MemberView>> m_view;
+    Common::Snapshot<std::map<std::string, std::string>> m_nameable; // address -> failure domain, of members that directories may name
     Common::Snapshot<Services> m_services;
     std::atomic<bool> m_viewChanged { true };
     std::atomic<bool> m_settled { false };
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -26,6 +26,8 @@
     constexpr int threadStackBytes = 256 * 1024;
     constexpr int idleThreadSeconds = 60;
     constexpr int busyRetryAfterMs = 1000;
+    // Until the directories of all entries have heard that this one is leaving.
+    constexpr auto directorySpread = std::chrono::milliseconds(1000);
     constexpr auto shutdownStep = std::chrono::milliseconds(5);
 
     Controllers::MembersOptions membersOptions(const Settings::EntrySettings& settings, const Common::Hooks& hooks)
@@ -85,7 +87,7 @@
     , m_callers(m_settings.limits, m_hooks, m_requests.chain())
     , m_threads("callers", 2, m_settings.limits.connections + 1, idleThreadSeconds, threadStackBytes)
     , m_address(m_settings.address)
-    , m_shutdown({ .directoryTtl = std::chrono::milliseconds(m_settings.directoryTtlMs), .limit = std::chrono::milliseconds(m_settings.shutdownLimitMs) })
+    , m_shutdown({ .directoryTtl = std::chrono::milliseconds(m_settings.directoryTtlMs) + directorySpread, .limit = std::chrono::milliseconds(m_settings.shutdownLimitMs) })
 {
     m_callers.page = [this](const auto& method, const auto& target) { return page(method, target); };
 }
--- a/Source/UnitTests/Controllers/MembersTest.cpp
+++ b/Source/UnitTests/Controllers/MembersTest.cpp
@@ -65,6 +65,13 @@
     CHECK(eventually([&] { return entries[1].head == 7 && entries[2].head == 7 && entries[0].hints == 1 && entries[2].hints == 1; }));
 
     entries[2].members.announceLeaving();
+    auto knowsOfLeaving = [&] {
+        auto view = entries[0].members.view();
+        return std::none_of(view->begin(), view->end(), [&](const auto& member) { return member.record.address == entries[2].address && !member.record.leaving; });
+    };
+    CHECK(eventually(knowsOfLeaving));
+    // At once, not only when carriers are assigned again.
+    CHECK(entries[0].members.directory("puzzle").size() == 2);
     for (auto& entry : entries)
         CHECK(eventually([&] { return entry.members.directory("puzzle").size() == 2; }));
     entries[1].members.setOffer(true, { "puzzle" });
