--- a/Source/Core/Bench/Fleet.cpp
+++ b/Source/Core/Bench/Fleet.cpp
@@ -93,9 +93,21 @@
         m_entries.push_back(std::move(slot));
     }
     publishInstances();
+    waitUntilReady();
     return true;
 }
 
+// A load that begins with the whole fleet's start would meet entries without their shares of connections.
+void Fleet::waitUntilReady() const
+{
+    constexpr int mostSteps = 1000;
+    constexpr auto step = std::chrono::milliseconds(10);
+    std::lock_guard lock(m_mutex);
+    auto ready = [](const EntrySlot& slot) { return slot.daemon->ready(); };
+    for (int i = 0; i < mostSteps && !std::all_of(m_entries.begin(), m_entries.end(), ready); ++i)
+        std::this_thread::sleep_for(step);
+}
+
 Fleet::EntrySlot Fleet::startEntry(int number)
 {
     auto settings = entrySettings(m_platform.address(), domainOf(static_cast<std::size_t>(number)), m_options.plan.directoryTtlMs);
--- a/Source/Core/Bench/Fleet.h
+++ b/Source/Core/Bench/Fleet.h
@@ -68,6 +68,7 @@
     void beginOnEntries(const Fault&);
     void setServersLeaving(const std::vector<int>& servers);
     void publishInstances();
+    void waitUntilReady() const;
     std::string domainOf(std::size_t number) const;
     void noteListing(const std::vector<Platform::Instance>&);
     void changeRecords(const std::vector<int>& schemas);
--- a/Source/Core/Bench/LoadGenerator.h
+++ b/Source/Core/Bench/LoadGenerator.h
@@ -44,7 +44,7 @@
     bool resendUnknown = false; // claims without an answer are sent once more, with the same id, through another entry
     std::vector<std::string> direct; // backend servers for the direct route; empty: none
     std::string relay {}; // ip:port; empty: none
-    Common::Duration slice = std::chrono::milliseconds(250); // routes take turns
+    Common::Duration slice = std::chrono::milliseconds(100); // routes take turns; the others' turns must not outlast the entry's freshness of kept connections
     std::string idPrefix = "call";
 };
 
--- a/Source/Core/Traces/PoolRecorder.cpp
+++ b/Source/Core/Traces/PoolRecorder.cpp
@@ -17,7 +17,7 @@
     }
 };
 
-PoolRecorder::PoolRecorder(Decisions::PoolOptions options, Common::Hooks hooks, TraceSink sink)
+PoolRecorder::PoolRecorder(const Decisions::PoolOptions& options, const Common::Hooks& hooks, TraceSink sink)
     : m_sink(std::move(sink))
     , m_draws(std::make_shared<Draws>())
     , m_pool(watched(options), watched(hooks))
--- a/Source/Core/Traces/PoolRecorder.h
+++ b/Source/Core/Traces/PoolRecorder.h
@@ -17,7 +17,7 @@
 // every choice that comes out, so that the run can be repeated. Without a sink it only passes on. Not thread-safe.
 class PoolRecorder {
 public:
-    PoolRecorder(Decisions::PoolOptions, Common::Hooks, TraceSink);
+    PoolRecorder(const Decisions::PoolOptions&, const Common::Hooks&, TraceSink);
 
     void setOptions(const Decisions::PoolOptions&);
     void setServers(std::span<const Decisions::ServerSpec>);
--- a/Source/UnitTests/Requests/ClaimFilterTest.cpp
+++ b/Source/UnitTests/Requests/ClaimFilterTest.cpp
@@ -72,11 +72,11 @@
 struct Row {
     std::string what;
     std::deque<TableFault> faults; // of the first call's exchanges: read, write, ...
-    bool allDown; // the store fails for good after them
     void (*last)(Call&);
     ResultCode first;
     int runs; // of the first call
     ResultCode resend; // through a store that works, after late writes have landed
+    bool allDown = false; // the store fails for good after the faults
 };
 
 const auto none = TableFault::None;
@@ -85,19 +85,19 @@
 const auto late = TableFault::Late;
 
 const Row rows[] = {
-    { "answered", {}, false, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
-    { "shed: handed back", {}, false, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
-    { "store down", {}, true, answer, ResultCode::StoreUnavailable, 0, ResultCode::Ok },
-    { "write lost without effect", { none, down }, false, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
-    { "write's answer lost", { none, lost }, false, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
-    { "write late, settled by a second", { none, late }, false, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
-    { "write late, shed: the free row keeps it out", { none, late }, false, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
-    { "write's answer lost, then down for good", { none, lost }, true, answer, ResultCode::ClaimUnsettled, 0, ResultCode::DuplicateClaimed },
-    { "write late, then down for good", { none, late }, true, answer, ResultCode::ClaimUnsettled, 0, ResultCode::DuplicateClaimed },
-    { "write lost, then down for good", { none, down }, true, answer, ResultCode::ClaimUnsettled, 0, ResultCode::Ok },
-    { "release's answer lost", { none, none, none, lost }, false, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
-    { "release late, settled by a second", { none, none, none, late }, false, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
-    { "release without effect, then down for good", { none, none, none, down }, true, shed, ResultCode::ClaimUnsettled, 1, ResultCode::DuplicateClaimed },
+    { "answered", {}, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
+    { "shed: handed back", {}, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
+    { "store down", {}, answer, ResultCode::StoreUnavailable, 0, ResultCode::Ok, true },
+    { "write lost without effect", { none, down }, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
+    { "write's answer lost", { none, lost }, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
+    { "write late, settled by a second", { none, late }, answer, ResultCode::Ok, 1, ResultCode::DuplicateClaimed },
+    { "write late, shed: the free row keeps it out", { none, late }, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
+    { "write's answer lost, then down for good", { none, lost }, answer, ResultCode::ClaimUnsettled, 0, ResultCode::DuplicateClaimed, true },
+    { "write late, then down for good", { none, late }, answer, ResultCode::ClaimUnsettled, 0, ResultCode::DuplicateClaimed, true },
+    { "write lost, then down for good", { none, down }, answer, ResultCode::ClaimUnsettled, 0, ResultCode::Ok, true },
+    { "release's answer lost", { none, none, none, lost }, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
+    { "release late, settled by a second", { none, none, none, late }, shed, ResultCode::ServerShed, 1, ResultCode::ServerShed },
+    { "release without effect, then down for good", { none, none, none, down }, shed, ResultCode::ClaimUnsettled, 1, ResultCode::DuplicateClaimed, true },
 };
 
 }
