--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -131,7 +131,7 @@
         phase = advanceShutdown();
         m_callers.closing = phase != ShutdownPhase::Leaving;
         if (phase == ShutdownPhase::Draining) {
-            m_server->stop();
+            stopListening();
             m_callers.connections.endIdle();
         }
     }
@@ -149,8 +149,14 @@
 
 void Daemon::kill()
 {
+    endThreads();
+}
+
+void Daemon::stopListening()
+{
+    std::lock_guard lock(m_serverMutex);
     if (m_server)
-        endThreads();
+        m_server->stop();
 }
 
 Common::Result<void> Daemon::listen()
@@ -263,6 +269,9 @@
 // Ends everything that runs; what is still in flight is cut.
 void Daemon::endThreads()
 {
+    std::lock_guard end(m_serverMutex);
+    if (!m_server)
+        return;
     {
         std::lock_guard lock(m_wakeMutex);
         m_ending = true;
--- a/Source/Core/Entry/Daemon.h
+++ b/Source/Core/Entry/Daemon.h
@@ -59,6 +59,7 @@
     Page metrics() const;
     void refreshLoop();
     void refresh();
+    void stopListening();
     void endThreads();
     Decisions::ShutdownPhase advanceShutdown();
 
@@ -75,6 +76,7 @@
     Requests::RequestPath m_requests;
     CallerContext m_callers;
     Poco::ThreadPool m_threads;
+    std::mutex m_serverMutex; // guards the end of m_server: a crash may come while a graceful shutdown is under way
     std::unique_ptr<Poco::Net::TCPServer> m_server;
     std::string m_address;
 
--- a/Source/UnitTests/Entry/ShutdownUnderLoadTest.cpp
+++ b/Source/UnitTests/Entry/ShutdownUnderLoadTest.cpp
@@ -105,3 +105,17 @@
     opener.join();
     caller.join();
 }
+
+TEST_CASE("an entry that is killed twice at once, and during a graceful shutdown, ends once")
+{
+    HeldServer server;
+    Entry::Daemon daemon(EntryTests::testSettings(), EntryTests::fixedPlatform(recordFor(server), {}), Common::systemHooks());
+    REQUIRE(daemon.start());
+    std::thread stopper([&] { daemon.stop(); });
+    waitUntil([&] { return !daemon.log().since(0).empty() && daemon.log().since(0).back().id == Common::EventId::EntryLeaving; });
+    std::thread killer([&] { daemon.kill(); });
+    daemon.kill();
+    killer.join();
+    stopper.join();
+    CHECK(daemon.callers().connections.count() == 0);
+}
