--- a/Source/Core/Bench/Processes.cpp
+++ b/Source/Core/Bench/Processes.cpp
@@ -11,6 +11,7 @@
 #include "Bench/BackendStandIn.h"
 #include "Bench/LoadGenerator.h"
 #include "Bench/PlatformStandIn.h"
+#include "Common/JsonText.h"
 
 namespace Bench {
 
@@ -93,9 +94,7 @@
         json["outcomes"][outcome] = n;
     json["p50_ms"] = quantileMs(latencies, 0.5);
     json["p99_ms"] = quantileMs(latencies, 0.99);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    fmt::print("{}\n", Json::writeString(builder, json));
+    fmt::print("{}\n", Common::jsonText(json));
     return outcomes.contains("none") ? 1 : 0;
 }
 
--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -8,6 +8,7 @@
 #include <json/json.h>
 
 #include "Common/Clock.h"
+#include "Common/JsonText.h"
 #include "Common/NameTable.h"
 
 namespace Common {
@@ -72,9 +73,7 @@
         json["name"] = std::string(row.name);
         for (const auto& field : event.fields)
             json["fields"][field.key] = field.value;
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, json);
+        return Common::jsonText(json);
     }
 
 }
--- a/Source/Core/Entry/AnswerWriter.cpp
+++ b/Source/Core/Entry/AnswerWriter.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "Common/JsonText.h"
+
 namespace Entry {
 
 namespace {
@@ -44,9 +46,7 @@
     json["code"] = static_cast<int>(code);
     json["name"] = std::string(Common::resultRow(code).name);
     json["text"] = text;
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return { .status = Common::resultRow(code).httpStatus, .body = Json::writeString(builder, json) };
+    return { .status = Common::resultRow(code).httpStatus, .body = Common::jsonText(json) };
 }
 
 void sendPage(HTTPServerResponseImpl& response, const Page& page)
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "Common/JsonText.h"
 #include "Entry/CallerSocket.h"
 #include "Entry/MetricsPage.h"
 #include "Entry/StatusPage.h"
@@ -214,9 +215,7 @@
         item["failure_domain"] = entry.failureDomain;
         json["entries"].append(item);
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Page { .body = Json::writeString(builder, json) };
+    return Page { .body = Common::jsonText(json) };
 }
 
 Page Daemon::metrics() const
--- a/Source/Core/Entry/StatusPage.cpp
+++ b/Source/Core/Entry/StatusPage.cpp
@@ -2,6 +2,8 @@
 
 #include <json/json.h>
 
+#include "Common/JsonText.h"
+
 namespace Entry {
 
 std::string statusPage(const Records::RecordSet& records, bool ready)
@@ -15,9 +17,7 @@
     json["not_understood"] = Json::arrayValue;
     for (const auto& service : records.notUnderstood)
         json["not_understood"].append(service);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
+    return Common::jsonText(json);
 }
 
 }
--- a/Source/Core/Operator/RecordText.cpp
+++ b/Source/Core/Operator/RecordText.cpp
@@ -5,6 +5,8 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include "Common/JsonText.h"
+
 namespace Operator {
 
 std::string timeText(std::int64_t wallMs)
@@ -48,9 +50,7 @@
 
 std::string lineOf(const Json::Value& json)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
+    return Common::jsonText(json);
 }
 
 }
--- a/Source/Core/Operator/StatusCommand.cpp
+++ b/Source/Core/Operator/StatusCommand.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "Common/JsonText.h"
 #include "Operator/ExitCode.h"
 
 namespace Operator {
@@ -134,9 +135,7 @@
         json["not_answered"] = Json::objectValue;
         for (const auto& [peer, why] : answers.failed)
             json["not_answered"][peer] = why;
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        fmt::print("{}\n", Json::writeString(builder, json));
+        fmt::print("{}\n", Common::jsonText(json));
     }
 
 }
--- a/Source/Core/Platform/HttpPlatform.cpp
+++ b/Source/Core/Platform/HttpPlatform.cpp
@@ -12,6 +12,7 @@
 #include <json/json.h>
 
 #include "Common/Address.h"
+#include "Common/JsonText.h"
 
 namespace Platform {
 
@@ -186,9 +187,7 @@
 
     std::string toText(const Json::Value& json)
     {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, json);
+        return Common::jsonText(json);
     }
 
     std::string encodeTransaction(const Transaction& transaction)
--- a/Source/Core/Records/RecordChange.cpp
+++ b/Source/Core/Records/RecordChange.cpp
@@ -4,6 +4,8 @@
 
 #include <json/json.h>
 
+#include "Common/JsonText.h"
+
 namespace Records {
 
 namespace {
@@ -83,9 +85,7 @@
 
     std::string toText(const Json::Value& json)
     {
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, json);
+        return Common::jsonText(json);
     }
 
     template <typename Read>
--- a/Source/Core/Traces/TraceJson.cpp
+++ b/Source/Core/Traces/TraceJson.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <sstream>
 
+#include "Common/JsonText.h"
 #include "Common/NameTable.h"
 
 namespace Traces {
@@ -51,9 +52,7 @@
 
 std::string toLine(const Json::Value& json)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, json);
+    return Common::jsonText(json);
 }
 
 std::optional<Json::Value> fromLine(const std::string& line)
