--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -23,28 +23,42 @@
         EventRow { EntryStopped, "entry-stopped", Severity::Info, "The entry ended with nothing in flight." },
         EventRow { EntryStopForced, "entry-stop-forced", Severity::Error, "The entry ended with calls in flight: second signal or time limit." },
         EventRow { ListenFailed, "listen-failed", Severity::Error, "An address could not be bound." },
+        EventRow { SettingsReloaded, "settings-reloaded", Severity::Info, "The settings file was read again." },
+        EventRow { SettingsRejected, "settings-rejected", Severity::Error, "The settings file holds mistakes; the old settings stay in force." },
         EventRow { CallFailed, "call-failed", Severity::Warning, "A call ended without a backend server's answer." },
         EventRow { CallAttempt, "call-attempt", Severity::Info, "A request was sent to a backend server." },
         EventRow { CallAnswered, "call-answered", Severity::Info, "A call ended with a backend server's answer." },
         EventRow { CallClaimed, "call-claimed", Severity::Info, "A claim row was written for a request." },
         EventRow { CallDuplicate, "call-duplicate", Severity::Warning, "A second request with the same Idempotency-Key was joined or refused." },
+        EventRow { CallRetried, "call-retried", Severity::Info, "A request is sent to another server, or a second time while the first is late." },
+        EventRow { CallRefused, "call-refused", Severity::Warning, "A call was refused as not run." },
+        EventRow { CallAbandoned, "call-abandoned", Severity::Info, "The caller left before the answer; its work was cancelled." },
         EventRow { RecordApplied, "record-applied", Severity::Info, "A record of a newer revision is in force." },
         EventRow { RecordNotUnderstood, "record-not-understood", Severity::Warning, "A record holds no form that this entry understands; the old one stays in force." },
         EventRow { RecordRejected, "record-rejected", Severity::Error, "A stored record could not be read; the old one stays in force." },
         EventRow { StoreUnreachable, "store-unreachable", Severity::Warning, "The platform's store does not answer; the entry goes on with what it has." },
         EventRow { StoreReachable, "store-reachable", Severity::Info, "The platform's store answers again." },
         EventRow { SnapshotWritten, "snapshot-written", Severity::Info, "The snapshot object for cold starts was renewed." },
+        EventRow { ConfigurationApplied, "configuration-applied", Severity::Info, "A newer configuration is in force." },
+        EventRow { ConfigurationRejected, "configuration-rejected", Severity::Error, "A stored configuration could not be read; the old one stays in force." },
+        EventRow { RegistryRowRejected, "registry-row-rejected", Severity::Warning, "An entry of the server registry could not be read; it names no server." },
         EventRow { MemberJoined, "member-joined", Severity::Info, "An entry instance joined or came back." },
         EventRow { MemberSuspected, "member-suspected", Severity::Warning, "An entry instance missed its heartbeats." },
         EventRow { MemberFailed, "member-failed", Severity::Warning, "A suspected entry instance was removed." },
         EventRow { MemberLeft, "member-left", Severity::Info, "An entry instance left on purpose." },
         EventRow { PeerMessageRefused, "peer-message-refused", Severity::Warning, "A message between entries was malformed, unsigned or replayed." },
+        EventRow { RelayFollowed, "relay-followed", Severity::Info, "News of the store come from another entry." },
+        EventRow { RelayLost, "relay-lost", Severity::Warning, "The entry that relayed the store's news no longer does." },
+        EventRow { RelayStarted, "relay-started", Severity::Info, "This entry reads the store itself." },
+        EventRow { RelayStopped, "relay-stopped", Severity::Info, "This entry no longer reads the store itself." },
         EventRow { ServerAdded, "server-added", Severity::Info, "A backend server joined a service's pool." },
         EventRow { ServerRemoved, "server-removed", Severity::Info, "A backend server left a service's pool." },
         EventRow { ServerEjected, "server-ejected", Severity::Warning, "A backend server gets no work for a while." },
         EventRow { ServerReturned, "server-returned", Severity::Info, "A backend server gets work again, by slow start." },
         EventRow { ServerDraining, "server-draining", Severity::Info, "A backend server is leaving and gets no new work." },
         EventRow { ServerConnectionsSuspect, "server-connections-suspect", Severity::Warning, "Connections to a backend server went silent; all older ones are replaced." },
+        EventRow { ServerMisdirected, "server-misdirected", Severity::Warning, "Another server answers at the address; it is not used any more." },
+        EventRow { ServerUnreachable, "server-unreachable", Severity::Warning, "A backend server could not be reached or did not answer." },
     };
 
     constexpr std::array severityNames {
@@ -107,11 +121,36 @@
     auto event = remember(m_ring, id, std::move(fields));
     if (m_options.format == LogFormat::Off)
         return;
+    if (m_options.linesPerSecond > 0 && !allowLine(event))
+        return;
     auto line = m_options.format == LogFormat::Json ? jsonLine(m_options.process, event) : textLine(m_options.process, event);
+    if (m_options.sink)
+        return m_options.sink(line);
     // One write a line, so that lines of several threads do not mix.
     fmt::print(stderr, "{}\n", line);
 }
 
+bool EventLog::allowLine(Event& event)
+{
+    constexpr int msPerSecond = 1000;
+    std::lock_guard lock(m_mutex);
+    auto& quota = m_quotas[event.id];
+    auto second = event.wallMs / msPerSecond;
+    if (quota.second != second) {
+        quota.second = second;
+        quota.lines = 0;
+    }
+    if (quota.lines >= m_options.linesPerSecond) {
+        ++quota.suppressed;
+        return false;
+    }
+    ++quota.lines;
+    if (quota.suppressed > 0)
+        event.fields.push_back({ "suppressed", std::to_string(quota.suppressed) });
+    quota.suppressed = 0;
+    return true;
+}
+
 void EventLog::trace(EventId id, std::vector<EventField> fields)
 {
     remember(m_traceRing, id, std::move(fields));
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
+#include <map>
 #include <mutex>
 #include <span>
 #include <string>
@@ -20,28 +22,42 @@
     EntryStopped = 1002,
     EntryStopForced = 1003,
     ListenFailed = 1004,
+    SettingsReloaded = 1005,
+    SettingsRejected = 1006,
     CallFailed = 2000,
     CallAttempt = 2001,
     CallAnswered = 2002,
     CallClaimed = 2003,
     CallDuplicate = 2004,
+    CallRetried = 2005,
+    CallRefused = 2006,
+    CallAbandoned = 2007,
     RecordApplied = 3000,
     RecordNotUnderstood = 3001,
     RecordRejected = 3002,
     StoreUnreachable = 3003,
     StoreReachable = 3004,
     SnapshotWritten = 3005,
+    ConfigurationApplied = 3006,
+    ConfigurationRejected = 3007,
+    RegistryRowRejected = 3008,
     MemberJoined = 4000,
     MemberSuspected = 4001,
     MemberFailed = 4002,
     MemberLeft = 4003,
     PeerMessageRefused = 4004,
+    RelayFollowed = 4005,
+    RelayLost = 4006,
+    RelayStarted = 4007,
+    RelayStopped = 4008,
     ServerAdded = 5000,
     ServerRemoved = 5001,
     ServerEjected = 5002,
     ServerReturned = 5003,
     ServerDraining = 5004,
     ServerConnectionsSuspect = 5005,
+    ServerMisdirected = 5006,
+    ServerUnreachable = 5007,
 };
 
 enum class Severity {
@@ -87,14 +103,16 @@
     LogFormat format = LogFormat::Text;
     std::size_t ringSize = 2048; // control events kept for the time line
     std::size_t traceRingSize = 4096; // events of single calls kept; a ring of their own, so that calls push out no control event
+    std::function<void(const std::string& line)> sink = {}; // where lines go; empty: standard error
+    int linesPerSecond = 0; // of one event; what is beyond is counted in the next line of that event; 0: no bound
 };
 
-// One line a numbered event to standard error, and bounded rings of the latest for the time line.
+// One line a numbered event to a sink, and bounded rings of the latest for the time line.
 class EventLog {
 public:
     explicit EventLog(EventLogOptions);
 
-    // To the ring and to standard error.
+    // To the ring and to the sink.
     void log(EventId, std::vector<EventField>);
     // To the ring only: events of single calls would flood the log.
     void trace(EventId, std::vector<EventField>);
@@ -110,13 +128,23 @@
         std::deque<Event> events {};
     };
 
+    // Lines of one event in the current second.
+    struct Quota {
+        std::int64_t second = 0;
+        int lines = 0;
+        int suppressed = 0;
+    };
+
     Event remember(Ring&, EventId, std::vector<EventField>);
+    // Whether one more line of this event may be written; adds the count of those left out before it.
+    bool allowLine(Event&);
 
     EventLogOptions m_options;
     HybridClock m_clock;
     mutable std::mutex m_mutex;
     Ring m_ring;
     Ring m_traceRing;
+    std::map<EventId, Quota> m_quotas;
     std::uint64_t m_lastSequence = 0;
 };
 
--- a/Source/Core/Entry/MetricsPage.cpp
+++ b/Source/Core/Common/MetricsPage.cpp
@@ -1,10 +1,10 @@
-#include "Entry/MetricsPage.h"
+#include "Common/MetricsPage.h"
 
 #include <utility>
 
 #include <fmt/format.h>
 
-namespace Entry {
+namespace Common {
 
 void MetricsPage::counter(std::string_view name, double number, std::string_view labels)
 {
@@ -16,7 +16,7 @@
     value("gauge", name, number, labels);
 }
 
-void MetricsPage::summary(std::string_view name, const Common::LatencyQuantiles& quantiles)
+void MetricsPage::summary(std::string_view name, const LatencyQuantiles& quantiles)
 {
     const std::pair<const char*, double> rows[] = {
         { "0.5", quantiles.p50Ms },
--- a/Source/Core/Entry/MetricsPage.h
+++ b/Source/Core/Common/MetricsPage.h
@@ -5,7 +5,7 @@
 
 #include "Common/LatencySummary.h"
 
-namespace Entry {
+namespace Common {
 
 // Prometheus' text format, built up metric by metric.
 class MetricsPage {
@@ -14,7 +14,7 @@
     void counter(std::string_view name, double value, std::string_view labels = {});
     void gauge(std::string_view name, double value, std::string_view labels = {});
     // Quantiles, sum and count in milliseconds.
-    void summary(std::string_view name, const Common::LatencyQuantiles&);
+    void summary(std::string_view name, const LatencyQuantiles&);
 
     const std::string& text() const { return m_text; }
 
--- a/Source/Core/Common/TomlReader.cpp
+++ b/Source/Core/Common/TomlReader.cpp
@@ -1,5 +1,6 @@
 #include "Common/TomlReader.h"
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -27,6 +28,13 @@
     }
 }
 
+std::int64_t modifiedAt(const std::string& path)
+{
+    std::error_code ec;
+    auto time = std::filesystem::last_write_time(path, ec);
+    return ec ? 0 : time.time_since_epoch().count();
+}
+
 std::optional<std::string> readFile(const std::string& path, std::vector<FileError>& errors)
 {
     std::ifstream in(path, std::ios::binary);
--- a/Source/Core/Common/TomlReader.h
+++ b/Source/Core/Common/TomlReader.h
@@ -30,6 +30,9 @@
 // Reads a whole file; a missing or unreadable one is added to `errors`.
 std::optional<std::string> readFile(const std::string& path, std::vector<FileError>& errors);
 
+// When a file was last changed, in nanoseconds of the system's clock; 0 where it cannot be told.
+std::int64_t modifiedAt(const std::string& path);
+
 // Reads typed, range-checked keys from one table and collects every error. finish() reports the keys never asked for.
 class TomlReader {
 public:
--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -5,12 +5,16 @@
 #include <fmt/format.h>
 
 #include "Entry/Daemon.h"
+#include "Gateway/Daemon.h"
 #include "Operator/CheckCommand.h"
 #include "Operator/ExitCode.h"
 #include "Operator/RecordCommandLine.h"
 #include "Operator/StatusCommand.h"
 #include "Operator/TimelineCommand.h"
 #include "Platform/HttpPlatform.h"
+#include "Settings/GatewaySettings.h"
+#include "platform/Binding.h"
+#include "platform/Names.h"
 
 namespace {
 
@@ -18,6 +22,7 @@
 
 Usage:
   cowslipledge entry --settings FILE
+  cowslipledge gateway [--settings FILE]
   cowslipledge check FILE
   cowslipledge record put RECORD... --platform ADDR [--operator NAME] [--json]
   cowslipledge record replace RECORD... --expect REV --platform ADDR [--operator NAME] [--dry-run] [--json]
@@ -32,7 +37,7 @@
   cowslipledge --version
 
 Options:
-  --settings FILE  TOML settings of an entry instance.
+  --settings FILE  TOML settings of the instance; a gateway's default is named by COWSLIPLEDGE_NODE_FILE.
   --platform ADDR  The platform's address, ip:port.
   --expect REV     The revision of the record that is to be changed.
   --operator NAME  Who makes the change; the user's name when absent.
@@ -89,6 +94,48 @@
     return Operator::toInt(clean ? Operator::ExitCode::Ok : Operator::ExitCode::Failed);
 }
 
+std::optional<Settings::GatewaySettings> readGatewaySettings(const std::string& path)
+{
+    std::vector<Common::FileError> errors;
+    auto text = Common::readFile(path, errors);
+    auto settings = text ? Settings::parseGatewaySettings(*text, path, errors) : std::nullopt;
+    for (const auto& error : errors)
+        fmt::print(stderr, "{}\n", Common::describe(error));
+    return settings;
+}
+
+int gatewayCommand(const std::string& option)
+{
+    const char* named = std::getenv(PlatformAdapter::Names::settingsVariable);
+    auto path = !option.empty() ? option : std::string(named ? named : "");
+    auto settings = readGatewaySettings(path);
+    if (!settings)
+        return Operator::toInt(Operator::ExitCode::InvalidFile);
+    auto signals = blockSignals();
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    Gateway::Daemon daemon({
+        .settings = *settings,
+        .platform = PlatformAdapter::binding(),
+        .reload = [path] { return readGatewaySettings(path); },
+        .settingsStamp = [path] { return Common::modifiedAt(path); },
+    });
+    if (!daemon.open())
+        return Operator::toInt(Operator::ExitCode::Failed);
+    std::jthread signalThread([signals, &daemon](const std::stop_token& ended) {
+        constexpr timespec step { .tv_sec = 1, .tv_nsec = 0 };
+        while (!ended.stop_requested()) {
+            auto signal = sigtimedwait(&signals, nullptr, &step);
+            if (signal == SIGHUP)
+                daemon.reloadSettings();
+            else if (signal > 0)
+                daemon.shutDown();
+        }
+    });
+    auto clean = daemon.run();
+    return Operator::toInt(clean ? Operator::ExitCode::Ok : Operator::ExitCode::Failed);
+}
+
 std::string textOf(const docopt::value& value)
 {
     return value.isString() ? value.asString() : std::string();
@@ -127,6 +174,8 @@
     auto args = docopt::docopt(usage, { argv + 1, argv + argc }, true, "cowslipledge 0.1.0");
     if (args["entry"].asBool())
         return entryCommand(args["--settings"].asString());
+    if (args["gateway"].asBool())
+        return gatewayCommand(textOf(args["--settings"]));
     if (args["record"].asBool())
         return recordCommand(args);
     if (args["status"].asBool())
--- /dev/null
+++ b/Source/Core/Decisions/NewsDuty.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Common/Clock.h"
+
+namespace Decisions {
+
+struct NewsDutyOptions {
+    Common::Duration standbyAge = std::chrono::milliseconds(900); // of its knowledge, at which the standby relay reads the store itself
+    Common::Duration followerAge = std::chrono::milliseconds(1300); // and every other entry
+    Common::Duration settleTime = std::chrono::milliseconds(1200); // fresh news from a relay for so long end reading
+    Common::Duration standbyTakeover = std::chrono::milliseconds(500); // without the leading relay, until the standby leads
+    Common::Duration followerTakeover = std::chrono::milliseconds(1200); // without any relay, until another entry leads
+    Common::Duration takeoverSpread = std::chrono::milliseconds(1200); // so that not all try at once
+    Common::Duration startPatience = std::chrono::milliseconds(900); // for seeds to tell who relays
+    Common::Duration seedPause = std::chrono::milliseconds(250); // between the seeds' own tries
+};
+
+enum class NewsRole {
+    Leading, // relay that reads the store for all
+    Standby, // relay that follows the leading one
+    Follower,
+};
+
+// What an entry knows when it decides where its news come from.
+struct NewsFacts {
+    Common::TimePoint now;
+    Common::TimePoint started;
+    NewsRole role = NewsRole::Follower;
+    bool rosterKnown = false; // somebody relays
+    bool complete = false; // configuration and registry are known
+    Common::Duration age {}; // of what is known
+    bool relayed = false; // fresh news come from a relay
+    Common::TimePoint relayedSince; // since when they do or do not
+    int seedIndex = -1; // place among the seeds; -1: none
+    double jitter = 0; // uniform in [0, 1), drawn once a process
+    bool reading = false; // the store, directly
+    bool storeAnswers = false; // where reading
+};
+
+// Whether to read the store directly now. Knowledge never gets older than followerAge while the store answers.
+bool shouldRead(const NewsFacts&, const NewsDutyOptions&);
+
+// Whether to look at the store's roster now, and to take the lead if nobody new is in it.
+bool shouldTakeLead(const NewsFacts&, const NewsDutyOptions&);
+
+}
--- /dev/null
+++ b/Source/Core/Decisions/Placement.cpp
@@ -0,0 +1,65 @@
+#include "Decisions/Placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Decisions {
+
+namespace {
+
+    // A neighbour's load passes: only the work done until then is slowed.
+    double workTime(double workMs, double workFactor, const PlacementOptions& options)
+    {
+        if (workFactor <= 1)
+            return workMs * workFactor;
+        auto whileNoisy = options.noiseMs * (1 - 1 / workFactor);
+        return workMs + std::min(workMs * (workFactor - 1), whileNoisy);
+    }
+
+}
+
+double expectedWaitMs(const ServerSignal& signal, double workMs, const PlacementOptions& options)
+{
+    auto slots = std::max(1, signal.slots);
+    auto ahead = signal.running + signal.waiting + signal.unreported;
+    auto used = std::min(slots, ahead + 1);
+    auto work = workTime(workMs, signal.workFactor, options) * std::max(1.0, signal.slowness);
+    if (used > options.kneeShare * slots)
+        work *= options.kneeFactor;
+    if (signal.cold)
+        work *= options.coldFactor;
+    // Whoever waits gets the slot that is free next: slots end work at slots / work a millisecond.
+    auto queued = std::max(0, ahead + 1 - slots);
+    return work + work * queued / slots;
+}
+
+double expectedMs(const ServerSignal& signal, double workMs, const PlacementOptions& options)
+{
+    return expectedWaitMs(signal, workMs, options) + (signal.sameDomain ? 0 : options.otherDomainMs)
+        + signal.failureShare * options.failureMs + (signal.healthy ? 0 : options.unhealthyMs);
+}
+
+bool isComfortable(const ServerSignal& signal, const PlacementOptions& options)
+{
+    constexpr double usualFactor = 1.3; // of work and of answers: within the ordinary spread
+    constexpr double fewFailures = 0.1;
+    auto used = signal.running + signal.waiting + signal.unreported + 1;
+    return signal.healthy && !signal.cold && used <= options.kneeShare * signal.slots && signal.workFactor <= usualFactor
+        && signal.slowness <= usualFactor && signal.failureShare <= fewFailures;
+}
+
+std::size_t bestServer(std::span<const ServerSignal> signals, double workMs, const PlacementOptions& options)
+{
+    std::size_t best = 0;
+    auto bestMs = std::numeric_limits<double>::infinity();
+    for (std::size_t i = 0; i < signals.size(); ++i) {
+        auto ms = expectedMs(signals[i], workMs, options);
+        if (ms < bestMs) {
+            best = i;
+            bestMs = ms;
+        }
+    }
+    return best;
+}
+
+}
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -11,7 +11,7 @@
 
 #include "Common/JsonText.h"
 #include "Entry/CallerSocket.h"
-#include "Entry/MetricsPage.h"
+#include "Common/MetricsPage.h"
 #include "Entry/StatusPage.h"
 #include "Requests/LoadHeaders.h"
 
@@ -220,7 +220,7 @@
 
 Page Daemon::metrics() const
 {
-    MetricsPage page;
+    Common::MetricsPage page;
     const auto& counters = m_callers.counters;
     page.counter("calls_total", static_cast<double>(counters.answered), "outcome=\"answered\"");
     page.counter("calls_total", static_cast<double>(counters.notRun), "outcome=\"not-run\"");
--- /dev/null
+++ b/Source/Core/Gateway/News.cpp
@@ -0,0 +1,184 @@
+#include "Gateway/News.h"
+
+#include <json/json.h>
+
+#include "Common/JsonText.h"
+
+namespace Gateway {
+
+namespace {
+
+    Common::Error malformed(const std::string& what)
+    {
+        return { .code = Common::ResultCode::PeerRefused, .text = what };
+    }
+
+    Common::Result<Json::Value> parseObject(const std::string& text)
+    {
+        Json::Value json;
+        Json::CharReaderBuilder builder;
+        std::string error;
+        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+        if (!reader->parse(text.data(), text.data() + text.size(), &json, &error) || !json.isObject())
+            return malformed("not a JSON object");
+        return json;
+    }
+
+    Json::Value toJson(const Member& member)
+    {
+        Json::Value json;
+        json["control"] = member.control;
+        json["callers"] = member.callers;
+        json["domain"] = member.failureDomain;
+        json["started_ms"] = Json::Int64(member.startedMs);
+        json["capacity"] = member.capacity;
+        json["serving"] = member.serving;
+        return json;
+    }
+
+    Member toMember(const Json::Value& json)
+    {
+        return {
+            .control = json["control"].asString(),
+            .callers = json["callers"].asString(),
+            .failureDomain = json["domain"].asString(),
+            .startedMs = json["started_ms"].asInt64(),
+            .capacity = json["capacity"].asDouble(),
+            .serving = json["serving"].asBool(),
+        };
+    }
+
+    Json::Value toJson(const std::vector<std::string>& list)
+    {
+        Json::Value json(Json::arrayValue);
+        for (const auto& text : list)
+            json.append(text);
+        return json;
+    }
+
+    std::vector<std::string> toStrings(const Json::Value& json)
+    {
+        std::vector<std::string> list;
+        for (const auto& item : json)
+            list.push_back(item.asString());
+        return list;
+    }
+
+    Json::Value toJson(const Platform::TableRow& row)
+    {
+        Json::Value json;
+        json["table"] = row.table;
+        json["key"] = row.key;
+        if (row.value)
+            json["value"] = *row.value;
+        json["version"] = Json::UInt64(row.version);
+        return json;
+    }
+
+    Platform::TableRow toRow(const Json::Value& json)
+    {
+        Platform::TableRow row { .table = json["table"].asString(), .key = json["key"].asString(), .value = {}, .version = json["version"].asUInt64() };
+        if (json.isMember("value"))
+            row.value = json["value"].asString();
+        return row;
+    }
+
+    // The library throws where a value has another type than it is asked for.
+    template <typename Read>
+    auto readTyped(const std::string& text, Read read) -> Common::Result<decltype(read(Json::Value()))>
+    {
+        auto json = parseObject(text);
+        if (!json)
+            return json.error();
+        try {
+            return read(json.value());
+        } catch (const Json::Exception& ec) {
+            return malformed(ec.what());
+        }
+    }
+
+}
+
+std::string toText(const NewsRequest& request)
+{
+    Json::Value json;
+    json["member"] = toJson(request.member);
+    json["registry"] = Json::UInt64(request.position.registry);
+    json["operators"] = Json::UInt64(request.position.operators);
+    json["listed_by"] = request.listedBy;
+    json["members_revision"] = Json::UInt64(request.membersRevision);
+    json["wait_ms"] = Common::toMilliseconds(request.wait);
+    return Common::jsonText(json);
+}
+
+std::string toText(const NewsAnswer& answer)
+{
+    Json::Value json;
+    json["relays"] = answer.relays;
+    json["roster"] = toJson(answer.roster.relays);
+    json["roster_version"] = Json::UInt64(answer.roster.version);
+    if (answer.relays) {
+        json["whole"] = answer.update.whole;
+        json["registry"] = Json::UInt64(answer.update.position.registry);
+        json["operators"] = Json::UInt64(answer.update.position.operators);
+        json["age_ms"] = Common::toMilliseconds(answer.update.age);
+        json["rows"] = Json::Value(Json::arrayValue);
+        for (const auto& row : answer.update.rows)
+            json["rows"].append(toJson(row));
+        json["members_revision"] = Json::UInt64(answer.membersRevision);
+    }
+    if (answer.members) {
+        json["members"] = Json::Value(Json::arrayValue);
+        for (const auto& member : *answer.members)
+            json["members"].append(toJson(member));
+    }
+    return Common::jsonText(json);
+}
+
+Common::Result<NewsRequest> parseNewsRequest(const std::string& text)
+{
+    return readTyped(text, [](const Json::Value& json) {
+        return NewsRequest {
+            .member = toMember(json["member"]),
+            .position = { .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() },
+            .listedBy = json["listed_by"].asString(),
+            .membersRevision = json["members_revision"].asUInt64(),
+            .wait = Common::fromMilliseconds(json["wait_ms"].asDouble()),
+        };
+    });
+}
+
+Common::Result<NewsAnswer> parseNewsAnswer(const std::string& text)
+{
+    return readTyped(text, [](const Json::Value& json) {
+        NewsAnswer answer;
+        answer.relays = json["relays"].asBool();
+        answer.roster = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64() };
+        answer.update.whole = json["whole"].asBool();
+        answer.update.position = { .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() };
+        answer.update.age = Common::fromMilliseconds(json["age_ms"].asDouble());
+        for (const auto& row : json["rows"])
+            answer.update.rows.push_back(toRow(row));
+        answer.membersRevision = json["members_revision"].asUInt64();
+        if (json.isMember("members")) {
+            answer.members.emplace();
+            for (const auto& member : json["members"])
+                answer.members->push_back(toMember(member));
+        }
+        return answer;
+    });
+}
+
+std::string toText(const Roster& roster)
+{
+    Json::Value json;
+    json["relays"] = toJson(roster.relays);
+    return Common::jsonText(json);
+}
+
+Common::Result<Roster> parseRoster(const std::string& text, std::uint64_t version)
+{
+    return readTyped(text, [version](const Json::Value& json) { return Roster { .relays = toStrings(json["relays"]), .version = version }; });
+}
+
+}
--- /dev/null
+++ b/Source/Core/Gateway/News.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/Result.h"
+#include "Gateway/Catalog.h"
+#include "Gateway/Members.h"
+
+namespace Gateway {
+
+// Which entries relay the store's news to the others, the leading one first. One row of the store; versions decide.
+struct Roster {
+    std::vector<std::string> relays; // control addresses
+    std::uint64_t version = 0; // of the row; 0: none is known
+};
+
+// What an entry asks a relay.
+struct NewsRequest {
+    Member member;
+    CatalogPosition position;
+    std::string listedBy; // the relay whose list of members this entry holds
+    std::uint64_t membersRevision = 0;
+    Common::Duration wait {};
+};
+
+struct NewsAnswer {
+    bool relays = false; // whether the one asked is a relay
+    Roster roster;
+    CatalogUpdate update;
+    std::optional<std::vector<Member>> members; // where changed
+    std::uint64_t membersRevision = 0;
+};
+
+// JSON forms. Errors: PeerRefused.
+std::string toText(const NewsRequest&);
+std::string toText(const NewsAnswer&);
+Common::Result<NewsRequest> parseNewsRequest(const std::string&);
+Common::Result<NewsAnswer> parseNewsAnswer(const std::string&);
+std::string toText(const Roster&);
+Common::Result<Roster> parseRoster(const std::string&, std::uint64_t version);
+
+}
--- /dev/null
+++ b/Source/Core/Gateway/NewsController.cpp
@@ -0,0 +1,265 @@
+#include "Gateway/NewsController.h"
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+    using Decisions::NewsRole;
+
+    // Steps of duty decisions; news themselves do not wait for it.
+    constexpr auto tickTime = std::chrono::milliseconds(250);
+    // How long a relay waits for news: longer where there are many entries, so that its work stays bounded.
+    constexpr auto baseWait = std::chrono::milliseconds(400);
+    constexpr auto waitPerEntry = std::chrono::milliseconds(3);
+    constexpr auto maxWait = std::chrono::milliseconds(900);
+    // Beside the wait, until a relay counts as silent.
+    constexpr auto relaySlack = std::chrono::milliseconds(500);
+    // A standby that is not heard of for so long is replaced.
+    constexpr auto standbyPatience = std::chrono::seconds(3);
+    // Between looks at the roster by one entry.
+    constexpr auto rosterPause = std::chrono::milliseconds(1500);
+    // Entries that start together do not know each other yet: until then the bounds are shared by at least so many.
+    constexpr int assumedEntries = 20;
+    constexpr auto assumedTime = std::chrono::seconds(5);
+    // How long a larger count than the present one holds: entries that restart have spent their share before.
+    constexpr auto entriesMemory = std::chrono::seconds(30);
+
+    constexpr std::size_t relaysWanted = 2;
+
+}
+
+NewsController::NewsController(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, Platform::AsyncTable readTable, Platform::AsyncTable rosterTable, NewsControllerOptions options)
+    : m_loop(loop)
+    , m_log(log)
+    , m_catalog(catalog)
+    , m_members(members)
+    , m_rosterTable(std::move(rosterTable))
+    , m_options(std::move(options))
+    , m_reader(loop, log, catalog, std::move(readTable), m_options.reader)
+    , m_server(loop, catalog, members, { .relays = [this] { return !m_leaving && m_catalog.isComplete() && role() != NewsRole::Follower; }, .roster = [this] { return m_roster; } })
+    , m_client(loop, log, catalog, members, { .target = m_options.newsTarget })
+    , m_jitter(Common::randomUnit(loop.hooks()))
+{
+    m_client.onRoster([this](const Roster& roster) { adopt(roster); });
+    m_catalog.onNews([this] { m_server.onCatalogNews(); });
+}
+
+void NewsController::start()
+{
+    m_started = m_loop.now();
+    m_relayedSince = m_started;
+    m_standbySeen = m_started;
+    countEntries();
+    follow();
+    m_client.start();
+    tick();
+}
+
+NewsRole NewsController::role() const
+{
+    const auto& relays = m_roster.relays;
+    auto it = std::find(relays.begin(), relays.end(), m_members.self().control);
+    if (it == relays.end())
+        return NewsRole::Follower;
+    return it == relays.begin() ? NewsRole::Leading : NewsRole::Standby;
+}
+
+Decisions::NewsFacts NewsController::facts() const
+{
+    auto it = std::find(m_options.seeds.begin(), m_options.seeds.end(), m_members.self().control);
+    return {
+        .now = m_loop.now(),
+        .started = m_started,
+        .role = role(),
+        .rosterKnown = !m_roster.relays.empty(),
+        .complete = m_catalog.isComplete(),
+        .age = m_catalog.age(),
+        .relayed = m_relayed,
+        .relayedSince = m_relayedSince,
+        .seedIndex = it == m_options.seeds.end() ? -1 : static_cast<int>(it - m_options.seeds.begin()),
+        .jitter = m_jitter,
+        .reading = m_reader.isRunning(),
+        .storeAnswers = m_reader.storeAnswers(),
+    };
+}
+
+void NewsController::tick()
+{
+    trackRelay();
+    countEntries();
+    if (role() == NewsRole::Leading && m_members.expire(m_loop.now()))
+        m_server.onMembersChanged();
+    follow();
+    auto now = facts();
+    if (!m_leaving || !m_client.following().empty()) {
+        if (Decisions::shouldRead(now, m_options.duty))
+            m_reader.start();
+        else
+            m_reader.stop();
+    }
+    if (!m_leaving && !m_rosterCall) {
+        if (Decisions::shouldTakeLead(now, m_options.duty))
+            takeLead();
+        else if (now.role == NewsRole::Leading)
+            appointStandby();
+    }
+    m_loop.after(tickTime, [this] { tick(); });
+}
+
+void NewsController::trackRelay()
+{
+    auto wait = std::min<Common::Duration>(baseWait + waitPerEntry * static_cast<int>(m_members.size()), maxWait);
+    m_client.setWait(wait);
+    auto last = m_client.lastFreshAnswer();
+    auto relayed = last != Common::TimePoint() && m_loop.now() - last < wait + relaySlack;
+    if (relayed == m_relayed)
+        return;
+    m_relayed = relayed;
+    m_relayedSince = relayed ? m_loop.now() : last;
+    m_rosterWasRead = false;
+}
+
+void NewsController::countEntries()
+{
+    auto now = m_loop.now();
+    auto seen = static_cast<int>(m_members.size());
+    if (now - m_started < assumedTime)
+        seen = std::max(seen, assumedEntries);
+    if (seen >= m_entries || now - m_entriesAt > entriesMemory) {
+        m_entries = seen;
+        m_entriesAt = now;
+    }
+}
+
+void NewsController::follow()
+{
+    auto candidates = m_roster.relays.empty() ? m_options.seeds : m_roster.relays;
+    std::erase(candidates, m_members.self().control);
+    // The leading relay hears from the standby whether another entry has taken over meanwhile, but needs no news of it.
+    if (role() == NewsRole::Leading && m_reader.storeAnswers())
+        candidates.clear();
+    m_client.setCandidates(std::move(candidates));
+}
+
+void NewsController::adopt(const Roster& roster)
+{
+    if (roster.version <= m_roster.version)
+        return;
+    m_roster = roster;
+    m_standbySeen = m_loop.now();
+    m_rosterWasRead = false;
+    follow();
+}
+
+void NewsController::takeLead()
+{
+    // Somebody else may have done it: the store's row tells.
+    if (!m_rosterWasRead) {
+        if (m_loop.now() - m_rosterReadAt > rosterPause || m_rosterReadAt == Common::TimePoint())
+            readRoster();
+        return;
+    }
+    std::vector<std::string> relays { m_members.self().control };
+    if (role() == NewsRole::Standby && !m_roster.relays.empty())
+        relays.push_back(m_roster.relays.front());
+    writeRoster(std::move(relays));
+}
+
+void NewsController::readRoster()
+{
+    m_rosterCall = true;
+    m_rosterReadAt = m_loop.now();
+    ++m_rosterCalls;
+    m_rosterTable.readAll(m_options.rosterTable, [this](const Platform::RowsRead& read) {
+        m_rosterCall = false;
+        if (read.state != Platform::ReadState::Ok)
+            return;
+        auto before = m_roster.version;
+        for (const auto& row : read.rows) {
+            auto roster = row.key == m_options.rosterKey && row.value ? parseRoster(*row.value, row.version) : Common::Result<Roster>(Common::Error {});
+            if (roster)
+                adopt(roster.value());
+        }
+        // A roster that this entry has followed in vain, or none: the next step writes one.
+        m_rosterWasRead = m_roster.version == before;
+        if (!m_rosterWasRead)
+            m_relayedSince = m_loop.now();
+        else if (!m_leaving && Decisions::shouldTakeLead(facts(), m_options.duty))
+            takeLead();
+    });
+}
+
+void NewsController::appointStandby()
+{
+    auto now = m_loop.now();
+    auto members = m_members.all();
+    auto isKnown = [&](const std::string& control) { return std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.control == control && member.serving; }); };
+    auto hasStandby = m_roster.relays.size() >= relaysWanted && isKnown(m_roster.relays[1]);
+    if (hasStandby) {
+        m_standbySeen = now;
+        return;
+    }
+    if (now - m_standbySeen < standbyPatience)
+        return;
+    const Member* best = nullptr;
+    for (const auto& member : members) {
+        auto isOther = member.control != m_members.self().control && member.serving;
+        // Another failure domain first: a domain may be lost whole.
+        auto rank = [&](const Member& it) { return std::make_tuple(it.failureDomain != m_members.self().failureDomain, it.capacity, -it.startedMs); };
+        if (isOther && (!best || rank(member) > rank(*best)))
+            best = &member;
+    }
+    if (best)
+        writeRoster({ m_members.self().control, best->control });
+}
+
+void NewsController::writeRoster(std::vector<std::string> relays)
+{
+    m_rosterCall = true;
+    m_standbySeen = m_loop.now();
+    ++m_rosterCalls;
+    Platform::ConditionalWrite write { .row = { .table = m_options.rosterTable, .key = m_options.rosterKey, .value = toText(Roster { .relays = relays }), .version = 0 }, .expected = m_roster.version };
+    m_rosterTable.write(write, [this, relays](const Platform::CommitResult& result) { onRosterWritten(relays, result); });
+}
+
+void NewsController::onRosterWritten(const std::vector<std::string>& relays, const Platform::CommitResult& result)
+{
+    m_rosterCall = false;
+    if (result.state == Platform::CommitState::Committed)
+        adopt({ .relays = relays, .version = result.version });
+    for (const auto& row : result.rows) {
+        auto roster = row.value ? parseRoster(*row.value, row.version) : Common::Result<Roster>(Common::Error {});
+        if (roster)
+            adopt(roster.value());
+    }
+    // A write whose answer was lost may have been done: the row tells.
+    m_rosterWasRead = false;
+    if (result.state != Platform::CommitState::Committed)
+        m_relayedSince = m_loop.now();
+}
+
+void NewsController::onSelfChanged()
+{
+    if (role() == NewsRole::Leading)
+        m_server.onMembersChanged();
+    else
+        m_client.renew();
+}
+
+void NewsController::leave()
+{
+    if (m_leaving)
+        return;
+    auto before = role();
+    auto relays = m_roster.relays;
+    m_leaving = true;
+    std::erase(relays, m_members.self().control);
+    if (before == NewsRole::Leading && !relays.empty() && !m_rosterCall)
+        writeRoster(relays);
+    m_server.dismiss();
+    onSelfChanged();
+}
+
+}
--- /dev/null
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -0,0 +1,147 @@
+#include "Gateway/RelayClient.h"
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+    constexpr auto connectTimeout = std::chrono::milliseconds(400);
+    constexpr auto silenceLimit = std::chrono::seconds(2);
+    constexpr int ok = 200;
+
+}
+
+RelayClient::RelayClient(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, RelayClientOptions options)
+    : m_loop(loop)
+    , m_log(log)
+    , m_catalog(catalog)
+    , m_members(members)
+    , m_options(std::move(options))
+{
+}
+
+void RelayClient::setCandidates(std::vector<std::string> candidates)
+{
+    m_candidates = std::move(candidates);
+    if (m_running && !m_isAsking && m_timer == 0)
+        ask();
+}
+
+void RelayClient::start()
+{
+    if (m_running)
+        return;
+    m_running = true;
+    ask();
+}
+
+void RelayClient::stop()
+{
+    m_running = false;
+    m_isAsking = false;
+    m_loop.cancel(m_timer);
+    if (m_connection)
+        m_connection->close();
+    m_connection.reset();
+}
+
+void RelayClient::renew()
+{
+    if (!m_running)
+        return;
+    stop();
+    start();
+}
+
+void RelayClient::askLater(Common::Duration delay)
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.after(delay, [this] {
+        m_timer = 0;
+        ask();
+    });
+}
+
+std::string RelayClient::choose() const
+{
+    auto now = m_loop.now();
+    auto isAvoided = [&](const std::string& relay) {
+        auto it = m_trials.find(relay);
+        return it != m_trials.end() && now < it->second.avoidUntil;
+    };
+    for (const auto& relay : m_candidates) {
+        if (!isAvoided(relay))
+            return relay;
+    }
+    // All have failed of late: the one that failed first may be back.
+    auto it = std::min_element(m_candidates.begin(), m_candidates.end(), [&](const auto& a, const auto& b) { return m_trials.at(a).avoidUntil < m_trials.at(b).avoidUntil; });
+    return it == m_candidates.end() ? std::string() : *it;
+}
+
+void RelayClient::ask()
+{
+    if (!m_running || m_isAsking)
+        return;
+    auto relay = choose();
+    if (relay.empty())
+        return;
+    if (!m_connection || !m_connection->isFree() || m_connectedTo != relay) {
+        if (m_connection)
+            m_connection->close();
+        m_connection = Net::ClientConnection::open(m_loop, relay, { .connectTimeout = connectTimeout, .silenceLimit = silenceLimit });
+        m_connectedTo = relay;
+    }
+    // A relay that is new to this entry answers at once.
+    NewsRequest news { .member = m_members.self(), .position = m_catalog.isComplete() ? m_catalog.position() : CatalogPosition(), .listedBy = m_listedBy, .membersRevision = m_membersRevision, .wait = m_wait };
+    Net::Request request { .method = "POST", .target = m_options.target, .headers = { { "Host", relay }, { "Content-Type", "application/json" } }, .body = toText(news), .keepAlive = true };
+    m_isAsking = true;
+    m_connection->send(Net::toBytes(request), true, m_wait + m_options.answerSlack,
+        { .answered = [this, relay](Net::ResponseHead&& head) { onAnswer(relay, std::move(head)); },
+            .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureName(failure.kind)); } });
+}
+
+void RelayClient::onAnswer(const std::string& relay, Net::ResponseHead&& head)
+{
+    m_isAsking = false;
+    auto now = m_loop.now();
+    auto answer = head.response.status == ok ? parseNewsAnswer(head.response.body) : Common::Result<NewsAnswer>(Common::Error { .code = Common::ResultCode::PeerRefused, .text = "status " + std::to_string(head.response.status) });
+    if (!answer)
+        return onFailure(relay, answer.error().text);
+    auto& news = answer.value();
+    auto isFresh = news.relays && news.update.age <= m_options.staleAge;
+    if (!isFresh)
+        m_trials[relay].avoidUntil = now + m_options.avoidTime;
+    if (news.relays) {
+        if (m_following != relay)
+            m_log.log(Common::EventId::RelayFollowed, { { "relay", relay }, { "before", m_following }, { "age_ms", std::to_string(static_cast<long>(Common::toMilliseconds(news.update.age))) } });
+        m_following = relay;
+        m_lastAnswer = now;
+        if (isFresh)
+            m_lastFresh = now;
+        m_catalog.apply(news.update);
+        if (news.members)
+            m_members.replace(*news.members, news.membersRevision, now);
+        m_listedBy = relay;
+        m_membersRevision = news.membersRevision;
+    }
+    if (m_rosterHook)
+        m_rosterHook(news.roster);
+    if (m_running)
+        askLater(news.relays ? Common::Duration::zero() : Common::Duration(m_options.retryPause));
+}
+
+void RelayClient::onFailure(const std::string& relay, std::string_view cause)
+{
+    m_isAsking = false;
+    m_trials[relay].avoidUntil = m_loop.now() + m_options.avoidTime;
+    if (m_following == relay) {
+        m_log.log(Common::EventId::RelayLost, { { "relay", relay }, { "cause", std::string(cause) } });
+        m_following.clear();
+        m_listedBy.clear();
+    }
+    if (m_running)
+        askLater(m_options.retryPause);
+}
+
+}
--- /dev/null
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -0,0 +1,120 @@
+#include "Gateway/RelayServer.h"
+
+namespace Gateway {
+
+namespace {
+
+    // Changes of a moment go out together.
+    constexpr auto catalogBatch = std::chrono::milliseconds(15);
+    // Members come and go in crowds; callers keep addresses for seconds anyway.
+    constexpr auto membersBatch = std::chrono::milliseconds(150);
+    constexpr auto maxWait = std::chrono::seconds(5);
+    // An entry whose connection ended asks again within this time if it is alive.
+    constexpr auto reconnectTime = std::chrono::milliseconds(400);
+
+    constexpr int ok = 200;
+    constexpr int badRequest = 400;
+
+}
+
+RelayServer::RelayServer(Net::EventLoop& loop, Catalog& catalog, Members& members, RelayServerOptions options)
+    : m_loop(loop)
+    , m_catalog(catalog)
+    , m_members(members)
+    , m_options(std::move(options))
+{
+}
+
+void RelayServer::serve(const std::shared_ptr<Net::Exchange>& exchange)
+{
+    auto request = parseNewsRequest(exchange->request().body);
+    if (!request)
+        return exchange->respond({ .status = badRequest, .reason = {}, .headers = {}, .body = request.error().text });
+    if (!m_options.relays())
+        return answer(exchange, request.value());
+    if (m_members.heard(request.value().member, m_loop.now()))
+        onMembersChanged();
+    // A first answer tells the list of members even where it changes soon.
+    if (hasNewsFor(request.value()) || request.value().wait <= Common::Duration::zero())
+        return answer(exchange, request.value());
+    m_waiting.push_back({ .exchange = exchange, .request = request.value() });
+    auto place = std::prev(m_waiting.end());
+    place->timer = m_loop.after(std::min<Common::Duration>(request.value().wait, maxWait), [this, place] { answerWaiting(place); });
+    exchange->onGone([this, place] {
+        m_members.suspect(place->request.member.control, m_loop.now() + reconnectTime);
+        m_loop.cancel(place->timer);
+        m_waiting.erase(place);
+    });
+}
+
+bool RelayServer::hasNewsFor(const NewsRequest& request) const
+{
+    auto isListed = request.listedBy == m_members.self().control;
+    if (!isListed)
+        return true;
+    auto update = m_catalog.changesSince(request.position);
+    return !update.rows.empty();
+}
+
+void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const NewsRequest& request)
+{
+    NewsAnswer answer { .relays = m_options.relays(), .roster = m_options.roster(), .update = {}, .members = {}, .membersRevision = m_members.revision() };
+    if (answer.relays) {
+        answer.update = m_catalog.changesSince(request.position);
+        if (request.listedBy != m_members.self().control || request.membersRevision != m_members.revision())
+            answer.members = m_members.all();
+    }
+    exchange->respond({ .status = ok, .reason = {}, .headers = { { "Content-Type", "application/json" } }, .body = toText(answer) });
+}
+
+void RelayServer::answerWaiting(Place place)
+{
+    auto waiting = std::move(*place);
+    m_waiting.erase(place);
+    m_loop.cancel(waiting.timer);
+    waiting.exchange->onGone({});
+    answer(waiting.exchange, waiting.request);
+}
+
+void RelayServer::answerSoon(Common::Duration delay)
+{
+    auto at = m_loop.now() + delay;
+    if (m_batchTimer != 0 && m_batchAt <= at)
+        return;
+    m_loop.cancel(m_batchTimer);
+    m_batchAt = at;
+    m_batchTimer = m_loop.after(delay, [this] {
+        m_batchTimer = 0;
+        answerAll();
+    });
+}
+
+void RelayServer::onCatalogNews()
+{
+    if (!m_waiting.empty())
+        answerSoon(catalogBatch);
+}
+
+void RelayServer::onMembersChanged()
+{
+    if (!m_waiting.empty())
+        answerSoon(membersBatch);
+}
+
+void RelayServer::answerAll()
+{
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        auto place = it++;
+        auto hasMembersNews = place->request.membersRevision != m_members.revision();
+        if (hasMembersNews || hasNewsFor(place->request))
+            answerWaiting(place);
+    }
+}
+
+void RelayServer::dismiss()
+{
+    while (!m_waiting.empty())
+        answerWaiting(m_waiting.begin());
+}
+
+}
--- /dev/null
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -0,0 +1,140 @@
+#include "Gateway/StoreReader.h"
+
+#include <algorithm>
+
+namespace Gateway {
+
+using Platform::ReadState;
+
+StoreReader::StoreReader(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Platform::AsyncTable table, StoreReaderOptions options)
+    : m_loop(loop)
+    , m_log(log)
+    , m_catalog(catalog)
+    , m_table(std::move(table))
+    , m_options(std::move(options))
+    , m_backoff(m_options.firstBackoff)
+    , m_lastAnswer(loop.now())
+{
+}
+
+void StoreReader::start()
+{
+    if (m_running)
+        return;
+    m_running = true;
+    m_backoff = m_options.firstBackoff;
+    m_lastAnswer = m_loop.now();
+    m_log.log(Common::EventId::RelayStarted, { { "age_ms", std::to_string(static_cast<long>(Common::toMilliseconds(m_catalog.age()))) }, { "position", std::to_string(m_catalog.position().registry) } });
+    readRegistry();
+    readOperators();
+}
+
+void StoreReader::stop()
+{
+    if (!m_running)
+        return;
+    m_running = false;
+    m_loop.cancel(m_registryTimer);
+    m_loop.cancel(m_operatorTimer);
+    m_table.cancel();
+    m_log.log(Common::EventId::RelayStopped, {});
+}
+
+void StoreReader::later(Net::EventLoop::TimerId& timer, Common::Duration delay, void (StoreReader::*next)())
+{
+    m_loop.cancel(timer);
+    timer = m_loop.after(delay, [this, &timer, next] {
+        timer = 0;
+        (this->*next)();
+    });
+}
+
+void StoreReader::readRegistry()
+{
+    ++m_calls;
+    auto begun = m_loop.now();
+    auto position = m_catalog.position().registry;
+    auto whole = position == 0 || m_rereadRegistry;
+    auto done = [this, whole, begun](Platform::RowsRead read) { onRegistry(std::move(read), whole, begun); };
+    if (whole)
+        m_table.readAll(m_options.registryTable, done);
+    else
+        m_table.readChanges(m_options.registryTable, position, Common::Duration::zero(), done);
+}
+
+void StoreReader::onRegistry(Platform::RowsRead read, bool whole, Common::TimePoint begun)
+{
+    if (!m_running)
+        return;
+    noteAnswer(read.state != ReadState::Unavailable, read.error);
+    if (read.state == ReadState::Unavailable) {
+        later(m_registryTimer, m_backoff, &StoreReader::readRegistry);
+        m_backoff = std::min(2 * m_backoff, m_options.maxBackoff);
+        return;
+    }
+    m_backoff = m_options.firstBackoff;
+    if (read.state == ReadState::HistoryGone) {
+        m_rereadRegistry = true;
+        return readRegistry();
+    }
+    m_rereadRegistry = false;
+    if (whole)
+        m_catalog.applyWhole(m_options.registryTable, read.rows, read.version);
+    else
+        m_catalog.applyChanges(m_options.registryTable, read.rows, read.version);
+    m_catalog.confirm(begun);
+    later(m_registryTimer, m_options.registryInterval, &StoreReader::readRegistry);
+}
+
+void StoreReader::readOperators()
+{
+    ++m_calls;
+    auto position = m_catalog.position().operators;
+    auto whole = position == 0 || m_rereadOperators;
+    auto done = [this, whole](Platform::RowsRead read) { onOperators(std::move(read), whole); };
+    if (whole)
+        m_table.readAll(m_options.operatorTable, done);
+    else
+        m_table.readChanges(m_options.operatorTable, position, m_options.operatorWait, done);
+}
+
+void StoreReader::onOperators(Platform::RowsRead read, bool whole)
+{
+    if (!m_running)
+        return;
+    if (read.state == ReadState::Unavailable) {
+        ++m_failures;
+        later(m_operatorTimer, m_backoff, &StoreReader::readOperators);
+        return;
+    }
+    if (read.state == ReadState::HistoryGone) {
+        m_rereadOperators = true;
+        return readOperators();
+    }
+    m_rereadOperators = false;
+    if (whole)
+        m_catalog.applyWhole(m_options.operatorTable, read.rows, read.version);
+    else
+        m_catalog.applyChanges(m_options.operatorTable, read.rows, read.version);
+    // An empty table has no first version to continue from: it is read whole until something is in it.
+    auto wait = whole && m_catalog.position().operators == 0 ? m_options.firstBackoff : Common::Duration::zero();
+    later(m_operatorTimer, wait, &StoreReader::readOperators);
+}
+
+void StoreReader::noteAnswer(bool answered, const std::string& error)
+{
+    auto now = m_loop.now();
+    if (!answered) {
+        ++m_failures;
+        if (m_answers)
+            m_log.log(Common::EventId::StoreUnreachable, { { "error", error } });
+    } else if (!m_answers) {
+        m_catalog.noteOutage(m_lastAnswer);
+        m_log.log(Common::EventId::StoreReachable, { { "away_ms", std::to_string(static_cast<long>(Common::toMilliseconds(now - m_lastAnswer))) } });
+    }
+    m_answers = answered;
+    if (answered)
+        m_lastAnswer = now;
+}
+
+}
--- /dev/null
+++ b/Source/Core/Net/BodyDecoder.cpp
@@ -0,0 +1,113 @@
+#include "Net/BodyDecoder.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Net {
+
+namespace {
+
+    // A chunk's size line with its extensions, or one trailer line.
+    constexpr std::size_t maxLineBytes = 4096;
+
+}
+
+BodyDecoder::BodyDecoder(Framing framing, std::size_t length, std::size_t maxBytes)
+    : m_framing(framing)
+    , m_left(length)
+    , m_maxBytes(maxBytes)
+{
+    if (framing == Framing::None || (framing == Framing::Length && length == 0))
+        m_state = State::Complete;
+    else if (framing == Framing::Length && length > maxBytes)
+        m_state = State::TooLarge;
+}
+
+BodyDecoder::State BodyDecoder::feed(std::string& bytes)
+{
+    if (m_state != State::NeedsMore || bytes.empty())
+        return m_state;
+    if (m_framing == Framing::Chunked) {
+        feedChunks(bytes);
+        return m_state;
+    }
+    auto n = m_framing == Framing::Length ? std::min(m_left, bytes.size()) : bytes.size();
+    append(std::string_view(bytes).substr(0, n));
+    bytes.erase(0, n);
+    if (m_framing == Framing::Length) {
+        m_left -= n;
+        if (m_left == 0 && m_state == State::NeedsMore)
+            m_state = State::Complete;
+    }
+    return m_state;
+}
+
+BodyDecoder::State BodyDecoder::end()
+{
+    if (m_state == State::NeedsMore)
+        m_state = m_framing == Framing::UntilClose ? State::Complete : State::Malformed;
+    return m_state;
+}
+
+void BodyDecoder::append(std::string_view bytes)
+{
+    if (m_body.size() + bytes.size() > m_maxBytes)
+        m_state = State::TooLarge;
+    else
+        m_body.append(bytes);
+}
+
+void BodyDecoder::feedChunks(std::string& bytes)
+{
+    std::string_view rest = bytes;
+    while (m_state == State::NeedsMore && feedChunkStep(rest)) { }
+    bytes.erase(0, bytes.size() - rest.size());
+}
+
+// False when more bytes are needed.
+bool BodyDecoder::feedChunkStep(std::string_view& rest)
+{
+    if (m_step == ChunkStep::Data) {
+        auto n = std::min(m_left, rest.size());
+        append(rest.substr(0, n));
+        rest.remove_prefix(n);
+        m_left -= n;
+        if (m_left == 0)
+            m_step = ChunkStep::DataEnd;
+        return m_left == 0;
+    }
+    auto end = rest.find("\r\n");
+    if (end == std::string_view::npos) {
+        if (rest.size() > maxLineBytes)
+            m_state = State::Malformed;
+        return false;
+    }
+    auto line = rest.substr(0, end);
+    rest.remove_prefix(end + 2);
+    if (m_step == ChunkStep::Size) {
+        if (!readChunkSize(line))
+            m_state = State::Malformed;
+    } else if (m_step == ChunkStep::DataEnd) {
+        if (!line.empty())
+            m_state = State::Malformed;
+        m_step = ChunkStep::Size;
+    } else if (line.empty()) {
+        m_state = State::Complete;
+    }
+    return true;
+}
+
+bool BodyDecoder::readChunkSize(std::string_view line)
+{
+    auto digits = line.substr(0, line.find(';'));
+    while (!digits.empty() && (digits.back() == ' ' || digits.back() == '\t'))
+        digits.remove_suffix(1);
+    constexpr int hexadecimal = 16;
+    auto [rest, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), m_left, hexadecimal);
+    if (digits.empty() || ec != std::errc() || rest != digits.data() + digits.size())
+        return false;
+    m_step = m_left == 0 ? ChunkStep::Trailer : ChunkStep::Data;
+    return true;
+}
+
+}
--- /dev/null
+++ b/Source/Core/Net/EventLoop.cpp
@@ -0,0 +1,180 @@
+#include "Net/EventLoop.h"
+
+#include <algorithm>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace Net {
+
+namespace {
+
+    using Poco::Net::PollSet;
+
+    // A turn never waits longer, so that a lost wake-up costs this much at most.
+    constexpr auto maxTurn = std::chrono::milliseconds(1000);
+
+    int modeOf(bool read, bool write)
+    {
+        return (read ? PollSet::POLL_READ : 0) | (write ? PollSet::POLL_WRITE : 0) | PollSet::POLL_ERROR;
+    }
+
+}
+
+EventLoop::EventLoop(Common::Hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_now(m_hooks.now())
+    , m_waker(Poco::Net::SocketAddress("127.0.0.1", 0))
+{
+    m_waker.setBlocking(false);
+    m_waker.connect(m_waker.address());
+    watch(m_waker, true, false, [this](Readiness) {
+        char buf = 0;
+        while (m_waker.impl()->available() > 0)
+            m_waker.receiveBytes(&buf, 1);
+    });
+}
+
+EventLoop::TimerId EventLoop::after(Common::Duration delay, std::function<void()> run)
+{
+    auto id = ++m_lastTimer;
+    m_timerIndex[id] = m_timers.emplace(m_now + delay, Timer { .id = id, .run = std::move(run) });
+    return id;
+}
+
+void EventLoop::cancel(TimerId& id)
+{
+    auto it = m_timerIndex.find(id);
+    id = 0;
+    if (it == m_timerIndex.end())
+        return;
+    m_timers.erase(it->second);
+    m_timerIndex.erase(it);
+}
+
+void EventLoop::watch(const Poco::Net::Socket& socket, bool read, bool write, SocketHandler handler)
+{
+    auto mode = modeOf(read, write);
+    auto [it, isNew] = m_watches.try_emplace(socket.impl());
+    it->second = { .handler = std::make_shared<SocketHandler>(std::move(handler)), .mode = mode };
+    if (isNew)
+        m_sockets.add(socket, mode);
+    else
+        m_sockets.update(socket, mode);
+}
+
+void EventLoop::interest(const Poco::Net::Socket& socket, bool read, bool write)
+{
+    auto it = m_watches.find(socket.impl());
+    auto mode = modeOf(read, write);
+    if (it == m_watches.end() || it->second.mode == mode)
+        return;
+    it->second.mode = mode;
+    m_sockets.update(socket, mode);
+}
+
+void EventLoop::unwatch(const Poco::Net::Socket& socket)
+{
+    if (m_watches.erase(socket.impl()) > 0)
+        m_sockets.remove(socket);
+}
+
+void EventLoop::post(std::function<void()> run)
+{
+    {
+        std::lock_guard lock(m_postMutex);
+        m_posted.push_back(std::move(run));
+    }
+    wake();
+}
+
+void EventLoop::defer(std::function<void()> run)
+{
+    m_deferred.push_back(std::move(run));
+}
+
+void EventLoop::wake()
+{
+    try {
+        constexpr char signal = 1;
+        m_waker.sendBytes(&signal, 1);
+    } catch (const Poco::Exception&) {
+        // A full socket buffer means that a wake-up is already on its way.
+    }
+}
+
+void EventLoop::stop()
+{
+    m_stopping = true;
+    wake();
+}
+
+void EventLoop::run()
+{
+    while (!m_stopping)
+        turn();
+}
+
+Common::Duration EventLoop::untilNextTimer() const
+{
+    if (!m_deferred.empty())
+        return Common::Duration::zero();
+    if (m_timers.empty())
+        return maxTurn;
+    return std::clamp<Common::Duration>(m_timers.begin()->first - m_hooks.now(), Common::Duration::zero(), maxTurn);
+}
+
+void EventLoop::turn()
+{
+    // Rounded up: a turn that ends just before its timer would spin until it is due.
+    auto wait = std::chrono::ceil<std::chrono::milliseconds>(untilNextTimer());
+    auto ready = m_sockets.poll(Poco::Timespan(std::chrono::microseconds(wait).count()));
+    m_now = m_hooks.now();
+    for (const auto& [socket, mode] : ready) {
+        // An earlier handler of this turn may have ended this watch.
+        auto it = m_watches.find(socket.impl());
+        if (it == m_watches.end())
+            continue;
+        auto handler = it->second.handler;
+        auto failed = (mode & PollSet::POLL_ERROR) != 0;
+        (*handler)({ .readable = failed || (mode & PollSet::POLL_READ) != 0, .writable = failed || (mode & PollSet::POLL_WRITE) != 0 });
+        runDeferred();
+    }
+    runPosted();
+    runTimers();
+    runDeferred();
+}
+
+void EventLoop::runDeferred()
+{
+    while (!m_deferred.empty()) {
+        std::vector<std::function<void()>> batch;
+        batch.swap(m_deferred);
+        for (auto& run : batch)
+            run();
+    }
+}
+
+void EventLoop::runTimers()
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= m_now) {
+        auto timer = std::move(m_timers.begin()->second);
+        m_timerIndex.erase(timer.id);
+        m_timers.erase(m_timers.begin());
+        timer.run();
+        runDeferred();
+    }
+}
+
+void EventLoop::runPosted()
+{
+    std::vector<std::function<void()>> batch;
+    {
+        std::lock_guard lock(m_postMutex);
+        batch.swap(m_posted);
+    }
+    for (auto& run : batch)
+        run();
+}
+
+}
--- /dev/null
+++ b/Source/Core/Net/HttpClient.cpp
@@ -0,0 +1,287 @@
+#include "Net/HttpClient.h"
+
+#include <array>
+
+#include <netinet/tcp.h>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include "Common/NameTable.h"
+
+namespace Net {
+
+namespace {
+
+    using Common::EnumName;
+
+    constexpr std::size_t readBytes = 16 * 1024;
+    constexpr std::size_t maxHeadBytes = 64 * 1024;
+
+    constexpr std::array failureNames {
+        EnumName<FailureKind> { FailureKind::Refused, "refused" },
+        EnumName<FailureKind> { FailureKind::ConnectTimeout, "connect-timeout" },
+        EnumName<FailureKind> { FailureKind::Reset, "reset" },
+        EnumName<FailureKind> { FailureKind::Closed, "closed" },
+        EnumName<FailureKind> { FailureKind::Malformed, "malformed" },
+        EnumName<FailureKind> { FailureKind::TooLarge, "too-large" },
+        EnumName<FailureKind> { FailureKind::Overdue, "overdue" },
+    };
+
+}
+
+std::string_view failureName(FailureKind kind)
+{
+    return Common::nameOf(failureNames, kind);
+}
+
+void configureSocket(Poco::Net::StreamSocket& socket, Common::Duration silenceLimit)
+{
+    auto ms = static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(silenceLimit).count());
+    auto seconds = std::max(1, static_cast<int>(std::chrono::floor<std::chrono::seconds>(silenceLimit).count()) - 1);
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, 1);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+}
+
+ClientConnection::ClientConnection(EventLoop& loop, const ClientOptions& options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_lastUsed(loop.now())
+{
+}
+
+ClientConnection::~ClientConnection()
+{
+    close();
+}
+
+std::shared_ptr<ClientConnection> ClientConnection::open(EventLoop& loop, const std::string& address, const ClientOptions& options)
+{
+    std::shared_ptr<ClientConnection> connection(new ClientConnection(loop, options));
+    connection->start(address);
+    return connection;
+}
+
+void ClientConnection::start(const std::string& address)
+{
+    std::weak_ptr<ClientConnection> weak = weak_from_this();
+    auto failLater = [this, weak](FailureKind kind) {
+        m_loop.defer([weak, kind] {
+            if (auto self = weak.lock())
+                self->fail(kind);
+        });
+    };
+    try {
+        m_socket.connectNB(Poco::Net::SocketAddress(address));
+        m_socket.setBlocking(false);
+        configureSocket(m_socket, m_options.silenceLimit);
+    } catch (const Poco::Exception&) {
+        return failLater(FailureKind::Refused);
+    }
+    m_loop.watch(m_socket, false, true, [weak](Readiness ready) {
+        if (auto self = weak.lock())
+            self->onReady(ready);
+    });
+    m_connectTimer = m_loop.after(m_options.connectTimeout, [weak] {
+        if (auto self = weak.lock())
+            self->fail(FailureKind::ConnectTimeout);
+    });
+}
+
+void ClientConnection::send(std::string bytes, bool expectsBody, Common::Duration limit, ClientHandlers handlers)
+{
+    m_busy = true;
+    m_bytesSent = false;
+    m_expectsBody = expectsBody;
+    m_out = std::move(bytes);
+    m_handlers = std::move(handlers);
+    std::weak_ptr<ClientConnection> weak = weak_from_this();
+    m_limitTimer = m_loop.after(limit, [weak] {
+        if (auto self = weak.lock())
+            self->fail(FailureKind::Overdue);
+    });
+    if (m_connected)
+        writeOut();
+}
+
+void ClientConnection::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_handlers = {};
+    m_loop.cancel(m_connectTimer);
+    m_loop.cancel(m_limitTimer);
+    m_loop.unwatch(m_socket);
+    try {
+        m_socket.close();
+    } catch (const Poco::Exception&) {
+        // A socket that was never opened has nothing to close.
+    }
+}
+
+void ClientConnection::onReady(Readiness ready)
+{
+    auto keep = shared_from_this();
+    if (!m_connected && !finishConnect())
+        return;
+    if (ready.writable && !m_out.empty())
+        writeOut();
+    if (ready.readable && !m_closed)
+        readIn();
+}
+
+bool ClientConnection::finishConnect()
+{
+    if (m_socket.impl()->socketError() != 0) {
+        fail(FailureKind::Refused);
+        return false;
+    }
+    m_connected = true;
+    m_loop.cancel(m_connectTimer);
+    updateInterest();
+    return true;
+}
+
+void ClientConnection::updateInterest()
+{
+    m_loop.interest(m_socket, true, !m_out.empty());
+}
+
+void ClientConnection::writeOut()
+{
+    try {
+        while (!m_out.empty()) {
+            auto n = m_socket.sendBytes(m_out.data(), static_cast<int>(m_out.size()));
+            if (n <= 0)
+                break;
+            m_bytesSent = true;
+            m_out.erase(0, static_cast<std::size_t>(n));
+        }
+    } catch (const Poco::Exception&) {
+        // Deferred: whoever called send() does not have its connection yet.
+        m_out.clear();
+        std::weak_ptr<ClientConnection> weak = weak_from_this();
+        m_loop.defer([weak] {
+            if (auto self = weak.lock())
+                self->fail(FailureKind::Reset);
+        });
+    }
+    updateInterest();
+}
+
+void ClientConnection::readIn()
+{
+    std::array<char, readBytes> buf;
+    auto ended = false;
+    try {
+        for (;;) {
+            auto n = m_socket.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+            if (n < 0)
+                break;
+            ended = n == 0;
+            m_in.append(buf.data(), static_cast<std::size_t>(n));
+            if (n < static_cast<int>(buf.size()))
+                break;
+        }
+    } catch (const Poco::Exception&) {
+        return fail(FailureKind::Reset);
+    }
+    if (!m_busy) {
+        // The peer has ended the connection, or sent bytes that belong to no request.
+        if (ended || !m_in.empty())
+            fail(FailureKind::Closed);
+        return;
+    }
+    consume();
+    if (!ended || m_closed || !m_busy)
+        return;
+    if (m_body && m_body->end() == BodyDecoder::State::Complete)
+        return finish();
+    fail(FailureKind::Closed);
+}
+
+void ClientConnection::consume()
+{
+    while (m_busy && !m_closed) {
+        if (!m_head && !consumeHead())
+            return;
+        auto state = m_body->feed(m_in);
+        if (state == BodyDecoder::State::NeedsMore)
+            return;
+        if (state != BodyDecoder::State::Complete)
+            return fail(state == BodyDecoder::State::TooLarge ? FailureKind::TooLarge : FailureKind::Malformed);
+        finish();
+    }
+}
+
+bool ClientConnection::consumeHead()
+{
+    auto size = headSize(m_in);
+    if (!size) {
+        if (m_in.size() > maxHeadBytes)
+            fail(FailureKind::Malformed);
+        return false;
+    }
+    auto parsed = parseResponseHead(std::string_view(m_in).substr(0, *size), m_expectsBody);
+    if (!parsed.head) {
+        fail(FailureKind::Malformed);
+        return false;
+    }
+    m_in.erase(0, *size);
+    constexpr int firstFinalStatus = 200;
+    if (parsed.head->response.status < firstFinalStatus)
+        return consumeHead();
+    m_head = std::move(parsed.head);
+    m_body.emplace(m_head->framing, m_head->length, m_options.maxAnswerBytes);
+    m_discarding = m_handlers.belongs && !m_handlers.belongs(*m_head);
+    return true;
+}
+
+void ClientConnection::finish()
+{
+    auto keep = shared_from_this();
+    auto head = std::move(*m_head);
+    auto endsConnection = !head.keepAlive || head.framing == Framing::UntilClose;
+    head.response.body = m_body->takeBody();
+    m_head.reset();
+    m_body.reset();
+    if (m_discarding) {
+        m_discarding = false;
+        m_tainted = true;
+        if (endsConnection)
+            fail(FailureKind::Closed);
+        return;
+    }
+    m_busy = false;
+    m_lastUsed = m_loop.now();
+    m_idleTimeoutS = head.idleTimeoutS ? head.idleTimeoutS : m_idleTimeoutS;
+    m_loop.cancel(m_limitTimer);
+    auto handlers = std::move(m_handlers);
+    m_handlers = {};
+    // Bytes behind the answer belong to no request, and an answer before the whole request was written leaves its rest unsent.
+    if (endsConnection || m_tainted || !m_in.empty() || !m_out.empty())
+        close();
+    if (handlers.answered)
+        handlers.answered(std::move(head));
+}
+
+void ClientConnection::fail(FailureKind kind)
+{
+    if (m_closed)
+        return;
+    auto keep = shared_from_this();
+    auto handlers = std::move(m_handlers);
+    auto idleEnd = m_busy ? std::function<void()>() : std::move(m_idleEnd);
+    close();
+    if (handlers.failed)
+        handlers.failed({ .kind = kind, .bytesSent = m_bytesSent });
+    if (idleEnd)
+        idleEnd();
+}
+
+}
--- /dev/null
+++ b/Source/Core/Net/HttpMessage.cpp
@@ -0,0 +1,302 @@
+#include "Net/HttpMessage.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/String.h>
+#include <Poco/URI.h>
+
+namespace Net {
+
+namespace {
+
+    constexpr std::string_view blankLine = "\r\n\r\n";
+    // Fields of one head; the library's default of 100 is for browsers.
+    constexpr int maxFields = 200;
+
+    // Headers that concern one connection only and are never passed on (RFC 9110, 7.6.1).
+    constexpr std::array<std::string_view, 9> connectionHeaders {
+        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length", "Expect"
+    };
+
+    bool isConnectionHeader(std::string_view name)
+    {
+        return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [&](auto it) { return sameName(it, name); });
+    }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        auto first = text.find_first_not_of(" \t");
+        if (first == std::string_view::npos)
+            return {};
+        return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+    }
+
+    // Calls `use` with each element of a comma-separated list.
+    template <typename Use>
+    void forEachToken(std::string_view list, Use use)
+    {
+        while (!list.empty()) {
+            auto comma = std::min(list.find(','), list.size());
+            use(trimmed(list.substr(0, comma)));
+            list.remove_prefix(std::min(comma + 1, list.size()));
+        }
+    }
+
+    struct BodyRule {
+        Framing framing = Framing::None;
+        std::size_t length = 0;
+        bool valid = true;
+    };
+
+    // RFC 9112, 6.3, but whatever is ambiguous is refused: two readers of it could differ.
+    BodyRule bodyRule(const Headers& all)
+    {
+        BodyRule rule;
+        for (const auto& header : all) {
+            if (sameName(header.name, "Transfer-Encoding")) {
+                rule.valid = rule.valid && rule.framing == Framing::None && sameName(trimmed(header.value), "chunked");
+                rule.framing = Framing::Chunked;
+            } else if (sameName(header.name, "Content-Length")) {
+                auto text = trimmed(header.value);
+                std::size_t length = 0;
+                auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), length);
+                auto isNumber = ec == std::errc() && rest == text.data() + text.size() && !text.empty();
+                auto isSame = rule.framing == Framing::None || (rule.framing == Framing::Length && rule.length == length);
+                rule.valid = rule.valid && isNumber && isSame;
+                rule.framing = Framing::Length;
+                rule.length = length;
+            }
+        }
+        return rule;
+    }
+
+    bool keepsAlive(const std::string& version, const Headers& all)
+    {
+        if (listsToken(all, "Connection", "close"))
+            return false;
+        return version == Poco::Net::HTTPMessage::HTTP_1_1 || listsToken(all, "Connection", "keep-alive");
+    }
+
+    Headers allHeaders(const Poco::Net::MessageHeader& message)
+    {
+        Headers headers;
+        for (const auto& [name, value] : message)
+            headers.push_back({ .name = name, .value = value });
+        return headers;
+    }
+
+    // Drops what concerns one connection, and what the Connection header names.
+    Headers passedOn(const Headers& all)
+    {
+        std::vector<std::string> named;
+        for (const auto& header : all) {
+            if (sameName(header.name, "Connection"))
+                forEachToken(header.value, [&](auto token) { named.emplace_back(token); });
+        }
+        Headers kept;
+        for (const auto& header : all) {
+            auto isNamed = std::any_of(named.begin(), named.end(), [&](const auto& name) { return sameName(name, header.name); });
+            if (!isNamed && !isConnectionHeader(header.name))
+                kept.push_back(header);
+        }
+        return kept;
+    }
+
+    // The library reads a line that lacks a colon, a name with a blank, or a bare CR in its own way; none is a valid head.
+    bool hasPlainLines(std::string_view head)
+    {
+        auto lineEnd = head.find("\r\n");
+        for (auto rest = head.substr(lineEnd + 2); rest.size() > 2; rest.remove_prefix(std::min(lineEnd + 2, rest.size()))) {
+            lineEnd = rest.find("\r\n");
+            auto line = rest.substr(0, lineEnd);
+            auto colon = line.find(':');
+            if (colon == 0 || colon == std::string_view::npos)
+                return false;
+            auto name = line.substr(0, colon);
+            if (std::any_of(name.begin(), name.end(), [](char c) { return c <= ' ' || c == '\x7f'; }))
+                return false;
+            if (std::any_of(line.begin(), line.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; }))
+                return false;
+        }
+        return true;
+    }
+
+    ParseFault faultOf(const Poco::Exception& ec)
+    {
+        const auto& text = ec.message();
+        auto isLarge = text.find("too long") != std::string::npos || text.find("Too many") != std::string::npos;
+        return isLarge ? ParseFault::HeadTooLarge : ParseFault::Malformed;
+    }
+
+    std::optional<int> idleTimeout(const Headers& all)
+    {
+        auto value = findHeader(all, "Keep-Alive");
+        std::optional<int> seconds;
+        if (value) {
+            forEachToken(*value, [&](std::string_view token) {
+                constexpr std::string_view key = "timeout=";
+                int n = 0;
+                if (token.starts_with(key) && std::from_chars(token.data() + key.size(), token.data() + token.size(), n).ec == std::errc())
+                    seconds = n;
+            });
+        }
+        return seconds;
+    }
+
+    bool mayHaveBody(int status)
+    {
+        constexpr int noContent = 204;
+        constexpr int notModified = 304;
+        return status >= 200 && status != noContent && status != notModified;
+    }
+
+}
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [&](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::optional<std::string_view> findHeader(const Headers& headers, std::string_view name)
+{
+    auto it = std::find_if(headers.begin(), headers.end(), [&](const auto& header) { return sameName(header.name, name); });
+    return it == headers.end() ? std::nullopt : std::optional<std::string_view>(it->value);
+}
+
+bool listsToken(const Headers& headers, std::string_view name, std::string_view token)
+{
+    auto found = false;
+    for (const auto& header : headers) {
+        if (sameName(header.name, name))
+            forEachToken(header.value, [&](auto it) { found = found || sameName(it, token); });
+    }
+    return found;
+}
+
+std::optional<std::size_t> headSize(std::string_view bytes)
+{
+    auto end = bytes.find(blankLine);
+    return end == std::string_view::npos ? std::nullopt : std::optional<std::size_t>(end + blankLine.size());
+}
+
+Parsed<RequestHead> parseRequestHead(std::string_view bytes)
+{
+    if (!hasPlainLines(bytes))
+        return {};
+    Poco::Net::HTTPRequest message;
+    message.setFieldLimit(maxFields);
+    try {
+        Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+        message.read(stream);
+    } catch (const Poco::Exception& ec) {
+        return { .head = {}, .fault = faultOf(ec) };
+    }
+    auto all = allHeaders(message);
+    auto rule = bodyRule(all);
+    const auto& target = message.getURI();
+    if (!rule.valid || target.empty() || target.front() != '/' || !message.getVersion().starts_with("HTTP/1."))
+        return {};
+    RequestHead head;
+    head.request = { .method = message.getMethod(), .target = target, .headers = passedOn(all), .body = {}, .keepAlive = keepsAlive(message.getVersion(), all) };
+    head.framing = rule.framing;
+    head.length = rule.length;
+    head.expectsContinue = listsToken(all, "Expect", "100-continue");
+    return { .head = std::move(head) };
+}
+
+Parsed<ResponseHead> parseResponseHead(std::string_view bytes, bool hasBody)
+{
+    if (!hasPlainLines(bytes))
+        return {};
+    Poco::Net::HTTPResponse message;
+    message.setFieldLimit(maxFields);
+    try {
+        Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+        message.read(stream);
+    } catch (const Poco::Exception& ec) {
+        return { .head = {}, .fault = faultOf(ec) };
+    }
+    auto all = allHeaders(message);
+    auto rule = bodyRule(all);
+    auto status = static_cast<int>(message.getStatus());
+    if (!rule.valid || status < 100 || status > 999 || !message.getVersion().starts_with("HTTP/1."))
+        return {};
+    ResponseHead head;
+    head.response = { .status = status, .reason = message.getReason(), .headers = passedOn(all), .body = {} };
+    head.keepAlive = keepsAlive(message.getVersion(), all);
+    head.idleTimeoutS = idleTimeout(all);
+    if (hasBody && mayHaveBody(status)) {
+        head.framing = rule.framing == Framing::None ? Framing::UntilClose : rule.framing;
+        head.length = rule.length;
+    }
+    return { .head = std::move(head) };
+}
+
+std::string toBytes(const Request& request)
+{
+    std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto& header : request.headers)
+        bytes += header.name + ": " + header.value + "\r\n";
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    return bytes + "\r\n" + request.body;
+}
+
+std::string toBytes(const Response& response, bool keepAlive, bool withBody)
+{
+    std::string bytes = "HTTP/1.1 " + std::to_string(response.status) + " " + (response.reason.empty() ? std::string(reasonOf(response.status)) : response.reason) + "\r\n";
+    for (const auto& header : response.headers)
+        bytes += header.name + ": " + header.value + "\r\n";
+    if (mayHaveBody(response.status))
+        bytes += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    if (!keepAlive)
+        bytes += "Connection: close\r\n";
+    bytes += "\r\n";
+    return withBody && mayHaveBody(response.status) ? bytes + response.body : bytes;
+}
+
+std::string_view reasonOf(int status)
+{
+    return Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string queryValue(std::string_view target, std::string_view name)
+{
+    auto path = pathOf(target);
+    for (auto rest = target.substr(std::min(path.size() + 1, target.size())); !rest.empty();) {
+        auto end = std::min(rest.find('&'), rest.size());
+        auto pair = rest.substr(0, end);
+        if (pair.size() > name.size() && pair.starts_with(name) && pair[name.size()] == '=') {
+            std::string decoded;
+            try {
+                Poco::URI::decode(std::string(pair.substr(name.size() + 1)), decoded, true);
+            } catch (const Poco::Exception&) {
+                return {}; // a broken escape names nothing
+            }
+            return decoded;
+        }
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return {};
+}
+
+std::string percentEncoded(std::string_view text)
+{
+    std::string encoded;
+    Poco::URI::encode(std::string(text), "!#$&'()*+,/:;=?@[]%", encoded);
+    return encoded;
+}
+
+}
--- /dev/null
+++ b/Source/Core/Net/HttpServer.cpp
@@ -0,0 +1,365 @@
+#include "Net/HttpServer.h"
+
+#include <array>
+
+#include <Poco/Net/NetException.h>
+
+#include "Net/HttpClient.h"
+
+namespace Net {
+
+namespace {
+
+    constexpr int backlog = 256;
+    constexpr std::size_t readBytes = 16 * 1024;
+    // Requests of one connection under way at once; beyond it reading pauses.
+    constexpr std::size_t maxPipelined = 64;
+    // How long a closed connection's unread bytes are discarded, so that no reset overtakes the last answer.
+    constexpr auto lingerTime = std::chrono::seconds(1);
+    // Connections taken in one turn, so that a rush of them does not hold up requests.
+    constexpr int acceptBatch = 16;
+
+    enum HttpStatus : int {
+        BadRequest = 400,
+        RequestTimeout = 408,
+        ContentTooLarge = 413,
+        HeaderTooLarge = 431,
+    };
+
+}
+
+// One client's connection. Owned by the server until it ends.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+public:
+    ServerConnection(HttpServer& server, const Poco::Net::StreamSocket& socket)
+        : m_server(server)
+        , m_loop(server.m_loop)
+        , m_socket(socket)
+    {
+    }
+
+    void start()
+    {
+        m_socket.setBlocking(false);
+        configureSocket(m_socket, m_server.m_options.silenceLimit);
+        std::weak_ptr<ServerConnection> weak = weak_from_this();
+        m_loop.watch(m_socket, true, false, [weak](Readiness ready) {
+            if (auto self = weak.lock())
+                self->onReady(ready);
+        });
+        setTimer(m_server.m_options.limits().idleTimeout);
+    }
+
+    bool isIdle() const { return m_pending.empty() && m_in.empty() && m_out.empty(); }
+    std::size_t pending() const { return m_pending.size(); }
+
+    // Sends what is ready from the front of the queue.
+    void flush()
+    {
+        auto keep = shared_from_this();
+        while (!m_closed && !m_pending.empty() && m_pending.front()->m_response) {
+            auto exchange = m_pending.front();
+            m_pending.pop_front();
+            if (m_server.m_draining && m_pending.empty())
+                m_noMoreRequests = true;
+            auto keepAlive = !(m_noMoreRequests && m_pending.empty());
+            m_out += toBytes(*exchange->m_response, keepAlive, !exchange->m_headOnly);
+        }
+        write();
+        if (m_closed)
+            return;
+        if (!m_noMoreRequests && m_paused) {
+            m_paused = false;
+            parse();
+        }
+        settle();
+    }
+
+    void close()
+    {
+        if (m_closed)
+            return;
+        auto keep = shared_from_this();
+        m_closed = true;
+        m_loop.cancel(m_timer);
+        m_loop.unwatch(m_socket);
+        try {
+            m_socket.close();
+        } catch (const Poco::Exception&) {
+            // The peer may have ended it first.
+        }
+        m_server.m_connections.erase(keep);
+        std::deque<std::shared_ptr<Exchange>> pending;
+        pending.swap(m_pending);
+        for (auto& exchange : pending) {
+            exchange->m_gone = true;
+            auto hook = std::move(exchange->m_goneHook);
+            exchange->m_goneHook = {};
+            if (hook)
+                hook();
+        }
+    }
+
+private:
+    void onReady(Readiness ready)
+    {
+        auto keep = shared_from_this();
+        if (ready.writable && !m_out.empty())
+            flush();
+        if (ready.readable && !m_closed)
+            read();
+    }
+
+    void read()
+    {
+        std::array<char, readBytes> buf;
+        try {
+            auto n = m_socket.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+            if (n < 0)
+                return;
+            if (n == 0)
+                return close();
+            if (m_lingering || m_noMoreRequests)
+                return;
+            m_in.append(buf.data(), static_cast<std::size_t>(n));
+        } catch (const Poco::Exception&) {
+            return close();
+        }
+        parse();
+        if (!m_closed)
+            settle();
+    }
+
+    void parse()
+    {
+        while (!m_closed && !m_noMoreRequests && !m_in.empty()) {
+            if (m_pending.size() >= maxPipelined) {
+                m_paused = true;
+                break;
+            }
+            if (!m_head && !parseHead())
+                break;
+            auto state = m_body->feed(m_in);
+            if (state == BodyDecoder::State::NeedsMore)
+                break;
+            if (state != BodyDecoder::State::Complete) {
+                refuse(state == BodyDecoder::State::TooLarge ? ContentTooLarge : BadRequest);
+                break;
+            }
+            begin();
+        }
+    }
+
+    bool parseHead()
+    {
+        auto limits = m_server.m_options.limits();
+        auto size = headSize(m_in);
+        if (!size || *size > limits.headBytes) {
+            if (m_in.size() > limits.headBytes)
+                refuse(HeaderTooLarge);
+            return false;
+        }
+        auto parsed = parseRequestHead(std::string_view(m_in).substr(0, *size));
+        if (!parsed.head) {
+            refuse(parsed.fault == ParseFault::HeadTooLarge ? HeaderTooLarge : BadRequest);
+            return false;
+        }
+        m_in.erase(0, *size);
+        m_head = std::move(parsed.head);
+        m_body.emplace(m_head->framing, m_head->length, limits.bodyBytes);
+        if (m_body->state() == BodyDecoder::State::TooLarge) {
+            refuse(ContentTooLarge);
+            return false;
+        }
+        if (m_head->expectsContinue && m_body->state() == BodyDecoder::State::NeedsMore && m_pending.empty())
+            m_out += "HTTP/1.1 100 Continue\r\n\r\n";
+        return true;
+    }
+
+    void begin()
+    {
+        auto request = std::move(m_head->request);
+        request.body = m_body->takeBody();
+        m_head.reset();
+        m_body.reset();
+        m_readingSince = false;
+        m_noMoreRequests = !request.keepAlive;
+        auto exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request), m_loop.now());
+        exchange->m_headOnly = exchange->m_request.method == "HEAD";
+        m_pending.push_back(exchange);
+        m_server.m_options.serve(exchange);
+    }
+
+    // Answers what is no proper request; the rest of the connection has no meaning.
+    void refuse(int status)
+    {
+        m_in.clear();
+        m_head.reset();
+        m_body.reset();
+        m_noMoreRequests = true;
+        auto exchange = std::make_shared<Exchange>(weak_from_this(), Request(), m_loop.now());
+        m_pending.push_back(exchange);
+        exchange->respond(m_server.m_options.refuse(status));
+    }
+
+    void write()
+    {
+        try {
+            while (!m_out.empty()) {
+                auto n = m_socket.sendBytes(m_out.data(), static_cast<int>(m_out.size()));
+                if (n <= 0)
+                    break;
+                m_out.erase(0, static_cast<std::size_t>(n));
+            }
+        } catch (const Poco::Exception&) {
+            return close();
+        }
+        m_loop.interest(m_socket, true, !m_out.empty());
+    }
+
+    // Sets the timer that fits what the connection waits for, or starts to end it.
+    void settle()
+    {
+        if (m_lingering || !m_pending.empty() || !m_out.empty())
+            return;
+        if (m_noMoreRequests) {
+            m_lingering = true;
+            try {
+                m_socket.shutdownSend();
+            } catch (const Poco::Exception&) {
+                return close();
+            }
+            return setTimer(lingerTime);
+        }
+        auto limits = m_server.m_options.limits();
+        auto isReading = !m_in.empty() || m_head;
+        if (isReading && m_readingSince && m_timer != 0)
+            return; // the time runs from the first byte
+        m_readingSince = isReading;
+        setTimer(isReading ? limits.readTimeout : limits.idleTimeout);
+    }
+
+    void setTimer(Common::Duration delay)
+    {
+        m_loop.cancel(m_timer);
+        std::weak_ptr<ServerConnection> weak = weak_from_this();
+        m_timer = m_loop.after(delay, [weak] {
+            if (auto self = weak.lock())
+                self->onTimer();
+        });
+    }
+
+    void onTimer()
+    {
+        m_timer = 0;
+        auto keep = shared_from_this();
+        if (!m_pending.empty())
+            return;
+        if (!m_lingering && (!m_in.empty() || m_head)) {
+            refuse(RequestTimeout);
+            return;
+        }
+        close();
+    }
+
+    HttpServer& m_server;
+    EventLoop& m_loop;
+    Poco::Net::StreamSocket m_socket;
+    std::string m_in;
+    std::string m_out;
+    std::optional<RequestHead> m_head;
+    std::optional<BodyDecoder> m_body;
+    std::deque<std::shared_ptr<Exchange>> m_pending;
+    EventLoop::TimerId m_timer = 0;
+    bool m_readingSince = false;
+    bool m_noMoreRequests = false;
+    bool m_paused = false;
+    bool m_lingering = false;
+    bool m_closed = false;
+};
+
+Exchange::Exchange(std::weak_ptr<ServerConnection> connection, Request request, Common::TimePoint received)
+    : m_connection(std::move(connection))
+    , m_request(std::move(request))
+    , m_received(received)
+{
+}
+
+void Exchange::respond(Response response)
+{
+    if (m_response || m_gone)
+        return;
+    m_response = std::move(response);
+    m_goneHook = {};
+    if (auto connection = m_connection.lock())
+        connection->flush();
+}
+
+HttpServer::HttpServer(EventLoop& loop, ServerOptions options)
+    : m_loop(loop)
+    , m_options(std::move(options))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+    auto connections = m_connections;
+    for (const auto& connection : connections)
+        connection->close();
+}
+
+Common::Result<void> HttpServer::open()
+{
+    try {
+        m_listener.bind(Poco::Net::SocketAddress(m_options.address), true);
+        m_listener.listen(backlog);
+        m_listener.setBlocking(false);
+    } catch (const Poco::Exception& ec) {
+        return Common::Error { .code = Common::ResultCode::Internal, .text = m_options.address + ": " + ec.displayText() };
+    }
+    m_accepting = true;
+    m_loop.watch(m_listener, true, false, [this](Readiness) { accept(); });
+    return boost::outcome_v2::success();
+}
+
+void HttpServer::accept()
+{
+    try {
+        for (int i = 0; i < acceptBatch && m_listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ); ++i) {
+            auto connection = std::make_shared<ServerConnection>(*this, m_listener.acceptConnection());
+            m_connections.insert(connection);
+            connection->start();
+        }
+    } catch (const Poco::Exception&) {
+        // The client left before it was taken, or descriptors ran out: both pass.
+    }
+}
+
+void HttpServer::stopAccepting()
+{
+    if (!m_accepting)
+        return;
+    m_accepting = false;
+    m_loop.unwatch(m_listener);
+    m_listener.close();
+}
+
+void HttpServer::closeIdle()
+{
+    auto connections = m_connections;
+    for (const auto& connection : connections) {
+        if (connection->isIdle())
+            connection->close();
+    }
+}
+
+std::size_t HttpServer::inFlight() const
+{
+    std::size_t n = 0;
+    for (const auto& connection : m_connections)
+        n += connection->pending();
+    return n;
+}
+
+}
--- a/Source/Core/Operator/CheckCommand.cpp
+++ b/Source/Core/Operator/CheckCommand.cpp
@@ -5,6 +5,7 @@
 #include "Operator/ExitCode.h"
 #include "Records/ServiceRecord.h"
 #include "Settings/EntrySettings.h"
+#include "Settings/GatewaySettings.h"
 
 namespace Operator {
 
@@ -17,6 +18,8 @@
             return;
         if (table->contains("entry"))
             Settings::parseEntrySettings(text, path, errors);
+        else if (table->contains("gateway"))
+            Settings::parseGatewaySettings(text, path, errors);
         else
             Records::parseServiceRecord(text, path, errors);
     }
--- a/Source/Core/Settings/EntrySettings.cpp
+++ b/Source/Core/Settings/EntrySettings.cpp
@@ -1,23 +1,15 @@
 #include "Settings/EntrySettings.h"
 
-#include <array>
-
 #include "Common/Address.h"
+#include "Settings/Names.h"
 
 namespace Settings {
 
 namespace {
 
-    using Common::EnumName;
     using Common::LogFormat;
     using Common::TomlReader;
 
-    constexpr std::array logFormatNames {
-        EnumName<LogFormat> { LogFormat::Text, "text" },
-        EnumName<LogFormat> { LogFormat::Json, "json" },
-        EnumName<LogFormat> { LogFormat::Off, "off" },
-    };
-
     constexpr int maxTimeoutMs = 3'600'000;
     constexpr int minSharedKeyLength = 16;
 
--- /dev/null
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -0,0 +1,89 @@
+#include "Settings/GatewaySettings.h"
+
+#include "Common/Address.h"
+#include "Settings/Names.h"
+
+namespace Settings {
+
+namespace {
+
+    using Common::TomlReader;
+
+    constexpr int maxTimeMs = 3'600'000;
+    constexpr int maxCount = 1'000'000;
+
+    std::string readAddress(TomlReader& reader, std::string_view key, const std::optional<std::string>& fallback = {})
+    {
+        auto text = reader.string(key, fallback);
+        if (reader.has(key) && !Common::isAddress(text))
+            reader.fail(key, "expected an address as ip:port");
+        return text;
+    }
+
+    void readGateway(TomlReader& reader, GatewaySettings& settings)
+    {
+        settings.node = reader.string("node");
+        settings.failureDomain = reader.string("failure_domain");
+        settings.callers = readAddress(reader, "callers");
+        settings.ready = readAddress(reader, "ready");
+        settings.directory = readAddress(reader, "directory");
+        settings.control = readAddress(reader, "control");
+        settings.metrics = readAddress(reader, "metrics", std::string());
+        settings.capacity = reader.number("capacity", 0.001, 1024, settings.capacity);
+        settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
+        settings.graceMs = static_cast<int>(reader.integer("grace_ms", 100, maxTimeMs, settings.graceMs));
+        settings.seeds = reader.strings("seeds", std::vector<std::string>());
+        for (const auto& seed : settings.seeds) {
+            if (!Common::isAddress(seed))
+                reader.fail("seeds", "expected addresses as ip:port, found '" + seed + "'");
+        }
+        reader.finish();
+    }
+
+    void readBounds(TomlReader& reader, GatewaySettings& settings)
+    {
+        settings.retryRatio = reader.number("retry_ratio", 0, 10, settings.retryRatio);
+        settings.retrySlack = static_cast<int>(reader.integer("retry_slack", 0, maxCount, settings.retrySlack));
+        settings.retryWindowMs = static_cast<int>(reader.integer("retry_window_ms", 100, maxTimeMs, settings.retryWindowMs));
+        settings.probesPerServer = reader.number("probes_per_server", 0, maxCount, settings.probesPerServer);
+        reader.finish();
+    }
+
+}
+
+std::optional<GatewaySettings> parseGatewaySettings(const std::string& text, const std::string& file, std::vector<Common::FileError>& errors)
+{
+    auto table = Common::parseToml(text, file, errors);
+    if (!table)
+        return std::nullopt;
+    auto errorsBefore = errors.size();
+    GatewaySettings settings;
+    const toml::table none;
+    TomlReader root(*table, file, "", errors);
+
+    const auto* gateway = root.table("gateway");
+    TomlReader gatewayReader(gateway ? *gateway : none, file, "gateway", errors);
+    readGateway(gatewayReader, settings);
+
+    const auto* store = root.table("store");
+    TomlReader storeReader(store ? *store : none, file, "store", errors);
+    settings.store = readAddress(storeReader, "address");
+    storeReader.finish();
+
+    const auto* bounds = root.table("bounds");
+    TomlReader boundsReader(bounds ? *bounds : none, file, "bounds", errors);
+    readBounds(boundsReader, settings);
+
+    const auto* log = root.table("log");
+    TomlReader logReader(log ? *log : none, file, "log", errors);
+    settings.logFormat = logReader.name("format", logFormatNames, std::optional(settings.logFormat));
+    settings.logLinesPerSecond = static_cast<int>(logReader.integer("lines_per_second", 0, maxCount, settings.logLinesPerSecond));
+    logReader.finish();
+
+    root.finish();
+    if (errors.size() != errorsBefore)
+        return std::nullopt;
+    return settings;
+}
+
+}
