--- a/Source/Core/Decisions/Placement.cpp
+++ b/Source/Core/Decisions/Placement.cpp
@@ -48,6 +48,13 @@
         && signal.slowness <= usualFactor && signal.failureShare <= fewFailures;
 }
 
+bool hasRoom(const ServerSignal& signal, int priority, const PlacementOptions& options)
+{
+    auto used = signal.running + signal.waiting + signal.unreported + 1;
+    auto limit = priority == 0 ? signal.slots : std::max(1, static_cast<int>(options.kneeShare * signal.slots));
+    return used <= limit;
+}
+
 std::size_t bestServer(std::span<const ServerSignal> signals, double workMs, const PlacementOptions& options)
 {
     std::size_t best = 0;
--- a/Source/Core/Decisions/Placement.h
+++ b/Source/Core/Decisions/Placement.h
@@ -40,6 +40,11 @@
 // Whether a server would start the request at once, at its usual speed: no better one needs to be looked for.
 bool isComfortable(const ServerSignal&, const PlacementOptions&);
 
+// Whether a server may be given one more request of this priority (0 is the most urgent). Made for loads near the pool's
+// capacity: from the knee on a server does less work in all with each request more, so that a pool that fills all slots
+// serves fewer in time than one that turns some away. Only the most urgent requests go beyond it.
+bool hasRoom(const ServerSignal&, int priority, const PlacementOptions&);
+
 // Index of the best signal; 0 for an empty span.
 std::size_t bestServer(std::span<const ServerSignal>, double workMs, const PlacementOptions&);
 
--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -24,6 +24,9 @@
     // A second send starts when the first takes this many times the expected time, and never before the floor.
     constexpr double lateFactor = 2.5;
     constexpr double lateFloorMs = 60;
+    // Servers are looked for this often, with such a pause, before a request is refused as busy.
+    constexpr int maxHolds = 1;
+    constexpr double holdShareOfGoal = 0.05;
     // Answers slower than this share of the goal are logged one by one.
     constexpr double slowShareOfGoal = 1.0;
 
@@ -160,24 +163,35 @@
     const auto& options = m_engine.options().placement;
     std::vector<Decisions::ServerSignal> signals;
     std::vector<std::shared_ptr<Backend>> backends;
+    auto full = 0;
     for (const auto& question : m_questions) {
         if (!question.answered || !question.backend->isUsable() || m_tried.contains(question.backend->record().id))
             continue;
-        signals.push_back(question.backend->signal(now));
+        auto signal = question.backend->signal(now);
+        if (!Decisions::hasRoom(signal, m_route.priority, options)) {
+            ++full;
+            continue;
+        }
+        signals.push_back(signal);
         backends.push_back(question.backend);
     }
+    m_lastInputs = fmt::format("of={} full={}", backends.size() + static_cast<std::size_t>(full), full);
+    if (backends.empty() && full > 0 && m_holds < maxHolds)
+        return hold();
     if (backends.empty()) {
         if (m_open > 0)
             return; // a first send is still under way
         if (m_mayHaveRun)
             return fail(BadGateway, "no other server answers");
+        if (full > 0)
+            return refuse(RefusalReason::Busy, 0);
         return refuse(m_engine.backends().usable(m_service) == 0 ? RefusalReason::NoServer : RefusalReason::NoReport, 0);
     }
     auto workMs = m_engine.usualWorkMs(m_route);
     auto best = Decisions::bestServer(signals, workMs, options);
     const auto& signal = signals[best];
     auto expectedMs = Decisions::expectedWaitMs(signal, workMs, options);
-    m_lastInputs = fmt::format("running={} waiting={} slots={} work_factor={:.2f} slowness={:.2f} failures={:.2f} own_domain={} of={}", signal.running, signal.waiting, signal.slots, signal.workFactor, signal.slowness, signal.failureShare, signal.sameDomain, backends.size());
+    m_lastInputs = fmt::format("running={} waiting={} slots={} work_factor={:.2f} slowness={:.2f} failures={:.2f} own_domain={} of={} full={}", signal.running, signal.waiting, signal.slots, signal.workFactor, signal.slowness, signal.failureShare, signal.sameDomain, backends.size(), full);
     if (expectedMs > timeLeftMs()) {
         if (m_open > 0)
             return;
@@ -188,6 +202,20 @@
     send(backends[best], expectedMs);
 }
 
+// All servers asked are full: others are asked a moment later, well within the time that a refusal may take.
+void RequestRun::hold()
+{
+    ++m_holds;
+    std::weak_ptr<RequestRun> weak = weak_from_this();
+    auto delay = Common::fromMilliseconds(holdShareOfGoal * Common::toMilliseconds(m_route.goal) * (0.5 + Common::randomUnit(m_engine.loop().hooks())));
+    m_holdTimer = m_engine.loop().after(delay, [weak] {
+        if (auto self = weak.lock()) {
+            self->m_holdTimer = 0;
+            self->ask(Scope::OwnDomain);
+        }
+    });
+}
+
 std::string RequestRun::requestBytes(const Backend& backend) const
 {
     const auto& names = m_engine.options().headers;
@@ -428,6 +456,7 @@
 {
     m_ended = true;
     m_engine.loop().cancel(m_patience);
+    m_engine.loop().cancel(m_holdTimer);
     m_engine.loop().cancel(m_deadlineTimer);
     m_engine.loop().cancel(m_secondSendTimer);
     for (auto& flight : m_flights) {
