One budget of questions, spread over choices; servers to ask ranked by what is known

Ruled out: capacity, since demand was 58% of the slots below the knee. Change: Decisions/QuestionBudget gives many questions a choice while there are few, fewer as load grows, and saves unused ones for bursts; candidates are ranked by aged reports; without questions the best known server is taken.

--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -90,9 +90,6 @@
         if (backend->isUsable() && isOwn == ownDomain && !exclude.contains(backend->record().id))
             found.push_back(backend);
     }
-    for (std::size_t i = found.size(); i > 1; --i)
-        std::swap(found[i - 1], found[Common::randomBelow(m_loop.hooks(), i)]);
-    std::stable_partition(found.begin(), found.end(), [now = m_loop.now()](const auto& backend) { return !backend->isSuspect(now); });
     return found;
 }
 
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -32,7 +32,7 @@
     // How many entries share the servers' connections.
     void setEntries(int entries);
 
-    // Servers that may take work; `exclude` by id. Own failure domain or all others, in random order, suspects last.
+    // Servers that may take work; `exclude` by id. Own failure domain or all others.
     std::vector<std::shared_ptr<Backend>> candidates(const std::string& service, bool ownDomain, const std::set<std::string>& exclude);
     std::size_t usable(const std::string& service) const;
     std::size_t size() const { return m_backends.size(); }
--- a/Source/Core/Gateway/Engine.cpp
+++ b/Source/Core/Gateway/Engine.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-    // Used of the bound on probes, which counts over the day: entries count each other with delay.
-    constexpr double probeMargin = 0.8;
-    // Seconds of unused probes that a burst may spend.
-    constexpr double probeBurstS = 2;
     // Share of a route's goal that unloaded work is taken for until answers tell.
     constexpr double assumedShareOfGoal = 0.4;
     // Weight of the newest answer in the learned work.
@@ -58,6 +54,7 @@
     for (auto& [service, allowance] : m_allowances)
         allowance.setEntries(m_entries);
     m_backends.setEntries(m_entries);
+    m_questions.setRate(m_options.probesPerServer * static_cast<double>(m_backends.size()) / m_entries, m_loop.now());
 }
 
 Decisions::RetryAllowance& Engine::allowance(const std::string& service)
@@ -65,19 +62,6 @@
     return m_allowances.try_emplace(service, m_options.retries).first->second;
 }
 
-std::size_t Engine::takeQuestions(std::size_t wanted, const std::string& service)
-{
-    auto rate = probeMargin * m_options.probesPerServer * static_cast<double>(m_backends.usable(service)) / m_entries;
-    auto& budget = m_probeTokens[service];
-    auto elapsed = std::chrono::duration<double>(m_loop.now() - budget.filledAt).count();
-    budget.tokens = std::min(rate * probeBurstS, budget.tokens + rate * std::min(elapsed, probeBurstS));
-    budget.filledAt = m_loop.now();
-    auto n = std::min(wanted, static_cast<std::size_t>(std::max(0.0, budget.tokens)));
-    budget.tokens -= static_cast<double>(n);
-    m_counters.probes += n;
-    return n;
-}
-
 double Engine::usualWorkMs(const Route& route) const
 {
     auto it = m_workMs.find(route.name);
--- a/Source/Core/Gateway/Engine.h
+++ b/Source/Core/Gateway/Engine.h
@@ -9,6 +9,7 @@
 #include "Common/EventLog.h"
 #include "Common/LatencySummary.h"
 #include "Decisions/Placement.h"
+#include "Decisions/QuestionBudget.h"
 #include "Decisions/Refusal.h"
 #include "Decisions/RetryAllowance.h"
 #include "Decisions/WeightedSplit.h"
@@ -24,8 +25,6 @@
     Decisions::PlacementOptions placement;
     Decisions::RetryAllowanceOptions retries;
     double probesPerServer = 60; // a second, over all entries (the operators' bound)
-    std::size_t firstQuestions = 4; // servers of the own failure domain asked for a request
-    std::size_t moreQuestions = 4; // servers of other domains asked where none of those is comfortable
 };
 
 struct EngineCounters {
@@ -49,7 +48,7 @@
     // In force for every request that begins from now on; an older version than the one in force is ignored.
     bool apply(std::shared_ptr<const Configuration>);
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
-    // How many entries share the retry and probe budgets.
+    // How many entries share the retry and probe budgets; about once a second.
     void setEntries(int entries);
 
     void serve(const std::shared_ptr<Net::Exchange>&);
@@ -65,8 +64,7 @@
     Common::LatencySummary& serverTimes() { return m_serverTimes; }
     Common::LatencySummary& placeTimes() { return m_placeTimes; }
     Decisions::RetryAllowance& allowance(const std::string& service);
-    // Takes up to `wanted` questions from the probe budget; returns how many may be asked.
-    std::size_t takeQuestions(std::size_t wanted, const std::string& service);
+    Decisions::QuestionBudget& questions() { return m_questions; }
     // Unloaded work of a route's requests as learned, in milliseconds.
     double usualWorkMs(const Route&) const;
     void learnWork(const Route&, double tookMs, double factor);
@@ -74,11 +72,6 @@
     std::size_t running() const { return m_runs.size(); }
 
 private:
-    struct ProbeTokens {
-        double tokens = 0;
-        Common::TimePoint filledAt;
-    };
-
     std::string chooseService(const Route&);
     void answerUnknown(const std::shared_ptr<Net::Exchange>&);
 
@@ -90,7 +83,7 @@
     std::shared_ptr<const Configuration> m_configuration;
     std::map<std::string, Decisions::WeightedSplit> m_splits; // by route
     std::map<std::string, Decisions::RetryAllowance> m_allowances; // by service
-    std::map<std::string, ProbeTokens> m_probeTokens; // by service
+    Decisions::QuestionBudget m_questions;
     std::map<std::string, double> m_workMs; // by route
     std::unordered_set<std::shared_ptr<RequestRun>> m_runs;
     EngineCounters m_counters;
--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -27,6 +27,11 @@
     // Servers are looked for this often, with such a pause, before a request is refused as busy.
     constexpr int maxHolds = 1;
     constexpr double holdShareOfGoal = 0.05;
+    // Of the questions of a choice, asked in the own failure domain first.
+    constexpr double ownDomainShare = 0.5;
+    // Random spread of known waits when servers to ask are picked, so that entries do not all ask the same ones.
+    constexpr double rankSpread = 0.8;
+    constexpr double suspectPenalty = 20;
     // Answers slower than this share of the goal are logged one by one.
     constexpr double slowShareOfGoal = 1.0;
 
@@ -77,6 +82,26 @@
     ask(Scope::OwnDomain);
 }
 
+// Servers not tried yet, those first that look best by what is known; unknown ones look good, so that they are asked too.
+std::vector<std::shared_ptr<Backend>> RequestRun::rankedCandidates(Scope scope)
+{
+    auto& engine = m_engine;
+    auto now = engine.loop().now();
+    auto workMs = engine.usualWorkMs(m_route);
+    auto candidates = engine.backends().candidates(m_service, scope == Scope::OwnDomain, m_tried);
+    std::vector<std::pair<double, std::shared_ptr<Backend>>> ranked;
+    for (auto& backend : candidates) {
+        auto spread = 1 + rankSpread * Common::randomUnit(engine.loop().hooks());
+        auto suspectFactor = backend->isSuspect(now) ? suspectPenalty : 1;
+        ranked.emplace_back(spread * suspectFactor * Decisions::expectedMs(backend->signal(now), workMs, engine.options().placement), std::move(backend));
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    candidates.clear();
+    for (auto& [ms, backend] : ranked)
+        candidates.push_back(std::move(backend));
+    return candidates;
+}
+
 // Asks a few servers for their load. The own failure domain goes first: its answers come sooner and its bytes are cheaper.
 void RequestRun::ask(Scope scope)
 {
@@ -84,17 +109,27 @@
     auto keep = shared_from_this();
     m_scope = scope;
     ++m_round;
-    auto candidates = engine.backends().candidates(m_service, scope == Scope::OwnDomain, m_tried);
-    auto wanted = std::min(candidates.size(), scope == Scope::OwnDomain ? engine.options().firstQuestions : engine.options().moreQuestions);
-    auto n = engine.takeQuestions(wanted, m_service);
-    if (scope == Scope::OwnDomain)
+    if (scope == Scope::OwnDomain) {
         m_questions.clear();
+        m_questionsLeft = engine.questions().beginChoice(engine.loop().now());
+    }
+    auto candidates = rankedCandidates(scope);
+    // The own domain gets the larger half; a fraction of a question is asked as often.
+    auto share = scope == Scope::OwnDomain ? ownDomainShare * m_questionsLeft : m_questionsLeft;
+    auto wanted = static_cast<std::size_t>(share + Common::randomUnit(engine.loop().hooks()));
+    auto n = engine.questions().take(std::min(candidates.size(), wanted), engine.loop().now());
+    engine.counters().probes += n;
+    m_questionsLeft -= static_cast<double>(n);
     if (n == 0 && scope == Scope::OwnDomain)
         return ask(Scope::All);
     if (n == 0) {
-        // Nobody new to ask: what is known has to do, be it old.
-        for (std::size_t i = 0; m_questions.empty() && i < wanted; ++i)
-            m_questions.push_back({ .backend = candidates[i], .answered = true });
+        // Nobody may be asked: what is known has to do, be it old.
+        if (m_questions.empty()) {
+            for (const auto& ownScope : { Scope::OwnDomain, Scope::All }) {
+                for (const auto& backend : rankedCandidates(ownScope))
+                    m_questions.push_back({ .backend = backend, .answered = true });
+            }
+        }
         return place();
     }
     std::weak_ptr<RequestRun> weak = weak_from_this();
--- a/Source/Core/Gateway/RequestRun.h
+++ b/Source/Core/Gateway/RequestRun.h
@@ -40,6 +40,7 @@
         All,
     };
 
+    std::vector<std::shared_ptr<Backend>> rankedCandidates(Scope);
     void ask(Scope);
     void onReport(std::size_t index, std::size_t round, const ProbeAnswer&);
     void onPatienceOver();
@@ -80,6 +81,7 @@
     Net::EventLoop::TimerId m_holdTimer = 0;
     Net::EventLoop::TimerId m_deadlineTimer = 0;
     Net::EventLoop::TimerId m_secondSendTimer = 0;
+    double m_questionsLeft = 0; // of this choice
     int m_sends = 0;
     int m_holds = 0;
     int m_asked = 0; // questions for load
