News of members by change; a starting entry reads the store once; kept connections are asked first

Cause: on the grown deployment (218 entries) the relay sent whole lists of members at each change and was choked, followers lost patience before its usual wait was over and read the store themselves, and a restart of all waited for the relay (no request served for 3 s). Change: members' changes by revision and failure domain; batches grow with the entries; patience of followers fits the relay's wait; one direct look at a start; ranking of servers prefers open connections.

--- a/Source/Core/Decisions/NewsDuty.h
+++ b/Source/Core/Decisions/NewsDuty.h
@@ -11,8 +11,10 @@
     Common::Duration standbyTakeover = std::chrono::milliseconds(500); // without the leading relay, until the standby leads
     Common::Duration followerTakeover = std::chrono::milliseconds(1200); // without any relay, until another entry leads
     Common::Duration takeoverSpread = std::chrono::milliseconds(1200); // so that not all try at once
-    Common::Duration startPatience = std::chrono::milliseconds(900); // for seeds to tell who relays
-    Common::Duration seedPause = std::chrono::milliseconds(250); // between the seeds' own tries
+    Common::Duration startPatience = std::chrono::milliseconds(80); // for others to give a starting entry what it lacks
+    Common::Duration startTime = std::chrono::seconds(4); // after a start, in which one look at the store has to do
+    Common::Duration rosterPatience = std::chrono::milliseconds(1000); // for seeds to tell who relays
+    Common::Duration seedPause = std::chrono::milliseconds(150); // between the seeds' own looks at who relays
 };
 
 enum class NewsRole {
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -65,6 +65,7 @@
     double failureShare(Common::TimePoint now) const;
     // Did not answer the last questions: asked again only when little else is left, or after a pause.
     bool isSuspect(Common::TimePoint now) const { return now < m_suspectUntil; }
+    bool hasFreeConnection() const { return !m_free.empty(); }
     int inFlight() const { return m_inFlight; }
     std::size_t connections() const { return m_free.size() + m_busy.size(); }
     std::uint64_t connectionsOpened() const { return m_opened; }
--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -119,6 +119,7 @@
         if (entry.record)
             m_backends.remove(row.key, row.version);
         entry = { .row = row, .record = {} };
+        m_newestChange = std::max(m_newestChange, row.version);
         return;
     }
     auto isHeartbeat = entry.record && sameButForWarmup(*entry.record, decoded.value());
@@ -126,6 +127,7 @@
     if (isHeartbeat)
         return;
     entry.row = row;
+    m_newestChange = std::max(m_newestChange, row.version);
     m_backends.put(decoded.value(), row.version);
 }
 
@@ -146,6 +148,7 @@
     m_servers.erase(it);
     m_backends.remove(key, version);
     m_removed[key] = version;
+    m_newestChange = std::max(m_newestChange, version);
     while (m_removed.size() > maxRemembered) {
         auto oldest = std::min_element(m_removed.begin(), m_removed.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
         m_removedFloor = std::max(m_removedFloor, oldest->second);
@@ -188,6 +191,11 @@
         tell();
 }
 
+bool Catalog::hasChangedSince(const CatalogPosition& from) const
+{
+    return from.registry == 0 || from.registry < m_newestChange || (m_configuration && m_configuration->version > from.operators);
+}
+
 CatalogUpdate Catalog::changesSince(const CatalogPosition& from) const
 {
     CatalogUpdate update;
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -65,6 +65,8 @@
     // For another entry that is at `position`; nothing is left out when `position` is too old.
     CatalogUpdate changesSince(const CatalogPosition& position) const;
 
+    bool hasChangedSince(const CatalogPosition&) const;
+
     CatalogPosition position() const;
     // How long ago the store was last seen, directly or through others.
     Common::Duration age() const { return m_loop.now() - m_asOf; }
@@ -102,6 +104,7 @@
     Common::TimePoint m_holdUntil;
     Net::EventLoop::TimerId m_holdTimer = 0;
     Common::TimePoint m_asOf;
+    std::uint64_t m_newestChange = 0; // version of the newest change of the registry that is no heartbeat
     bool m_seenRegistry = false;
     std::function<void()> m_news;
 };
--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -1,7 +1,6 @@
 #include "Gateway/Members.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Gateway {
 
@@ -11,6 +10,10 @@
     constexpr auto silenceLimit = std::chrono::milliseconds(2500);
     // With fewer entries of the caller's own domain, all domains are named: one of them may be gone already.
     constexpr std::size_t fewAddresses = 3;
+    // Up to so many members everybody gets the whole list.
+    constexpr std::size_t smallList = 48;
+    // Members remembered after they have gone.
+    constexpr std::size_t maxGone = 512;
 
 }
 
@@ -24,7 +27,7 @@
     if (m_self.serving == serving)
         return;
     m_self.serving = serving;
-    ++m_revision;
+    m_selfChangedAt = ++m_revision;
 }
 
 bool Members::heard(const Member& member, Common::TimePoint now)
@@ -36,7 +39,9 @@
     if (other.member == member)
         return false;
     other.member = member;
-    ++m_revision;
+    other.changedAt = ++m_revision;
+    m_gone.erase(member.control);
+    m_total = m_others.size() + 1;
     return true;
 }
 
@@ -47,23 +52,78 @@
         it->second.keepUntil = std::min(it->second.keepUntil, until);
 }
 
+void Members::drop(std::map<std::string, Other>::iterator it)
+{
+    m_gone[it->first] = { .failureDomain = it->second.member.failureDomain, .changedAt = ++m_revision };
+    m_others.erase(it);
+    while (m_gone.size() > maxGone) {
+        auto oldest = std::min_element(m_gone.begin(), m_gone.end(), [](const auto& a, const auto& b) { return a.second.changedAt < b.second.changedAt; });
+        m_goneFloor = std::max(m_goneFloor, oldest->second.changedAt);
+        m_gone.erase(oldest);
+    }
+}
+
 bool Members::expire(Common::TimePoint now)
 {
-    auto n = std::erase_if(m_others, [now](const auto& row) { return row.second.keepUntil < now; });
-    if (n > 0)
-        ++m_revision;
-    return n > 0;
+    auto before = m_others.size();
+    for (auto it = m_others.begin(); it != m_others.end();) {
+        auto place = it++;
+        if (place->second.keepUntil < now)
+            drop(place);
+    }
+    m_total = m_others.size() + 1;
+    return m_others.size() != before;
+}
+
+void Members::apply(const MemberUpdate& update, Common::TimePoint now)
+{
+    if (update.whole) {
+        for (auto it = m_others.begin(); it != m_others.end();) {
+            auto place = it++;
+            auto isNamed = std::any_of(update.members.begin(), update.members.end(), [&](const auto& member) { return member.control == place->first; });
+            if (!isNamed)
+                drop(place);
+        }
+    }
+    for (const auto& member : update.members)
+        heard(member, now);
+    for (const auto& control : update.gone) {
+        if (auto it = m_others.find(control); it != m_others.end())
+            drop(it);
+    }
+    for (auto& [control, other] : m_others)
+        other.keepUntil = now + silenceLimit;
+    m_total = static_cast<std::size_t>(std::max(1, update.total));
+}
+
+bool Members::isFor(const std::string& failureDomain, const std::string& ofMember) const
+{
+    return m_others.size() < smallList || failureDomain == ofMember;
 }
 
-void Members::replace(const std::vector<Member>& list, std::uint64_t revision, Common::TimePoint now)
+bool Members::hasChanged(std::uint64_t revision, const std::string& failureDomain) const
 {
-    std::map<std::string, Other> others;
-    for (const auto& member : list) {
-        if (member.control != m_self.control)
-            others[member.control] = { .member = member, .keepUntil = now + silenceLimit };
+    if (revision >= m_revision)
+        return false;
+    auto update = changesSince(revision, failureDomain);
+    return update.whole || !update.members.empty() || !update.gone.empty();
+}
+
+MemberUpdate Members::changesSince(std::uint64_t revision, const std::string& failureDomain) const
+{
+    MemberUpdate update { .whole = revision == 0 || revision < m_goneFloor, .revision = m_revision, .total = static_cast<int>(m_others.size() + 1), .members = {}, .gone = {} };
+    auto isNew = [&](std::uint64_t changedAt) { return update.whole || changedAt > revision; };
+    if (isNew(m_selfChangedAt) && isFor(failureDomain, m_self.failureDomain))
+        update.members.push_back(m_self);
+    for (const auto& [control, other] : m_others) {
+        if (isNew(other.changedAt) && isFor(failureDomain, other.member.failureDomain))
+            update.members.push_back(other.member);
+    }
+    for (const auto& [control, gone] : m_gone) {
+        if (!update.whole && gone.changedAt > revision && isFor(failureDomain, gone.failureDomain))
+            update.gone.push_back(control);
     }
-    m_others = std::move(others);
-    m_revision = std::max(m_revision + 1, revision);
+    return update;
 }
 
 std::vector<Member> Members::all() const
--- a/Source/Core/Gateway/News.cpp
+++ b/Source/Core/Gateway/News.cpp
@@ -24,28 +24,30 @@
         return json;
     }
 
+    // An array instead of an object: a list of members is sent often.
     Json::Value toJson(const Member& member)
     {
-        Json::Value json;
-        json["control"] = member.control;
-        json["callers"] = member.callers;
-        json["domain"] = member.failureDomain;
-        json["started_ms"] = Json::Int64(member.startedMs);
-        json["capacity"] = member.capacity;
-        json["serving"] = member.serving;
+        Json::Value json(Json::arrayValue);
+        json.append(member.control);
+        json.append(member.callers);
+        json.append(member.failureDomain);
+        json.append(Json::Int64(member.startedMs));
+        json.append(member.capacity);
+        json.append(member.serving ? 1 : 0);
         return json;
     }
 
     Member toMember(const Json::Value& json)
     {
-        return {
-            .control = json["control"].asString(),
-            .callers = json["callers"].asString(),
-            .failureDomain = json["domain"].asString(),
-            .startedMs = json["started_ms"].asInt64(),
-            .capacity = json["capacity"].asDouble(),
-            .serving = json["serving"].asBool(),
-        };
+        Json::ArrayIndex i = 0;
+        Member member;
+        member.control = json[i++].asString();
+        member.callers = json[i++].asString();
+        member.failureDomain = json[i++].asString();
+        member.startedMs = json[i++].asInt64();
+        member.capacity = json[i++].asDouble();
+        member.serving = json[i++].asInt() != 0;
+        return member;
     }
 
     Json::Value toJson(const std::vector<std::string>& list)
@@ -125,12 +127,13 @@
         json["rows"] = Json::Value(Json::arrayValue);
         for (const auto& row : answer.update.rows)
             json["rows"].append(toJson(row));
-        json["members_revision"] = Json::UInt64(answer.membersRevision);
-    }
-    if (answer.members) {
+        json["members_whole"] = answer.members.whole;
+        json["members_revision"] = Json::UInt64(answer.members.revision);
+        json["members_total"] = answer.members.total;
         json["members"] = Json::Value(Json::arrayValue);
-        for (const auto& member : *answer.members)
+        for (const auto& member : answer.members.members)
             json["members"].append(toJson(member));
+        json["gone"] = toJson(answer.members.gone);
     }
     return Common::jsonText(json);
 }
@@ -159,12 +162,9 @@
         answer.update.age = Common::fromMilliseconds(json["age_ms"].asDouble());
         for (const auto& row : json["rows"])
             answer.update.rows.push_back(toRow(row));
-        answer.membersRevision = json["members_revision"].asUInt64();
-        if (json.isMember("members")) {
-            answer.members.emplace();
-            for (const auto& member : json["members"])
-                answer.members->push_back(toMember(member));
-        }
+        answer.members = { .whole = json["members_whole"].asBool(), .revision = json["members_revision"].asUInt64(), .total = json["members_total"].asInt(), .members = {}, .gone = toStrings(json["gone"]) };
+        for (const auto& member : json["members"])
+            answer.members.members.push_back(toMember(member));
         return answer;
     });
 }
--- a/Source/Core/Gateway/News.h
+++ b/Source/Core/Gateway/News.h
@@ -22,7 +22,7 @@
     Member member;
     CatalogPosition position;
     std::string listedBy; // the relay whose list of members this entry holds
-    std::uint64_t membersRevision = 0;
+    std::uint64_t membersRevision = 0; // of that list; 0: none
     Common::Duration wait {};
 };
 
@@ -30,8 +30,7 @@
     bool relays = false; // whether the one asked is a relay
     Roster roster;
     CatalogUpdate update;
-    std::optional<std::vector<Member>> members; // where changed
-    std::uint64_t membersRevision = 0;
+    MemberUpdate members;
 };
 
 // JSON forms. Errors: PeerRefused.
--- a/Source/Core/Gateway/NewsController.cpp
+++ b/Source/Core/Gateway/NewsController.cpp
@@ -10,10 +10,18 @@
 
     // Steps of duty decisions; news themselves do not wait for it.
     constexpr auto tickTime = std::chrono::milliseconds(250);
+    // Until the first news have come.
+    constexpr auto startTickTime = std::chrono::milliseconds(40);
     // How long a relay waits for news: longer where there are many entries, so that its work stays bounded.
     constexpr auto baseWait = std::chrono::milliseconds(400);
-    constexpr auto waitPerEntry = std::chrono::milliseconds(3);
+    constexpr auto waitPerEntry = std::chrono::milliseconds(2);
     constexpr auto maxWait = std::chrono::milliseconds(900);
+    // A standby has to notice sooner than others that the leading relay is gone.
+    constexpr auto standbyWait = std::chrono::milliseconds(200);
+    // For an answer's way and a relay's other work, beside its wait and the time between its looks at the store.
+    constexpr auto ageSlack = std::chrono::milliseconds(400);
+    // Of the operators' bound on changes, the part in which followers rely on others.
+    constexpr double shareOfApplyTime = 0.8;
     // Beside the wait, until a relay counts as silent.
     constexpr auto relaySlack = std::chrono::milliseconds(500);
     // A standby that is not heard of for so long is replaced.
@@ -27,6 +35,9 @@
     constexpr auto entriesMemory = std::chrono::seconds(30);
 
     constexpr std::size_t relaysWanted = 2;
+    // From so many entries on, a standby with so many times the leading relay's processor share takes its place.
+    constexpr std::size_t manyEntries = 60;
+    constexpr double capacityGain = 1.5;
 
 }
 
@@ -105,13 +116,17 @@
         else if (now.role == NewsRole::Leading)
             appointStandby();
     }
-    m_loop.after(tickTime, [this] { tick(); });
+    m_loop.after(m_catalog.isComplete() ? Common::Duration(tickTime) : Common::Duration(startTickTime), [this] { tick(); });
 }
 
 void NewsController::trackRelay()
 {
     auto wait = std::min<Common::Duration>(baseWait + waitPerEntry * static_cast<int>(m_members.size()), maxWait);
+    if (role() != NewsRole::Follower)
+        wait = standbyWait;
     m_client.setWait(wait);
+    auto usualAge = m_options.reader.registryInterval + wait + ageSlack;
+    m_options.duty.followerAge = std::min<Common::Duration>(std::max<Common::Duration>(usualAge, m_options.minFollowerAge), Common::fromMilliseconds(shareOfApplyTime * Common::toMilliseconds(m_options.applyTime)));
     auto last = m_client.lastFreshAnswer();
     auto relayed = last != Common::TimePoint() && m_loop.now() - last < wait + relaySlack;
     if (relayed == m_relayed)
@@ -198,7 +213,10 @@
     auto isKnown = [&](const std::string& control) { return std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.control == control && member.serving; }); };
     auto hasStandby = m_roster.relays.size() >= relaysWanted && isKnown(m_roster.relays[1]);
     if (hasStandby) {
-        m_standbySeen = now;
+        // Relaying to many takes a processor share that small entries do not have.
+        auto standby = std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.control == m_roster.relays[1]; });
+        if (members.size() > manyEntries && standby->capacity > capacityGain * m_members.self().capacity && now - m_standbySeen > standbyPatience)
+            return writeRoster({ standby->control, m_members.self().control });
         return;
     }
     if (now - m_standbySeen < standbyPatience)
@@ -206,8 +224,8 @@
     const Member* best = nullptr;
     for (const auto& member : members) {
         auto isOther = member.control != m_members.self().control && member.serving;
-        // Another failure domain first: a domain may be lost whole.
-        auto rank = [&](const Member& it) { return std::make_tuple(it.failureDomain != m_members.self().failureDomain, it.capacity, -it.startedMs); };
+        // Large ones, and of those another failure domain: a domain may be lost whole.
+        auto rank = [&](const Member& it) { return std::make_tuple(it.capacity, it.failureDomain != m_members.self().failureDomain, -it.startedMs); };
         if (isOther && (!best || rank(member) > rank(*best)))
             best = &member;
     }
--- a/Source/Core/Gateway/NewsController.h
+++ b/Source/Core/Gateway/NewsController.h
@@ -21,6 +21,8 @@
     std::string newsTarget = "/v1/news";
     StoreReaderOptions reader;
     Decisions::NewsDutyOptions duty;
+    Common::Duration applyTime = std::chrono::seconds(2); // in which a change has to be in force everywhere (the operators' bound)
+    Common::Duration minFollowerAge = std::chrono::milliseconds(1300);
 };
 
 // Keeps the catalog and the list of members fresh: follows a relay, reads the store where that is this entry's duty or no
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -120,10 +120,9 @@
         if (isFresh)
             m_lastFresh = now;
         m_catalog.apply(news.update);
-        if (news.members)
-            m_members.replace(*news.members, news.membersRevision, now);
+        m_members.apply(news.members, now);
         m_listedBy = relay;
-        m_membersRevision = news.membersRevision;
+        m_membersRevision = news.members.revision;
     }
     if (m_rosterHook)
         m_rosterHook(news.roster);
@@ -139,6 +138,7 @@
         m_log.log(Common::EventId::RelayLost, { { "relay", relay }, { "cause", std::string(cause) } });
         m_following.clear();
         m_listedBy.clear();
+        m_membersRevision = 0;
     }
     if (m_running)
         askLater(m_options.retryPause);
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-    // Changes of a moment go out together.
+    // Changes of a moment go out together; the more entries hear of them, the longer a moment is.
     constexpr auto catalogBatch = std::chrono::milliseconds(15);
+    constexpr auto batchPerEntry = std::chrono::microseconds(1200);
     // Members come and go in crowds; callers keep addresses for seconds anyway.
     constexpr auto membersBatch = std::chrono::milliseconds(150);
     constexpr auto maxWait = std::chrono::seconds(5);
@@ -50,19 +51,16 @@
 bool RelayServer::hasNewsFor(const NewsRequest& request) const
 {
     auto isListed = request.listedBy == m_members.self().control;
-    if (!isListed)
-        return true;
-    auto update = m_catalog.changesSince(request.position);
-    return !update.rows.empty();
+    return !isListed || m_catalog.hasChangedSince(request.position);
 }
 
 void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const NewsRequest& request)
 {
-    NewsAnswer answer { .relays = m_options.relays(), .roster = m_options.roster(), .update = {}, .members = {}, .membersRevision = m_members.revision() };
+    NewsAnswer answer { .relays = m_options.relays(), .roster = m_options.roster(), .update = {}, .members = {} };
     if (answer.relays) {
+        auto isListed = request.listedBy == m_members.self().control;
         answer.update = m_catalog.changesSince(request.position);
-        if (request.listedBy != m_members.self().control || request.membersRevision != m_members.revision())
-            answer.members = m_members.all();
+        answer.members = m_members.changesSince(isListed ? request.membersRevision : 0, request.member.failureDomain);
     }
     exchange->respond({ .status = ok, .reason = {}, .headers = { { "Content-Type", "application/json" } }, .body = toText(answer) });
 }
@@ -92,20 +90,20 @@
 void RelayServer::onCatalogNews()
 {
     if (!m_waiting.empty())
-        answerSoon(catalogBatch);
+        answerSoon(catalogBatch + batchPerEntry * static_cast<int>(m_waiting.size()));
 }
 
 void RelayServer::onMembersChanged()
 {
     if (!m_waiting.empty())
-        answerSoon(membersBatch);
+        answerSoon(membersBatch + batchPerEntry * static_cast<int>(m_waiting.size()));
 }
 
 void RelayServer::answerAll()
 {
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
         auto place = it++;
-        auto hasMembersNews = place->request.membersRevision != m_members.revision();
+        auto hasMembersNews = m_members.hasChanged(place->request.membersRevision, place->request.member.failureDomain);
         if (hasMembersNews || hasNewsFor(place->request))
             answerWaiting(place);
     }
--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -32,6 +32,8 @@
     // Random spread of known waits when servers to ask are picked, so that entries do not all ask the same ones.
     constexpr double rankSpread = 0.8;
     constexpr double suspectPenalty = 20;
+    // Price of a new connection where one is open to another server.
+    constexpr double newConnectionMs = 60;
     // Answers slower than this share of the goal are logged one by one.
     constexpr double slowShareOfGoal = 1.0;
 
@@ -93,7 +95,8 @@
     for (auto& backend : candidates) {
         auto spread = 1 + rankSpread * Common::randomUnit(engine.loop().hooks());
         auto suspectFactor = backend->isSuspect(now) ? suspectPenalty : 1;
-        ranked.emplace_back(spread * suspectFactor * Decisions::expectedMs(backend->signal(now), workMs, engine.options().placement), std::move(backend));
+        auto connectMs = backend->hasFreeConnection() ? 0 : newConnectionMs;
+        ranked.emplace_back(connectMs + spread * suspectFactor * Decisions::expectedMs(backend->signal(now), workMs, engine.options().placement), std::move(backend));
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     candidates.clear();
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -116,8 +116,9 @@
         m_catalog.applyWhole(m_options.operatorTable, read.rows, read.version);
     else
         m_catalog.applyChanges(m_options.operatorTable, read.rows, read.version);
-    // An empty table has no first version to continue from: it is read whole until something is in it.
-    auto wait = whole && m_catalog.position().operators == 0 ? m_options.firstBackoff : Common::Duration::zero();
+    // An empty table has no first version to continue from: it is read whole until something is in it. An entry that only
+    // wanted a first look is switched off before it looks again.
+    auto wait = whole ? m_options.firstBackoff : Common::Duration::zero();
     later(m_operatorTimer, wait, &StoreReader::readOperators);
 }
 
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -32,6 +32,7 @@
         settings.capacity = reader.number("capacity", 0.001, 1024, settings.capacity);
         settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
         settings.graceMs = static_cast<int>(reader.integer("grace_ms", 100, maxTimeMs, settings.graceMs));
+        settings.applyMs = static_cast<int>(reader.integer("apply_ms", 100, maxTimeMs, settings.applyMs));
         settings.seeds = reader.strings("seeds", std::vector<std::string>());
         for (const auto& seed : settings.seeds) {
             if (!Common::isAddress(seed))
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -23,6 +23,7 @@
     double capacity = 1; // share of a processor
     int directoryTtlMs = 3000; // how long callers may keep a directory answer
     int graceMs = 6000; // from SIGTERM to SIGKILL
+    int applyMs = 2000; // in which a change of configuration or registry has to be in force
     double retryRatio = 0.2; // second sends a request and service, over all entries
     int retrySlack = 75; // beside it in a window, over all entries
     int retryWindowMs = 10000;
