A new relay tells the old ones; a leading relay without the store does not relay

Cause: with the store closed to the relays, followers went back and forth between two stale relays, each change with a whole list of members (15,565 changes in 10 s), and the roster written by the new relay reached nobody who followed the old ones. The old leading relay, fed by the standby, looked fresh to the standby, which then stopped reading. Change: requests for news carry the roster, a new leader tells the old relays, a leading relay that cannot read does not relay; patience with a relay's answer grows with the entries.

--- a/Source/Core/Gateway/News.cpp
+++ b/Source/Core/Gateway/News.cpp
@@ -110,6 +110,8 @@
     json["listed_by"] = request.listedBy;
     json["members_revision"] = Json::UInt64(request.membersRevision);
     json["wait_ms"] = Common::toMilliseconds(request.wait);
+    json["roster"] = toJson(request.roster.relays);
+    json["roster_version"] = Json::UInt64(request.roster.version);
     return Common::jsonText(json);
 }
 
@@ -147,6 +149,7 @@
             .listedBy = json["listed_by"].asString(),
             .membersRevision = json["members_revision"].asUInt64(),
             .wait = Common::fromMilliseconds(json["wait_ms"].asDouble()),
+            .roster = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64() },
         };
     });
 }
--- a/Source/Core/Gateway/News.h
+++ b/Source/Core/Gateway/News.h
@@ -24,6 +24,7 @@
     std::string listedBy; // the relay whose list of members this entry holds
     std::uint64_t membersRevision = 0; // of that list; 0: none
     Common::Duration wait {};
+    Roster roster; // as the one who asks knows it
 };
 
 struct NewsAnswer {
--- a/Source/Core/Gateway/NewsController.cpp
+++ b/Source/Core/Gateway/NewsController.cpp
@@ -49,8 +49,8 @@
     , m_rosterTable(std::move(rosterTable))
     , m_options(std::move(options))
     , m_reader(loop, log, catalog, std::move(readTable), m_options.reader)
-    , m_server(loop, catalog, members, { .relays = [this] { return !m_leaving && m_catalog.isComplete() && role() != NewsRole::Follower; }, .roster = [this] { return m_roster; } })
-    , m_client(loop, log, catalog, members, { .target = m_options.newsTarget })
+    , m_server(loop, catalog, members, { .relays = [this] { return relays(); }, .roster = [this] { return m_roster; }, .onRoster = [this](const Roster& roster) { adopt(roster); } })
+    , m_client(loop, log, catalog, members, { .target = m_options.newsTarget, .roster = [this] { return m_roster; } })
     , m_jitter(Common::randomUnit(loop.hooks()))
 {
     m_client.onRoster([this](const Roster& roster) { adopt(roster); });
@@ -77,6 +77,15 @@
     return it == relays.begin() ? NewsRole::Leading : NewsRole::Standby;
 }
 
+bool NewsController::relays() const
+{
+    if (m_leaving || !m_catalog.isComplete() || role() == NewsRole::Follower)
+        return false;
+    // A leading relay without the store gets its news from the standby: handing them on would hide from the standby that it has
+    // to lead.
+    return role() == NewsRole::Standby || m_reader.storeAnswers();
+}
+
 Decisions::NewsFacts NewsController::facts() const
 {
     auto it = std::find(m_options.seeds.begin(), m_options.seeds.end(), m_members.self().control);
@@ -162,9 +171,13 @@
 {
     if (roster.version <= m_roster.version)
         return;
+    auto wasRelay = role() != NewsRole::Follower;
     m_roster = roster;
     m_standbySeen = m_loop.now();
     m_rosterWasRead = false;
+    // Those who wait here have to turn to the new relay.
+    if (wasRelay && role() == NewsRole::Follower)
+        m_server.dismiss();
     follow();
 }
 
@@ -245,8 +258,16 @@
 void NewsController::onRosterWritten(const std::vector<std::string>& relays, const Platform::CommitResult& result)
 {
     m_rosterCall = false;
-    if (result.state == Platform::CommitState::Committed)
+    if (result.state == Platform::CommitState::Committed) {
+        auto before = m_roster.relays;
         adopt({ .relays = relays, .version = result.version });
+        // Relays that are no longer ones may be cut off from the store, and those who follow them would not learn of it.
+        before.insert(before.end(), relays.begin(), relays.end());
+        for (const auto& control : before) {
+            if (control != m_members.self().control)
+                m_client.tellRoster(control);
+        }
+    }
     for (const auto& row : result.rows) {
         auto roster = row.value ? parseRoster(*row.value, row.version) : Common::Result<Roster>(Common::Error {});
         if (roster)
--- a/Source/Core/Gateway/NewsController.h
+++ b/Source/Core/Gateway/NewsController.h
@@ -49,6 +49,7 @@
     void trackRelay();
     void countEntries();
     Decisions::NewsRole role() const;
+    bool relays() const;
     Decisions::NewsFacts facts() const;
     void follow();
     void adopt(const Roster&);
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -74,11 +74,37 @@
         if (!isAvoided(relay))
             return relay;
     }
-    // All have failed of late: the one that failed first may be back.
+    // All have failed or are behind: one that answers at least tells who relays instead, the one that failed first may be back.
+    if (std::find(m_candidates.begin(), m_candidates.end(), m_following) != m_candidates.end())
+        return m_following;
     auto it = std::min_element(m_candidates.begin(), m_candidates.end(), [&](const auto& a, const auto& b) { return m_trials.at(a).avoidUntil < m_trials.at(b).avoidUntil; });
     return it == m_candidates.end() ? std::string() : *it;
 }
 
+Net::Request RelayClient::newsRequest(const std::string& relay, Common::Duration wait) const
+{
+    // A relay that is new to this entry answers at once.
+    NewsRequest news {
+        .member = m_members.self(),
+        .position = m_catalog.isComplete() ? m_catalog.position() : CatalogPosition(),
+        .listedBy = m_listedBy,
+        .membersRevision = m_membersRevision,
+        .wait = wait,
+        .roster = m_options.roster(),
+    };
+    return { .method = "POST", .target = m_options.target, .headers = { { "Host", relay }, { "Content-Type", "application/json" } }, .body = toText(news), .keepAlive = true };
+}
+
+void RelayClient::tellRoster(const std::string& control)
+{
+    auto& connection = m_told[control];
+    connection = Net::ClientConnection::open(m_loop, control, { .connectTimeout = connectTimeout, .silenceLimit = silenceLimit });
+    auto forget = [this, control] { m_loop.defer([this, control] { m_told.erase(control); }); };
+    connection->send(Net::toBytes(newsRequest(control, Common::Duration::zero())), true, answerSlack(),
+        { .answered = [forget](Net::ResponseHead&&) { forget(); },
+            .failed = [forget](Net::ClientFailure) { forget(); } });
+}
+
 void RelayClient::ask()
 {
     if (!m_running || m_isAsking)
@@ -92,11 +118,9 @@
         m_connection = Net::ClientConnection::open(m_loop, relay, { .connectTimeout = connectTimeout, .silenceLimit = silenceLimit });
         m_connectedTo = relay;
     }
-    // A relay that is new to this entry answers at once.
-    NewsRequest news { .member = m_members.self(), .position = m_catalog.isComplete() ? m_catalog.position() : CatalogPosition(), .listedBy = m_listedBy, .membersRevision = m_membersRevision, .wait = m_wait };
-    Net::Request request { .method = "POST", .target = m_options.target, .headers = { { "Host", relay }, { "Content-Type", "application/json" } }, .body = toText(news), .keepAlive = true };
+    auto request = newsRequest(relay, m_wait);
     m_isAsking = true;
-    m_connection->send(Net::toBytes(request), true, m_wait + m_options.answerSlack,
+    m_connection->send(Net::toBytes(request), true, m_wait + answerSlack(),
         { .answered = [this, relay](Net::ResponseHead&& head) { onAnswer(relay, std::move(head)); },
             .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureName(failure.kind)); } });
 }
@@ -127,7 +151,7 @@
     if (m_rosterHook)
         m_rosterHook(news.roster);
     if (m_running)
-        askLater(news.relays ? Common::Duration::zero() : Common::Duration(m_options.retryPause));
+        askLater(isFresh ? Common::Duration::zero() : Common::Duration(m_options.retryPause));
 }
 
 void RelayClient::onFailure(const std::string& relay, std::string_view cause)
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -16,7 +16,9 @@
 
 struct RelayClientOptions {
     std::string target; // path of the request
+    std::function<Roster()> roster; // as this entry knows it
     Common::Duration answerSlack = std::chrono::milliseconds(300); // beside the wait asked for
+    Common::Duration slackPerEntry = std::chrono::milliseconds(2); // a relay that many turn to at once answers them in turn
     Common::Duration retryPause = std::chrono::milliseconds(150); // between attempts at relays that fail
     Common::Duration avoidTime = std::chrono::seconds(1); // for which a relay that failed is only asked when no other is left
     Common::Duration staleAge = std::chrono::milliseconds(1000); // a relay whose news are older is like one that failed
@@ -35,6 +37,8 @@
     void onRoster(std::function<void(const Roster&)> hook) { m_rosterHook = std::move(hook); }
     void start();
     void stop();
+    // Tells the roster to an entry that is not followed, once.
+    void tellRoster(const std::string& control);
     // Asks again at once, so that the relay learns of a change of this entry.
     void renew();
 
@@ -51,6 +55,8 @@
 
     void ask();
     void askLater(Common::Duration);
+    Common::Duration answerSlack() const { return m_options.answerSlack + m_options.slackPerEntry * static_cast<int>(m_members.size()); }
+    Net::Request newsRequest(const std::string& relay, Common::Duration wait) const;
     std::string choose() const;
     void onAnswer(const std::string& relay, Net::ResponseHead&&);
     void onFailure(const std::string& relay, std::string_view cause);
@@ -65,6 +71,7 @@
     std::function<void(const Roster&)> m_rosterHook;
     std::shared_ptr<Net::ClientConnection> m_connection;
     std::string m_connectedTo;
+    std::map<std::string, std::shared_ptr<Net::ClientConnection>> m_told; // connections of tellRoster()
     std::string m_following;
     std::string m_listedBy;
     std::uint64_t m_membersRevision = 0;
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -31,6 +31,7 @@
     auto request = parseNewsRequest(exchange->request().body);
     if (!request)
         return exchange->respond({ .status = badRequest, .reason = {}, .headers = {}, .body = request.error().text });
+    m_options.onRoster(request.value().roster);
     if (!m_options.relays())
         return answer(exchange, request.value());
     if (m_members.heard(request.value().member, m_loop.now()))
--- a/Source/Core/Gateway/RelayServer.h
+++ b/Source/Core/Gateway/RelayServer.h
@@ -15,6 +15,7 @@
 struct RelayServerOptions {
     std::function<bool()> relays; // whether this entry relays now
     std::function<Roster()> roster;
+    std::function<void(const Roster&)> onRoster; // with the roster of every request
 };
 
 // Answers other entries' requests for news: at once where there is some, else when it comes or their wait is over.
