--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -132,6 +132,9 @@
     } else if (!m_answers) {
         m_catalog.noteOutage(m_lastAnswer);
         m_log.log(Common::EventId::StoreReachable, { { "away_ms", std::to_string(static_cast<long>(Common::toMilliseconds(now - m_lastAnswer))) } });
+        // A call that waits for the next configuration may have been swallowed by the outage.
+        m_table.cancel();
+        later(m_operatorTimer, Common::Duration::zero(), &StoreReader::readOperators);
     }
     m_answers = answered;
     if (answered)
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -15,7 +15,7 @@
     // Between looks at the registry. Every heartbeat of a server is a change there, so waiting for the next one would end at once.
     Common::Duration registryInterval = std::chrono::milliseconds(600);
     // How long one call waits for a change of the configuration.
-    Common::Duration operatorWait = std::chrono::seconds(25);
+    Common::Duration operatorWait = std::chrono::seconds(10);
     Common::Duration firstBackoff = std::chrono::milliseconds(200);
     Common::Duration maxBackoff = std::chrono::milliseconds(1500);
 };
