--- a/Source/Core/Decisions/NewsDuty.h
+++ b/Source/Core/Decisions/NewsDuty.h
@@ -25,14 +25,14 @@
 
 // What an entry knows when it decides where its news come from.
 struct NewsFacts {
-    Common::TimePoint now;
-    Common::TimePoint started;
+    Common::TimePoint now {};
+    Common::TimePoint started {};
     NewsRole role = NewsRole::Follower;
     bool rosterKnown = false; // somebody relays
     bool complete = false; // configuration and registry are known
     Common::Duration age {}; // of what is known
     bool relayed = false; // fresh news come from a relay
-    Common::TimePoint relayedSince; // since when they do or do not
+    Common::TimePoint relayedSince {}; // since when they do or do not
     int seedIndex = -1; // place among the seeds; -1: none
     double jitter = 0; // uniform in [0, 1), drawn once a process
     bool reading = false; // the store, directly
--- a/Source/Core/Entry/Daemon.cpp
+++ b/Source/Core/Entry/Daemon.cpp
@@ -10,8 +10,8 @@
 #include <json/json.h>
 
 #include "Common/JsonText.h"
-#include "Entry/CallerSocket.h"
 #include "Common/MetricsPage.h"
+#include "Entry/CallerSocket.h"
 #include "Entry/StatusPage.h"
 #include "Requests/LoadHeaders.h"
 
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -167,8 +167,7 @@
              auto before = self->m_report ? self->m_report->at : Common::TimePoint();
              self->noteReport(head.response.headers);
              auto reported = self->m_report && self->m_report->at > before;
-             done({ .answered = true, .healthy = self->m_healthy, .reported = reported });
-         },
+             done({ .answered = true, .healthy = self->m_healthy, .reported = reported }); },
             .failed = [self, done, mayReopen, wasFree, limit](Net::ClientFailure failure) {
                 // The server may have closed a kept connection at the same moment.
                 auto wasClosed = failure.kind == Net::FailureKind::Reset || failure.kind == Net::FailureKind::Closed;
@@ -177,8 +176,7 @@
                     return self->ask(limit, false, done);
                 }
                 self->noteSilence();
-                done({});
-            },
+                done({}); },
             .belongs = belongs });
 }
 
--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -42,9 +42,9 @@
     m_asOf = std::max(m_asOf, asOf);
 }
 
-void Catalog::noteOutage(Common::TimePoint since)
+void Catalog::noteOutage()
 {
-    if (m_loop.now() - since < m_options.outageFloor)
+    if (age() < m_options.outageFloor)
         return;
     m_holdUntil = m_loop.now() + m_options.lapseGrace;
     m_loop.cancel(m_holdTimer);
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -57,8 +57,8 @@
     void applyChanges(const std::string& table, const std::vector<Platform::TableRow>&, std::uint64_t version);
     // The store answered a look begun at `asOf`.
     void confirm(Common::TimePoint asOf);
-    // The store answers again after it did not since `since`.
-    void noteOutage(Common::TimePoint since);
+    // The store answers again after it did not; before what it answers is applied.
+    void noteOutage();
 
     // From another entry.
     void apply(const CatalogUpdate&);
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -12,10 +12,10 @@
     constexpr int notFound = 404;
     constexpr int unavailable = 503;
 
-    // Steps of a shutdown, of housekeeping, and of writing the log.
+    // Steps of a shutdown and of housekeeping, and of the latter until the entry serves.
     constexpr auto shutdownStep = std::chrono::milliseconds(50);
     constexpr auto housekeepingTime = std::chrono::seconds(1);
-    constexpr auto logFlushTime = std::chrono::milliseconds(100);
+    constexpr auto startTime = std::chrono::milliseconds(20);
     // Of the time to SIGKILL: new requests are taken up to the first share, those under way may last up to the second.
     constexpr double acceptShare = 0.45;
     constexpr double endShare = 0.94;
@@ -103,12 +103,13 @@
 {
     m_backends.sweep();
     m_engine.setEntries(m_news.entries());
+    m_settled = m_catalog.isComplete();
     noteServing();
     if (m_options.settingsStamp && m_options.settingsStamp() != m_settingsStamp)
         readSettings();
     flushLog();
     // Until it serves, an entry looks more often whether it can.
-    m_loop.after(isReady() || m_leaving ? Common::Duration(housekeepingTime) : Common::Duration(logFlushTime), [this] { housekeep(); });
+    m_loop.after(m_settled ? Common::Duration(housekeepingTime) : Common::Duration(startTime), [this] { housekeep(); });
 }
 
 void Daemon::noteServing()
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -58,9 +58,12 @@
     void shutDown();
     void reloadSettings();
 
-    Engine& engine() { return m_engine; }
-    Net::EventLoop& loop() { return m_loop; }
-    bool isReady() const { return m_catalog.isComplete() && !m_leaving; }
+    // Bound addresses, ip:port.
+    std::string callersAddress() const { return m_callers.address(); }
+    std::string readyAddress() const { return m_ready.address(); }
+    std::string directoryAddress() const { return m_directory.address(); }
+    std::string metricsAddress() const { return m_metrics.address(); }
+    bool isReady() const { return m_settled && !m_leaving; }
 
 private:
     void serveReady(const std::shared_ptr<Net::Exchange>&);
@@ -90,6 +93,7 @@
     Decisions::Shutdown m_shutdown;
     std::int64_t m_settingsStamp = 0;
     std::uint64_t m_resolves = 0;
+    bool m_settled = false; // the catalog is complete, and budgets have been set by it
     bool m_leaving = false;
     bool m_clean = true;
 };
--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -290,12 +290,10 @@
     m_flights[index].connection = backend->send(requestBytes(*backend), expectsBody, limit, freshWithin,
         { .answered = [weak, index](Net::ResponseHead&& head) {
              if (auto self = weak.lock())
-                 self->onAnswer(index, std::move(head));
-         },
+                 self->onAnswer(index, std::move(head)); },
             .failed = [weak, index](Net::ClientFailure failure) {
                 if (auto self = weak.lock())
-                    self->onFailure(index, failure);
-            },
+                    self->onFailure(index, failure); },
             .belongs = belongs });
     if (m_flights[index].connection && mayRepeat())
         armSecondSend();
@@ -442,8 +440,8 @@
     auto retryAfter = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
     auto fields = logFields("refused");
     fields.push_back({ "cause", reason == RefusalReason::Busy ? "busy" : reason == RefusalReason::Shed ? "shed"
-                                  : reason == RefusalReason::NoReport                                ? "no server answers"
-                                                                                                     : "no server" });
+            : reason == RefusalReason::NoReport                                                        ? "no server answers"
+                                                                                                       : "no server" });
     fields.push_back({ "retry_after_s", retryAfter });
     engine.log().log(EventId::CallRefused, std::move(fields));
     auto exchange = m_exchange;
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -130,7 +130,7 @@
         if (m_answers)
             m_log.log(Common::EventId::StoreUnreachable, { { "error", error } });
     } else if (!m_answers) {
-        m_catalog.noteOutage(m_lastAnswer);
+        m_catalog.noteOutage();
         m_log.log(Common::EventId::StoreReachable, { { "away_ms", std::to_string(static_cast<long>(Common::toMilliseconds(now - m_lastAnswer))) } });
         // A call that waits for the next configuration may have been swallowed by the outage.
         m_table.cancel();
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -72,6 +72,8 @@
 
     // Error: Internal where the address cannot be bound.
     Common::Result<void> open();
+    // The bound address, ip:port; differs from the one asked for where that has port 0.
+    std::string address() const { return m_listener.address().toString(); }
     // From now on each answer ends its connection, unless later requests of it are under way.
     void startDraining() { m_draining = true; }
     bool isDraining() const { return m_draining; }
--- /dev/null
+++ b/Source/UnitTests/Decisions/NewsDutyTest.cpp
@@ -0,0 +1,58 @@
+#include "Decisions/NewsDuty.h"
+
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using Decisions::NewsFacts;
+using Decisions::NewsRole;
+using std::chrono::milliseconds;
+
+const Common::TimePoint start(std::chrono::hours(1));
+const Decisions::NewsDutyOptions options;
+
+NewsFacts factsAt(int ms, NewsFacts facts)
+{
+    facts.started = start;
+    facts.now = start + milliseconds(ms);
+    return facts;
+}
+
+struct Case {
+    std::string what;
+    NewsFacts facts;
+    bool reads;
+    bool leads;
+};
+
+const Case cases[] = {
+    { "just started: others may tell", factsAt(40, { .jitter = 0.5 }), false, false },
+    { "nobody told", factsAt(100, { .jitter = 0.5 }), true, false },
+    { "the first seed looks who relays at once", factsAt(10, { .seedIndex = 0 }), false, true },
+    { "the second seed a moment later", factsAt(10, { .seedIndex = 1 }), false, false },
+    { "no seed told who relays", factsAt(1700, { .complete = true, .jitter = 0.5 }), false, true },
+    { "one look does at a start", factsAt(900, { .complete = true, .age = milliseconds(500), .jitter = 0.9, .reading = true, .storeAnswers = true }), false, false },
+    { "follows", factsAt(9000, { .rosterKnown = true, .complete = true, .age = milliseconds(700), .relayed = true, .relayedSince = start }), false, false },
+    { "news too old", factsAt(9000, { .rosterKnown = true, .complete = true, .age = milliseconds(1400), .relayedSince = start + milliseconds(8000), .jitter = 0.5 }), true, false },
+    { "the leading relay always reads", factsAt(9000, { .role = NewsRole::Leading, .rosterKnown = true, .complete = true, .age = milliseconds(10) }), true, false },
+    { "the standby sooner than others", factsAt(9000, { .role = NewsRole::Standby, .rosterKnown = true, .complete = true, .age = milliseconds(1000), .relayedSince = start + milliseconds(8800) }), true, false },
+    { "the standby takes over", factsAt(9000, { .role = NewsRole::Standby, .rosterKnown = true, .complete = true, .age = milliseconds(100), .relayedSince = start + milliseconds(8400), .reading = true, .storeAnswers = true }), true, true },
+    { "but not without the store", factsAt(9000, { .role = NewsRole::Standby, .rosterKnown = true, .complete = true, .age = milliseconds(3000), .relayedSince = start + milliseconds(5000), .reading = true, .storeAnswers = false }), true, false },
+    { "a follower takes over after a while", factsAt(9000, { .rosterKnown = true, .complete = true, .age = milliseconds(100), .relayedSince = start + milliseconds(6500), .jitter = 0.5, .reading = true, .storeAnswers = true }), true, true },
+    { "goes on reading until a relay has been reliable", factsAt(9000, { .rosterKnown = true, .complete = true, .age = milliseconds(100), .relayed = true, .relayedSince = start + milliseconds(8500), .reading = true, .storeAnswers = true }), true, false },
+    { "and stops then", factsAt(9000, { .rosterKnown = true, .complete = true, .age = milliseconds(100), .relayed = true, .relayedSince = start + milliseconds(7500), .reading = true, .storeAnswers = true }), false, false },
+};
+
+}
+
+TEST_CASE("Who reads the store and who takes the lead")
+{
+    for (const auto& row : cases) {
+        CAPTURE(row.what);
+        CHECK(Decisions::shouldRead(row.facts, options) == row.reads);
+        CHECK(Decisions::shouldTakeLead(row.facts, options) == row.leads);
+    }
+}
--- /dev/null
+++ b/Source/UnitTests/Gateway/MembersTest.cpp
@@ -0,0 +1,86 @@
+#include "Gateway/Members.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using Gateway::Member;
+using Gateway::Members;
+
+const Common::TimePoint start(std::chrono::hours(1));
+
+Member member(int number, const std::string& domain = "a", bool serving = true)
+{
+    auto name = std::to_string(number);
+    return { .control = "10.0.0." + name + ":1", .callers = "10.0.0." + name + ":2", .failureDomain = domain, .startedMs = 0, .capacity = 1, .serving = serving };
+}
+
+struct Case {
+    std::string what;
+    std::vector<Member> others;
+    std::string domain;
+    std::size_t addresses;
+};
+
+const Case cases[] = {
+    { "own domain", { member(2), member(3), member(4, "b") }, "a", 3 },
+    { "few in the own domain: all", { member(2, "b"), member(3, "b") }, "a", 3 },
+    { "not serving is not named", { member(2), member(3), member(4), member(5, "a", false) }, "a", 4 },
+    { "unknown domain: all", { member(2), member(3) }, "elsewhere", 3 },
+};
+
+std::vector<std::string> controls(const std::vector<Member>& list)
+{
+    std::vector<std::string> names;
+    for (const auto& it : list)
+        names.push_back(it.control + (it.serving ? "+" : "-"));
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+}
+
+TEST_CASE("Addresses for callers")
+{
+    for (const auto& row : cases) {
+        CAPTURE(row.what);
+        Members members(member(1));
+        for (const auto& other : row.others)
+            members.heard(other, start);
+        CHECK(members.addressesFor(row.domain, 64, Common::systemHooks()).size() == row.addresses);
+    }
+}
+
+TEST_CASE("Members that are not heard of leave the list")
+{
+    Members members(member(1));
+    members.heard(member(2), start);
+    CHECK(!members.expire(start + std::chrono::seconds(2)));
+    members.suspect(member(2).control, start + std::chrono::seconds(2));
+    CHECK(members.expire(start + std::chrono::milliseconds(2100)));
+    CHECK(members.size() == 1);
+}
+
+TEST_CASE("A follower's list becomes its relay's, whatever changes it slept through")
+{
+    rc::check("changes by revision", [] {
+        Members relay(member(1));
+        Members follower(member(99));
+        std::uint64_t revision = 0;
+        auto now = start;
+        for (int step = 0; step < 30; ++step) {
+            now += std::chrono::milliseconds(500);
+            relay.heard(member(*rc::gen::inRange(2, 12), "a", *rc::gen::arbitrary<bool>()), now);
+            relay.expire(now);
+            if (*rc::gen::arbitrary<bool>())
+                continue;
+            auto update = relay.changesSince(revision, "a");
+            follower.apply(update, now);
+            revision = update.revision;
+            auto list = follower.all();
+            list.erase(list.begin());
+            RC_ASSERT(controls(list) == controls(relay.all()));
+        }
+    });
+}
--- /dev/null
+++ b/Source/UnitTests/Net/HttpMessageTest.cpp
@@ -0,0 +1,123 @@
+#include "Net/HttpMessage.h"
+
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using Net::Framing;
+using Net::ParseFault;
+
+struct RequestCase {
+    std::string what;
+    std::string bytes;
+    bool valid;
+    Framing framing = Framing::None;
+    std::size_t length = 0;
+    bool keepAlive = true;
+};
+
+const RequestCase requestCases[] = {
+    { "plain", "GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n", true },
+    { "length", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", true, Framing::Length, 5 },
+    { "same length twice", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n", true, Framing::Length, 5 },
+    { "chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n", true, Framing::Chunked },
+    { "closes", "GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", true, Framing::None, 0, false },
+    { "version 1.0", "GET / HTTP/1.0\r\n\r\n", true, Framing::None, 0, false },
+    { "version 1.0, kept", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", true },
+    { "unlike lengths", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", false },
+    { "length and chunked", "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", false },
+    { "chunked and length", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", false },
+    { "unknown encoding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", false },
+    { "length with a sign", "POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\n", false },
+    { "length list", "POST / HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\n", false },
+    { "empty length", "POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", false },
+    { "blank before the colon", "POST / HTTP/1.1\r\nContent-Length : 5\r\n\r\n", false },
+    { "folded line", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", false },
+    { "no colon", "GET / HTTP/1.1\r\nabc\r\n\r\n", false },
+    { "bare line feed", "GET / HTTP/1.1\r\nA: b\nContent-Length: 5\r\n\r\n", false },
+    { "no path", "GET http://x/ HTTP/1.1\r\n\r\n", false },
+    { "other protocol", "GET / SPDY/3\r\n\r\n", false },
+    { "not HTTP", "\x16\x03\x01 hello\r\n\r\n", false },
+};
+
+struct ResponseCase {
+    std::string what;
+    std::string bytes;
+    bool hasBody;
+    bool valid;
+    Framing framing = Framing::None;
+    bool keepAlive = true;
+};
+
+const ResponseCase responseCases[] = {
+    { "length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", true, true, Framing::Length },
+    { "until the end", "HTTP/1.1 200 OK\r\n\r\n", true, true, Framing::UntilClose },
+    { "to HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", false, true, Framing::None },
+    { "no content", "HTTP/1.1 204 No Content\r\n\r\n", true, true, Framing::None },
+    { "closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true, true, Framing::Length, false },
+    { "not HTTP", "hello there\r\n\r\n", true, false },
+    { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", true, false },
+};
+
+}
+
+TEST_CASE("Heads of requests")
+{
+    for (const auto& row : requestCases) {
+        CAPTURE(row.what);
+        auto parsed = Net::parseRequestHead(row.bytes);
+        REQUIRE(parsed.head.has_value() == row.valid);
+        if (!row.valid)
+            continue;
+        CHECK(parsed.head->framing == row.framing);
+        CHECK(parsed.head->length == row.length);
+        CHECK(parsed.head->request.keepAlive == row.keepAlive);
+    }
+}
+
+TEST_CASE("A header beyond the library's bound is too large, not malformed")
+{
+    auto parsed = Net::parseRequestHead("GET / HTTP/1.1\r\nA: " + std::string(20000, 'a') + "\r\n\r\n");
+    CHECK(!parsed.head);
+    CHECK(parsed.fault == ParseFault::HeadTooLarge);
+}
+
+TEST_CASE("Heads of responses")
+{
+    for (const auto& row : responseCases) {
+        CAPTURE(row.what);
+        auto parsed = Net::parseResponseHead(row.bytes, row.hasBody);
+        REQUIRE(parsed.head.has_value() == row.valid);
+        if (!row.valid)
+            continue;
+        CHECK(parsed.head->framing == row.framing);
+        CHECK(parsed.head->keepAlive == row.keepAlive);
+    }
+}
+
+TEST_CASE("Headers of one connection are not passed on")
+{
+    auto parsed = Net::parseRequestHead("GET / HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=3\r\nTE: trailers\r\nX-Stays: 2\r\n\r\n");
+    REQUIRE(parsed.head.has_value());
+    std::vector<std::string> names;
+    for (const auto& header : parsed.head->request.headers)
+        names.push_back(header.name);
+    CHECK(names == std::vector<std::string> { "Host", "X-Stays" });
+}
+
+TEST_CASE("The server's limit for idle connections is read")
+{
+    auto parsed = Net::parseResponseHead("HTTP/1.1 200 OK\r\nKeep-Alive: max=3, timeout=7\r\nContent-Length: 0\r\n\r\n", true);
+    REQUIRE(parsed.head.has_value());
+    CHECK(parsed.head->idleTimeoutS == 7);
+}
+
+TEST_CASE("Query values")
+{
+    CHECK(Net::queryValue("/p?a=1&zone=x%20y", "zone") == "x y");
+    CHECK(Net::queryValue("/p?azone=1", "zone").empty());
+    CHECK(Net::queryValue("/p", "zone").empty());
+    CHECK(Net::queryValue("/p?zone=%", "zone").empty());
+}
