--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Backend.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "Decisions/Decay.h"
 
@@ -141,12 +142,12 @@
     m_busy.erase(connection);
 }
 
-void Backend::probe(Common::Duration limit, std::function<void(const ProbeAnswer&)> done)
+void Backend::probe(Common::Duration limit, const std::function<void(const ProbeAnswer&)>& done)
 {
-    ask(limit, true, std::move(done));
+    ask(limit, true, done);
 }
 
-void Backend::ask(Common::Duration limit, bool mayReopen, std::function<void(const ProbeAnswer&)> done)
+void Backend::ask(Common::Duration limit, bool mayReopen, const std::function<void(const ProbeAnswer&)>& done)
 {
     auto wasFree = !m_free.empty();
     Net::Request request { .method = "GET", .target = m_options.healthPath, .headers = { { "Host", m_record.address } }, .body = {}, .keepAlive = true };
@@ -239,8 +240,8 @@
     signal.unreported = m_inFlight;
     if (m_report) {
         auto weight = Decisions::decay(now - m_report->at, reportMemory);
-        signal.running = static_cast<int>(m_report->running * weight + 0.5);
-        signal.waiting = static_cast<int>(m_report->waiting * weight + 0.5);
+        signal.running = static_cast<int>(std::lround(m_report->running * weight));
+        signal.waiting = static_cast<int>(std::lround(m_report->waiting * weight));
         signal.slots = m_report->slots;
         signal.workFactor = 1 + (m_report->workFactor - 1) * weight;
         signal.unreported = m_unreported;
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -47,7 +47,7 @@
     void setMisdirected();
 
     // Asks for health and load. The callback is called once, whatever happens.
-    void probe(Common::Duration limit, std::function<void(const ProbeAnswer&)> done);
+    void probe(Common::Duration limit, const std::function<void(const ProbeAnswer&)>& done);
     // Sends over a free connection, most recently used first, or a new one. `freshWithin`: older free connections are not used.
     std::shared_ptr<Net::ClientConnection> send(std::string bytes, bool expectsBody, Common::Duration limit, Common::Duration freshWithin, Net::ClientHandlers);
     // Gives up a request under way: its connection is closed, so that the server stops its work.
@@ -82,7 +82,7 @@
     Taken take(Common::Duration freshWithin);
     void release(const std::shared_ptr<Net::ClientConnection>&);
     bool isStale(const Net::ClientConnection&, Common::TimePoint now) const;
-    void ask(Common::Duration limit, bool mayReopen, std::function<void(const ProbeAnswer&)> done);
+    void ask(Common::Duration limit, bool mayReopen, const std::function<void(const ProbeAnswer&)>& done);
     void noteSilence();
     void forget();
 
--- a/Source/Core/Gateway/NewsController.cpp
+++ b/Source/Core/Gateway/NewsController.cpp
@@ -192,7 +192,7 @@
     std::vector<std::string> relays { m_members.self().control };
     if (role() == NewsRole::Standby && !m_roster.relays.empty())
         relays.push_back(m_roster.relays.front());
-    writeRoster(std::move(relays));
+    writeRoster(relays);
 }
 
 void NewsController::readRoster()
@@ -246,7 +246,7 @@
         writeRoster({ m_members.self().control, best->control });
 }
 
-void NewsController::writeRoster(std::vector<std::string> relays)
+void NewsController::writeRoster(const std::vector<std::string>& relays)
 {
     m_rosterCall = true;
     m_standbySeen = m_loop.now();
--- a/Source/Core/Gateway/NewsController.h
+++ b/Source/Core/Gateway/NewsController.h
@@ -56,7 +56,7 @@
     void readRoster();
     void takeLead();
     void appointStandby();
-    void writeRoster(std::vector<std::string> relays);
+    void writeRoster(const std::vector<std::string>& relays);
     void onRosterWritten(const std::vector<std::string>& relays, const Platform::CommitResult&);
 
     Net::EventLoop& m_loop;
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -55,14 +55,14 @@
     auto begun = m_loop.now();
     auto position = m_catalog.position().registry;
     auto whole = position == 0 || m_rereadRegistry;
-    auto done = [this, whole, begun](Platform::RowsRead read) { onRegistry(std::move(read), whole, begun); };
+    auto done = [this, whole, begun](const Platform::RowsRead& read) { onRegistry(read, whole, begun); };
     if (whole)
         m_table.readAll(m_options.registryTable, done);
     else
         m_table.readChanges(m_options.registryTable, position, Common::Duration::zero(), done);
 }
 
-void StoreReader::onRegistry(Platform::RowsRead read, bool whole, Common::TimePoint begun)
+void StoreReader::onRegistry(const Platform::RowsRead& read, bool whole, Common::TimePoint begun)
 {
     if (!m_running)
         return;
@@ -91,14 +91,14 @@
     ++m_calls;
     auto position = m_catalog.position().operators;
     auto whole = position == 0 || m_rereadOperators;
-    auto done = [this, whole](Platform::RowsRead read) { onOperators(std::move(read), whole); };
+    auto done = [this, whole](const Platform::RowsRead& read) { onOperators(read, whole); };
     if (whole)
         m_table.readAll(m_options.operatorTable, done);
     else
         m_table.readChanges(m_options.operatorTable, position, m_options.operatorWait, done);
 }
 
-void StoreReader::onOperators(Platform::RowsRead read, bool whole)
+void StoreReader::onOperators(const Platform::RowsRead& read, bool whole)
 {
     if (!m_running)
         return;
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -36,8 +36,8 @@
 private:
     void readRegistry();
     void readOperators();
-    void onRegistry(Platform::RowsRead, bool whole, Common::TimePoint begun);
-    void onOperators(Platform::RowsRead, bool whole);
+    void onRegistry(const Platform::RowsRead&, bool whole, Common::TimePoint begun);
+    void onOperators(const Platform::RowsRead&, bool whole);
     void noteAnswer(bool answered, const std::string& error);
     void later(Net::EventLoop::TimerId&, Common::Duration, void (StoreReader::*)());
 
--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -70,18 +70,18 @@
 struct FaultCase {
     std::string what;
     ServerMode mode; // of the first of two servers
+    int mostRuns; // of one request
     std::string target;
     std::vector<int> statuses; // allowed
-    int mostRuns; // of one request
 };
 
 const FaultCase faultCases[] = {
-    { "shed: sent to the other", ServerMode::Sheds, "/once/x", { 200 }, 1 },
-    { "shed, safe", ServerMode::Sheds, "/safe/x", { 200 }, 1 },
-    { "failed, safe: sent again", ServerMode::Fails, "/safe/x", { 200 }, 2 },
-    { "failed, once: the failure is told", ServerMode::Fails, "/once/x", { 200, 500 }, 1 },
-    { "hangs, safe: a second send answers", ServerMode::Hangs, "/safe/x", { 200 }, 2 },
-    { "hangs, once: given up at the route's timeout", ServerMode::Hangs, "/once/x", { 200, 504 }, 1 },
+    { "shed: sent to the other", ServerMode::Sheds, 1, "/once/x", { 200 } },
+    { "shed, safe", ServerMode::Sheds, 1, "/safe/x", { 200 } },
+    { "failed, safe: sent again", ServerMode::Fails, 2, "/safe/x", { 200 } },
+    { "failed, once: the failure is told", ServerMode::Fails, 1, "/once/x", { 200, 500 } },
+    { "hangs, safe: a second send answers", ServerMode::Hangs, 2, "/safe/x", { 200 } },
+    { "hangs, once: given up at the route's timeout", ServerMode::Hangs, 1, "/once/x", { 200, 504 } },
 };
 
 TEST_CASE("A faulty server beside a sound one")
@@ -118,21 +118,21 @@
 
 struct RawCase {
     std::string what;
-    std::string answer; // behind the head of a success
-    bool closes;
+    std::string answer; // behind that to the question for load
     std::string target;
     int status;
+    bool closes;
 };
 
 const std::string health = std::string("HTTP/1.1 200 OK\r\n") + Names::instanceId + ": raw\r\n" + Names::load + ": 0,0,4,100\r\nContent-Length: 0\r\n\r\n";
 
 const RawCase rawCases[] = {
-    { "until the end", "HTTP/1.1 200 OK\r\n\r\nwhole", true, "/safe/x", 200 },
-    { "cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", true, "/once/x", 502 },
-    { "no HTTP", "hello\r\n\r\n", true, "/once/x", 502 },
-    { "nothing", "", true, "/once/x", 502 },
-    { "late answer of another request first", std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\n" + Names::requestId + ": raw1\r\nContent-Length: 5\r\n\r\nwhole", false, "/once/x", 200 },
-    { "bytes behind the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", false, "/safe/x", 200 },
+    { "until the end", "HTTP/1.1 200 OK\r\n\r\nwhole", "/safe/x", 200, true },
+    { "cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", "/once/x", 502, true },
+    { "no HTTP", "hello\r\n\r\n", "/once/x", 502, true },
+    { "nothing", "", "/once/x", 502, true },
+    { "late answer of another request first", std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\n" + Names::requestId + ": raw1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 200, false },
+    { "bytes behind the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "/safe/x", 200, false },
 };
 
 TEST_CASE("Answers that are no proper ones")
--- a/Source/UnitTests/Net/BodyDecoderTest.cpp
+++ b/Source/UnitTests/Net/BodyDecoderTest.cpp
@@ -12,9 +12,9 @@
 struct Case {
     std::string what;
     Framing framing;
+    State state;
     std::size_t length;
     std::string bytes;
-    State state;
     std::string body;
     std::string rest; // what belongs to the next message
 };
@@ -22,17 +22,17 @@
 constexpr std::size_t maxBytes = 64;
 
 const Case cases[] = {
-    { "length", Framing::Length, 3, "abcGET", State::Complete, "abc", "GET" },
-    { "short of its length", Framing::Length, 4, "abc", State::NeedsMore, "abc", "" },
-    { "too long by its length", Framing::Length, 65, "", State::TooLarge, "", "" },
-    { "chunks", Framing::Chunked, 0, "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\nGET", State::Complete, "abcde", "GET" },
-    { "trailers are dropped", Framing::Chunked, 0, "1\r\na\r\n0\r\nX: y\r\n\r\n", State::Complete, "a", "" },
-    { "no size", Framing::Chunked, 0, "\r\nabc", State::Malformed, "", "abc" },
-    { "size is no number", Framing::Chunked, 0, "3x\r\nabc\r\n", State::Malformed, "", "abc\r\n" },
-    { "chunk longer than its size", Framing::Chunked, 0, "2\r\nabc\r\n", State::Malformed, "ab", "" },
-    { "chunks too large", Framing::Chunked, 0, "41\r\n" + std::string(65, 'a'), State::TooLarge, "", "" },
-    { "until the end", Framing::UntilClose, 0, "abc", State::NeedsMore, "abc", "" },
-    { "none", Framing::None, 0, "GET", State::Complete, "", "GET" },
+    { "length", Framing::Length, State::Complete, 3, "abcGET", "abc", "GET" },
+    { "short of its length", Framing::Length, State::NeedsMore, 4, "abc", "abc", "" },
+    { "too long by its length", Framing::Length, State::TooLarge, 65, "", "", "" },
+    { "chunks", Framing::Chunked, State::Complete, 0, "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\nGET", "abcde", "GET" },
+    { "trailers are dropped", Framing::Chunked, State::Complete, 0, "1\r\na\r\n0\r\nX: y\r\n\r\n", "a", "" },
+    { "no size", Framing::Chunked, State::Malformed, 0, "\r\nabc", "", "abc" },
+    { "size is no number", Framing::Chunked, State::Malformed, 0, "3x\r\nabc\r\n", "", "abc\r\n" },
+    { "chunk longer than its size", Framing::Chunked, State::Malformed, 0, "2\r\nabc\r\n", "ab", "" },
+    { "chunks too large", Framing::Chunked, State::TooLarge, 0, "41\r\n" + std::string(65, 'a'), "", "" },
+    { "until the end", Framing::UntilClose, State::NeedsMore, 0, "abc", "abc", "" },
+    { "none", Framing::None, State::Complete, 0, "GET", "", "GET" },
 };
 
 }
--- a/Source/UnitTests/Net/HttpMessageTest.cpp
+++ b/Source/UnitTests/Net/HttpMessageTest.cpp
@@ -12,53 +12,53 @@
 struct RequestCase {
     std::string what;
     std::string bytes;
-    bool valid;
-    Framing framing = Framing::None;
     std::size_t length = 0;
+    Framing framing = Framing::None;
+    bool valid = false;
     bool keepAlive = true;
 };
 
 const RequestCase requestCases[] = {
-    { "plain", "GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n", true },
-    { "length", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", true, Framing::Length, 5 },
-    { "same length twice", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n", true, Framing::Length, 5 },
-    { "chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n", true, Framing::Chunked },
-    { "closes", "GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", true, Framing::None, 0, false },
-    { "version 1.0", "GET / HTTP/1.0\r\n\r\n", true, Framing::None, 0, false },
-    { "version 1.0, kept", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", true },
-    { "unlike lengths", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", false },
-    { "length and chunked", "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", false },
-    { "chunked and length", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", false },
-    { "unknown encoding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", false },
-    { "length with a sign", "POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\n", false },
-    { "length list", "POST / HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\n", false },
-    { "empty length", "POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", false },
-    { "blank before the colon", "POST / HTTP/1.1\r\nContent-Length : 5\r\n\r\n", false },
-    { "folded line", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", false },
-    { "no colon", "GET / HTTP/1.1\r\nabc\r\n\r\n", false },
-    { "bare line feed", "GET / HTTP/1.1\r\nA: b\nContent-Length: 5\r\n\r\n", false },
-    { "no path", "GET http://x/ HTTP/1.1\r\n\r\n", false },
-    { "other protocol", "GET / SPDY/3\r\n\r\n", false },
-    { "not HTTP", "\x16\x03\x01 hello\r\n\r\n", false },
+    { "plain", "GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n", 0, Framing::None, true },
+    { "length", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", 5, Framing::Length, true },
+    { "same length twice", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n", 5, Framing::Length, true },
+    { "chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n", 0, Framing::Chunked, true },
+    { "closes", "GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", 0, Framing::None, true, false },
+    { "version 1.0", "GET / HTTP/1.0\r\n\r\n", 0, Framing::None, true, false },
+    { "version 1.0, kept", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", 0, Framing::None, true },
+    { "unlike lengths", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", 0, Framing::None, false },
+    { "length and chunked", "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 0, Framing::None, false },
+    { "chunked and length", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", 0, Framing::None, false },
+    { "unknown encoding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 0, Framing::None, false },
+    { "length with a sign", "POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\n", 0, Framing::None, false },
+    { "length list", "POST / HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\n", 0, Framing::None, false },
+    { "empty length", "POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", 0, Framing::None, false },
+    { "blank before the colon", "POST / HTTP/1.1\r\nContent-Length : 5\r\n\r\n", 0, Framing::None, false },
+    { "folded line", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 0, Framing::None, false },
+    { "no colon", "GET / HTTP/1.1\r\nabc\r\n\r\n", 0, Framing::None, false },
+    { "bare line feed", "GET / HTTP/1.1\r\nA: b\nContent-Length: 5\r\n\r\n", 0, Framing::None, false },
+    { "no path", "GET http://x/ HTTP/1.1\r\n\r\n", 0, Framing::None, false },
+    { "other protocol", "GET / SPDY/3\r\n\r\n", 0, Framing::None, false },
+    { "not HTTP", "\x16\x03\x01 hello\r\n\r\n", 0, Framing::None, false },
 };
 
 struct ResponseCase {
     std::string what;
     std::string bytes;
-    bool hasBody;
-    bool valid;
     Framing framing = Framing::None;
+    bool hasBody = true;
+    bool valid = true;
     bool keepAlive = true;
 };
 
 const ResponseCase responseCases[] = {
-    { "length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", true, true, Framing::Length },
-    { "until the end", "HTTP/1.1 200 OK\r\n\r\n", true, true, Framing::UntilClose },
-    { "to HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", false, true, Framing::None },
-    { "no content", "HTTP/1.1 204 No Content\r\n\r\n", true, true, Framing::None },
-    { "closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true, true, Framing::Length, false },
-    { "not HTTP", "hello there\r\n\r\n", true, false },
-    { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", true, false },
+    { "length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", Framing::Length, true, true },
+    { "until the end", "HTTP/1.1 200 OK\r\n\r\n", Framing::UntilClose, true, true },
+    { "to HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", Framing::None, false, true },
+    { "no content", "HTTP/1.1 204 No Content\r\n\r\n", Framing::None, true, true },
+    { "closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", Framing::Length, true, true, false },
+    { "not HTTP", "hello there\r\n\r\n", Framing::None, true, false },
+    { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", Framing::None, true, false },
 };
 
 }
