A fault soak of real gateway processes

cowslipledge-bench soak: three gateways as processes, store and servers behind loopback proxies that delay, silence, cut one way and reset; SIGTERM, SIGKILL, SIGSTOP and SIGHUP in overlapping series; a store that is busy, silent, loses answers, forgets. Checked from what callers and servers saw.

--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -1,6 +1,9 @@
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
+#include <unistd.h>
+
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
@@ -11,6 +14,7 @@
 #include "Bench/ScenarioRun.h"
 #include "Bench/SlopeRuns.h"
 #include "Common/Tables.h"
+#include "Soak/Soak.h"
 #include "Traces/PoolReplay.h"
 
 namespace {
@@ -29,6 +33,7 @@
   cowslipledge-bench load SERVICE PATH ENTRY... [--method M] [--rate R] [--seconds T] [--seed N]
   cowslipledge-bench replay FILE...
   cowslipledge-bench gossip [--entries N] [--loss P] [--seconds T]
+  cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--program FILE]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -51,6 +56,8 @@
   --rate R        Calls a second [default: 100].
   --entries N     Entries that gossip [default: 22].
   --loss P        Share of datagrams lost, 0 to 1 [default: 0].
+  --seeds N       Seeds of the soak, from --seed on [default: 1].
+  --program FILE  The shipped program; the one beside this one without it.
   --table         Print a table of the services before the line of JSON.
 )";
 
@@ -142,6 +149,19 @@
     });
 }
 
+int soak(std::map<std::string, docopt::value>& args)
+{
+    auto own = std::filesystem::read_symlink("/proc/self/exe");
+    auto program = args["--program"] ? args["--program"].asString() : (own.parent_path() / "cowslipledge").string();
+    auto first = args["--seed"].asLong();
+    auto good = true;
+    for (auto seed = first; seed < first + args["--seeds"].asLong(); ++seed) {
+        auto folder = std::filesystem::temp_directory_path() / ("cowslipledge-soak-" + std::to_string(seed) + "-" + std::to_string(::getpid()));
+        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .program = program, .folder = folder.string() }) && good;
+    }
+    return good ? 0 : 1;
+}
+
 int run(std::map<std::string, docopt::value>& args)
 {
     auto report = Bench::runScenario(runOptions(args));
@@ -164,6 +184,8 @@
         return Bench::runGossipBench({ .entries = static_cast<int>(args["--entries"].asLong()), .seconds = static_cast<int>(args["--seconds"].asLong()), .loss = std::stod(args["--loss"].asString()) });
     if (args["tables"].asBool())
         return writeTables(args["DOCS"].asString());
+    if (args["soak"].asBool())
+        return soak(args);
     if (args["platform"].asBool())
         return Bench::runPlatformProcess();
     if (args["backend"].asBool())
--- /dev/null
+++ b/Source/Core/Soak/FaultProxy.cpp
@@ -0,0 +1,116 @@
+#include "Soak/FaultProxy.h"
+
+#include <array>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+
+namespace Soak {
+
+struct FaultProxy::Pair {
+    Poco::Net::StreamSocket client;
+    Poco::Net::StreamSocket server;
+    bool ended = false;
+};
+
+FaultProxy::FaultProxy(Net::EventLoop& loop, std::string target)
+    : m_loop(loop)
+    , m_target(std::move(target))
+    , m_listener(Poco::Net::SocketAddress("127.0.0.1", 0))
+{
+    m_listener.setBlocking(false);
+    m_loop.watch(m_listener, true, false, [this](Net::Readiness) { accept(); });
+}
+
+FaultProxy::~FaultProxy()
+{
+    m_loop.unwatch(m_listener);
+    resetAll();
+}
+
+void FaultProxy::accept()
+{
+    auto pair = std::make_shared<Pair>();
+    try {
+        pair->client = m_listener.acceptConnection();
+        if (m_mode == ProxyMode::Refuse)
+            return end(pair, true);
+        // Loopback answers at once, so that connecting does not hold up the loop.
+        pair->server.connect(Poco::Net::SocketAddress(m_target));
+    } catch (const Poco::Exception&) {
+        return end(pair, true);
+    }
+    m_pairs.insert(pair);
+    for (auto* socket : { &pair->client, &pair->server }) {
+        socket->setBlocking(false);
+        socket->setNoDelay(true);
+        m_loop.watch(*socket, true, false, [this, pair, fromClient = socket == &pair->client](Net::Readiness) { forward(pair, fromClient); });
+    }
+}
+
+void FaultProxy::forward(const std::shared_ptr<Pair>& pair, bool fromClient)
+{
+    constexpr std::size_t pieceBytes = 16 * 1024;
+    std::array<char, pieceBytes> buf;
+    int n = 0;
+    try {
+        n = (fromClient ? pair->client : pair->server).receiveBytes(buf.data(), static_cast<int>(buf.size()));
+    } catch (const Poco::Exception&) {
+        return end(pair, true);
+    }
+    if (n < 0)
+        return;
+    if (n == 0)
+        return end(pair, false);
+    if (m_mode == ProxyMode::Silence || (m_mode == ProxyMode::OneWay && !fromClient))
+        return;
+    std::string bytes(buf.data(), static_cast<std::size_t>(n));
+    if (m_mode != ProxyMode::Delay)
+        return deliver(pair, !fromClient, bytes);
+    m_loop.after(m_delay, [this, pair, fromClient, bytes] { deliver(pair, !fromClient, bytes); });
+}
+
+void FaultProxy::deliver(const std::shared_ptr<Pair>& pair, bool toClient, const std::string& bytes)
+{
+    if (pair->ended)
+        return;
+    auto& socket = toClient ? pair->client : pair->server;
+    try {
+        for (std::size_t done = 0; done < bytes.size();) {
+            auto n = socket.sendBytes(bytes.data() + done, static_cast<int>(bytes.size() - done));
+            if (n > 0)
+                done += static_cast<std::size_t>(n);
+            else if (!socket.poll(Poco::Timespan(0, 100'000), Poco::Net::Socket::SELECT_WRITE))
+                return end(pair, true);
+        }
+    } catch (const Poco::Exception&) {
+        end(pair, true);
+    }
+}
+
+void FaultProxy::end(const std::shared_ptr<Pair>& pair, bool abruptly)
+{
+    if (pair->ended)
+        return;
+    pair->ended = true;
+    for (auto* socket : { &pair->client, &pair->server }) {
+        m_loop.unwatch(*socket);
+        try {
+            if (abruptly)
+                socket->setLinger(true, 0);
+            socket->close();
+        } catch (const Poco::Exception&) {
+            // It was never connected.
+        }
+    }
+    m_pairs.erase(pair);
+}
+
+void FaultProxy::resetAll()
+{
+    auto pairs = m_pairs;
+    for (const auto& pair : pairs)
+        end(pair, true);
+}
+
+}
--- /dev/null
+++ b/Source/Core/Soak/FaultProxy.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include <Poco/Net/ServerSocket.h>
+
+#include "Common/NameTable.h"
+#include "Net/EventLoop.h"
+
+namespace Soak {
+
+enum class ProxyMode {
+    Pass,
+    Delay, // each piece is held back
+    Silence, // takes connections and bytes, forwards nothing
+    OneWay, // forwards requests, no answers
+    Refuse, // resets what comes
+};
+
+inline constexpr std::array proxyModeNames {
+    Common::EnumName<ProxyMode> { ProxyMode::Pass, "pass" },
+    Common::EnumName<ProxyMode> { ProxyMode::Delay, "delay" },
+    Common::EnumName<ProxyMode> { ProxyMode::Silence, "silence" },
+    Common::EnumName<ProxyMode> { ProxyMode::OneWay, "one-way" },
+    Common::EnumName<ProxyMode> { ProxyMode::Refuse, "refuse" },
+};
+
+// Forwards TCP connections on loopback and does harm on the way. All calls belong to the loop's thread.
+class FaultProxy {
+public:
+    FaultProxy(Net::EventLoop&, std::string target);
+    ~FaultProxy();
+    FaultProxy(const FaultProxy&) = delete;
+    FaultProxy& operator=(const FaultProxy&) = delete;
+
+    std::string address() const { return m_listener.address().toString(); }
+    void setMode(ProxyMode mode) { m_mode = mode; }
+    ProxyMode mode() const { return m_mode; }
+    void setDelay(Common::Duration delay) { m_delay = delay; }
+    // Resets all open connections.
+    void resetAll();
+
+private:
+    struct Pair;
+
+    void accept();
+    void forward(const std::shared_ptr<Pair>&, bool fromClient);
+    void deliver(const std::shared_ptr<Pair>&, bool toClient, const std::string& bytes);
+    void end(const std::shared_ptr<Pair>&, bool abruptly);
+
+    Net::EventLoop& m_loop;
+    std::string m_target;
+    Poco::Net::ServerSocket m_listener;
+    ProxyMode m_mode = ProxyMode::Pass;
+    Common::Duration m_delay = std::chrono::milliseconds(50);
+    std::unordered_set<std::shared_ptr<Pair>> m_pairs;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Soak/GatewayProcess.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace Soak {
+
+struct GatewayProcessOptions {
+    std::string program; // path of the shipped binary
+    std::string folder; // for settings and logs
+    std::string name;
+    std::string store; // ip:port
+    std::string failureDomain;
+    int port = 0; // the first of four: callers, ready, directory, control
+    std::vector<std::string> seeds;
+};
+
+// A gateway as a process of its own. Only ever signals the process that it started itself.
+class GatewayProcess {
+public:
+    explicit GatewayProcess(GatewayProcessOptions);
+    ~GatewayProcess();
+    GatewayProcess(const GatewayProcess&) = delete;
+    GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+    void start();
+    // Sends a signal; nothing where the process has ended.
+    void signal(int number);
+    // The exit status of a process that has ended since the last call.
+    std::optional<int> takeExit();
+    bool isRunning() const { return m_pid > 0; }
+    const GatewayProcessOptions& options() const { return m_options; }
+    std::string callers() const { return addressOf(0); }
+    std::string ready() const { return addressOf(1); }
+    std::string directory() const { return addressOf(2); }
+    std::string control() const { return addressOf(3); }
+
+private:
+    std::string addressOf(int offset) const { return "127.0.0.1:" + std::to_string(m_options.port + offset); }
+    std::string settingsPath() const { return m_options.folder + "/" + m_options.name + ".toml"; }
+    void writeSettings() const;
+
+    GatewayProcessOptions m_options;
+    pid_t m_pid = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Soak/Soak.cpp
@@ -0,0 +1,394 @@
+#include "Soak/Soak.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <fmt/format.h>
+#include <sys/wait.h>
+
+#include "Soak/FaultProxy.h"
+#include "Soak/GatewayProcess.h"
+#include "Soak/SoakCallers.h"
+#include "platform/Names.h"
+#include "platform/StandIn/LoopThread.h"
+#include "platform/StandIn/Server.h"
+#include "platform/StandIn/Store.h"
+
+namespace Soak {
+
+namespace {
+
+    namespace Names = PlatformAdapter::Names;
+    using Clock = std::chrono::steady_clock;
+    using PlatformStandIn::ServerMode;
+    using PlatformStandIn::StoreMode;
+    using std::chrono::milliseconds;
+
+    // After its deadline a request may take this much longer, beside an undisturbed gateway.
+    constexpr auto answerSlack = milliseconds(700);
+    // A disturbance of a gateway excuses what ended so soon after it.
+    constexpr auto disturbanceMemory = milliseconds(3000);
+    // After all faults have ended, everything works again within this time.
+    constexpr auto recoveryLimit = std::chrono::seconds(8);
+    constexpr int callerDeadlineMs = 1000;
+    constexpr int restartDelayMs = 300;
+    // Ports a gateway: callers, ready, directory, control.
+    constexpr int portsEach = 4;
+
+    enum HttpStatus : int {
+        Ok = 200,
+        RequestTimeout = 408,
+        Misdirected = 421,
+        TooManyRequests = 429,
+        Unavailable = 503,
+    };
+
+    bool promisesNotRun(int status)
+    {
+        return status == Unavailable || status == TooManyRequests || status == RequestTimeout || status == Misdirected;
+    }
+
+    struct Interval {
+        Common::TimePoint from;
+        Common::TimePoint to;
+    };
+
+    class Run {
+    public:
+        explicit Run(const SoakOptions& options)
+            : m_options(options)
+            , m_random(options.seed)
+        {
+            m_thread.call([&] { openStandIns(); });
+            startGateways();
+        }
+
+        ~Run()
+        {
+            m_gateways.clear();
+            m_thread.call([&] {
+                m_storeProxies.clear();
+                m_serverProxies.clear();
+                m_servers.clear();
+                m_store.reset();
+            });
+        }
+
+        Run(const Run&) = delete;
+        Run& operator=(const Run&) = delete;
+
+        bool run()
+        {
+            waitAllReady("at the start");
+            std::vector<std::string> addresses;
+            for (const auto& gateway : m_gateways)
+                addresses.push_back(gateway->callers());
+            SoakCallers callers({ .gateways = addresses, .deadlineMs = callerDeadlineMs, .seed = m_options.seed });
+            auto end = Clock::now() + std::chrono::seconds(m_options.seconds);
+            while (Clock::now() < end) {
+                if (below(3) == 0)
+                    startFault();
+                step(milliseconds(50));
+            }
+            endAllFaults();
+            waitAllReady("after all faults");
+            checkNewestConfiguration();
+            callers.stop();
+            m_outcomes = callers.outcomes();
+            checkOutcomes();
+            report();
+            return m_broken.empty();
+        }
+
+    private:
+        using Undo = std::function<void()>;
+        struct ActiveFault {
+            Clock::time_point until;
+            Undo undo;
+        };
+
+        int below(int bound) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(bound)); }
+
+        void openStandIns()
+        {
+            m_store = std::make_unique<PlatformStandIn::Store>(m_thread.loop());
+            for (int i = 0; i < m_options.servers; ++i) {
+                m_servers.push_back(std::make_unique<PlatformStandIn::Server>(m_thread.loop(), m_runs, PlatformStandIn::ServerOptions { .id = "server-" + std::to_string(i), .failureDomain = i % 2 == 0 ? "a" : "b", .work = milliseconds(20) }));
+                m_serverProxies.push_back(std::make_unique<FaultProxy>(m_thread.loop(), m_servers.back()->address()));
+                putServer(static_cast<std::size_t>(i), false);
+            }
+            for (int i = 0; i < m_options.gateways; ++i)
+                m_storeProxies.push_back(std::make_unique<FaultProxy>(m_thread.loop(), m_store->address()));
+            putConfiguration();
+        }
+
+        void putServer(std::size_t index, bool draining)
+        {
+            // Registered at its proxy's address.
+            auto value = m_servers[index]->registryValue(draining);
+            auto own = m_servers[index]->address();
+            value.replace(value.find(own), own.size(), m_serverProxies[index]->address());
+            m_store->put(Names::registryTable, m_servers[index]->options().id, value);
+        }
+
+        // Each version moves one route, so that a gateway can be asked which is in force.
+        void putConfiguration()
+        {
+            ++m_version;
+            auto extra = fmt::format(R"(,"probe":{{"host":"host.example","prefix":"/v{}/","route_type":"safe","timeout_ms":1000,"target_latency_ms":300,"priority":1,"service":"service","max_attempts":2}})", m_version);
+            m_store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(m_version, "service", extra));
+        }
+
+        void startGateways()
+        {
+            std::filesystem::create_directories(m_options.folder);
+            constexpr int firstPort = 21000;
+            constexpr int portRange = 11000; // below the ports that the kernel hands out
+            auto port = firstPort + static_cast<int>((m_options.seed * 131 + static_cast<std::uint64_t>(::getpid())) % portRange);
+            std::vector<std::string> seeds;
+            for (int i = 0; i < std::min(2, m_options.gateways); ++i)
+                seeds.push_back("127.0.0.1:" + std::to_string(port + i * portsEach + 3));
+            for (int i = 0; i < m_options.gateways; ++i) {
+                auto store = m_thread.call([&] { return m_storeProxies[static_cast<std::size_t>(i)]->address(); });
+                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = i % 2 == 0 ? "a" : "b", .port = port + i * portsEach, .seeds = seeds }));
+                m_gateways.back()->start();
+            }
+            m_expected.resize(m_gateways.size());
+        }
+
+        void disturb(const std::string& gateway, milliseconds length)
+        {
+            auto now = Common::TimePoint(Clock::now());
+            m_disturbed[gateway].push_back({ .from = now, .to = now + length + disturbanceMemory });
+        }
+
+        void disturbAll(milliseconds length)
+        {
+            for (const auto& gateway : m_gateways)
+                disturb(gateway->callers(), length);
+        }
+
+        bool isDisturbed(const Outcome& outcome) const
+        {
+            auto it = m_disturbed.find(outcome.gateway);
+            return it != m_disturbed.end() && std::any_of(it->second.begin(), it->second.end(), [&](const auto& interval) { return interval.from <= outcome.ended && outcome.sent <= interval.to; });
+        }
+
+        void startFault()
+        {
+            if (m_active.size() >= 3)
+                return;
+            auto length = milliseconds(300 + below(2500));
+            auto until = Clock::now() + length;
+            auto gateway = static_cast<std::size_t>(below(m_options.gateways));
+            auto server = static_cast<std::size_t>(below(m_options.servers));
+            switch (below(9)) {
+            case 0:
+            case 1:
+                return signalGateway(gateway, length);
+            case 2: {
+                auto mode = proxyModeNames[1 + static_cast<std::size_t>(below(4))].value;
+                note(fmt::format("server proxy {} {}", server, Common::nameOf(proxyModeNames, mode)));
+                disturbAll(length);
+                m_thread.call([&] { m_serverProxies[server]->setMode(mode); });
+                m_active.push_back({ until, [this, server] { m_thread.call([&] { m_serverProxies[server]->setMode(ProxyMode::Pass); }); } });
+                return;
+            }
+            case 3: {
+                auto mode = proxyModeNames[1 + static_cast<std::size_t>(below(4))].value;
+                note(fmt::format("store proxy {} {}", gateway, Common::nameOf(proxyModeNames, mode)));
+                m_thread.call([&] { m_storeProxies[gateway]->setMode(mode); });
+                m_active.push_back({ until, [this, gateway] { m_thread.call([&] { m_storeProxies[gateway]->setMode(ProxyMode::Pass); }); } });
+                return;
+            }
+            case 4: {
+                auto mode = static_cast<StoreMode>(1 + below(3));
+                note(fmt::format("store mode {}", static_cast<int>(mode)));
+                m_thread.call([&] { m_store->setMode(mode); });
+                m_active.push_back({ until, [this] { m_thread.call([&] { m_store->setMode(StoreMode::Serving); }); } });
+                return;
+            }
+            case 5: {
+                auto mode = static_cast<ServerMode>(1 + below(3));
+                note(fmt::format("server {} mode {}", server, static_cast<int>(mode)));
+                m_thread.call([&] { m_servers[server]->setMode(mode); });
+                m_active.push_back({ until, [this, server] { m_thread.call([&] { m_servers[server]->setMode(ServerMode::Serving); }); } });
+                return;
+            }
+            case 6:
+                note(fmt::format("server {} drains", server));
+                m_thread.call([&] { putServer(server, true); });
+                m_active.push_back({ until, [this, server] { m_thread.call([&] { putServer(server, false); }); } });
+                return;
+            case 7:
+                note("history forgotten, connections of a server reset");
+                disturbAll(milliseconds(0));
+                return m_thread.call([&] {
+                    m_store->forgetHistory();
+                    m_serverProxies[server]->resetAll();
+                });
+            default:
+                note(fmt::format("configuration {}", m_version + 1));
+                return m_thread.call([&] { putConfiguration(); });
+            }
+        }
+
+        void signalGateway(std::size_t index, milliseconds length)
+        {
+            auto& gateway = *m_gateways[index];
+            constexpr std::array signals { SIGTERM, SIGTERM, SIGKILL, SIGSTOP, SIGHUP };
+            auto number = signals[static_cast<std::size_t>(below(signals.size()))];
+            note(fmt::format("{} gets signal {}", gateway.options().name, number));
+            if (number == SIGKILL || number == SIGSTOP)
+                disturb(gateway.callers(), length + milliseconds(restartDelayMs));
+            if (number == SIGTERM || number == SIGKILL)
+                m_expected[index] = true;
+            gateway.signal(number);
+            if (number == SIGSTOP)
+                m_active.push_back({ Clock::now() + length, [this, index] { m_gateways[index]->signal(SIGCONT); } });
+        }
+
+        void note(const std::string& what)
+        {
+            m_history.push_back(fmt::format("{:.3f} {}", std::chrono::duration<double>(Clock::now() - m_begun).count(), what));
+        }
+
+        void step(milliseconds length)
+        {
+            std::this_thread::sleep_for(length);
+            for (auto it = m_active.begin(); it != m_active.end();) {
+                if (Clock::now() < it->until) {
+                    ++it;
+                    continue;
+                }
+                it->undo();
+                it = m_active.erase(it);
+            }
+            for (std::size_t i = 0; i < m_gateways.size(); ++i)
+                restartIfEnded(i);
+        }
+
+        void restartIfEnded(std::size_t index)
+        {
+            auto status = m_gateways[index]->takeExit();
+            if (!status)
+                return;
+            if (!m_expected[index])
+                m_broken.push_back(fmt::format("{} ended by itself with status {:#x}", m_gateways[index]->options().name, *status));
+            m_expected[index] = false;
+            std::this_thread::sleep_for(milliseconds(restartDelayMs));
+            m_gateways[index]->start();
+        }
+
+        void endAllFaults()
+        {
+            for (auto& fault : m_active)
+                fault.undo();
+            m_active.clear();
+            m_thread.call([&] {
+                for (std::size_t i = 0; i < m_servers.size(); ++i)
+                    putServer(i, false);
+            });
+        }
+
+        void waitAllReady(const std::string& when)
+        {
+            auto end = Clock::now() + recoveryLimit;
+            for (const auto& gateway : m_gateways) {
+                while (statusOf(gateway->ready(), Names::readyPath) != Ok) {
+                    step(milliseconds(50));
+                    if (Clock::now() > end) {
+                        m_broken.push_back(gateway->options().name + " is not ready " + when);
+                        break;
+                    }
+                }
+            }
+        }
+
+        void checkNewestConfiguration()
+        {
+            m_thread.call([&] { putConfiguration(); });
+            auto target = fmt::format("/v{}/x", m_version);
+            auto end = Clock::now() + recoveryLimit;
+            for (const auto& gateway : m_gateways) {
+                while (statusOf(gateway->callers(), target) != Ok) {
+                    step(milliseconds(50));
+                    if (Clock::now() > end) {
+                        m_broken.push_back(fmt::format("{} does not serve the newest configuration, {}", gateway->options().name, m_version));
+                        break;
+                    }
+                }
+            }
+        }
+
+        void checkOutcomes()
+        {
+            for (const auto& outcome : m_outcomes) {
+                auto runs = m_runs.runs(outcome.id);
+                auto took = outcome.ended - outcome.sent;
+                auto at = fmt::format("{} over {} at {:.3f} s", outcome.id, outcome.gateway, std::chrono::duration<double>(outcome.sent - Common::TimePoint(m_begun)).count());
+                if (outcome.once && runs > 1)
+                    m_broken.push_back(fmt::format("{} ran {} times", at, runs));
+                if (promisesNotRun(outcome.status) && outcome.once && runs > 0)
+                    m_broken.push_back(fmt::format("{} was answered {} and has run", at, outcome.status));
+                if (outcome.wrongBody)
+                    m_broken.push_back(at + " got another body than its own");
+                if (outcome.status == Ok && runs == 0)
+                    m_broken.push_back(at + " succeeded without having run");
+                if (!isDisturbed(outcome) && outcome.connected && took > milliseconds(callerDeadlineMs) + answerSlack)
+                    m_broken.push_back(fmt::format("{} was held for {:.0f} ms", at, Common::toMilliseconds(took)));
+                if (!isDisturbed(outcome) && outcome.connected && outcome.status == 0 && runs > 0)
+                    m_broken.push_back(at + " was cut beside planned work only");
+                ++m_statuses[outcome.status];
+            }
+        }
+
+        void report()
+        {
+            for (const auto& broken : m_broken)
+                fmt::print("broken: {}\n", broken);
+            if (!m_broken.empty()) {
+                for (const auto& line : m_history)
+                    fmt::print("fault: {}\n", line);
+            }
+            std::string statuses;
+            for (const auto& [status, n] : m_statuses)
+                statuses += fmt::format("{}\"{}\":{}", statuses.empty() ? "" : ",", status, n);
+            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_broken.size());
+        }
+
+        SoakOptions m_options;
+        std::mt19937_64 m_random;
+        PlatformStandIn::LoopThread m_thread;
+        PlatformStandIn::RunLog m_runs;
+        std::unique_ptr<PlatformStandIn::Store> m_store;
+        std::vector<std::unique_ptr<PlatformStandIn::Server>> m_servers;
+        std::vector<std::unique_ptr<FaultProxy>> m_serverProxies;
+        std::vector<std::unique_ptr<FaultProxy>> m_storeProxies; // one a gateway
+        std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
+        std::vector<bool> m_expected; // the gateway's end was asked for
+        std::vector<ActiveFault> m_active;
+        std::map<std::string, std::vector<Interval>> m_disturbed; // by callers' address
+        std::vector<Outcome> m_outcomes;
+        std::map<int, int> m_statuses;
+        std::vector<std::string> m_broken;
+        std::vector<std::string> m_history;
+        Clock::time_point m_begun = Clock::now();
+        int m_version = 0;
+    };
+
+}
+
+bool runSoak(const SoakOptions& options)
+{
+    auto good = Run(options).run();
+    if (good)
+        std::filesystem::remove_all(options.folder);
+    return good;
+}
+
+}
--- /dev/null
+++ b/Source/Core/Soak/Soak.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Soak {
+
+struct SoakOptions {
+    std::uint64_t seed = 1;
+    int seconds = 20; // of faults
+    int gateways = 3;
+    int servers = 4;
+    std::string program; // path of the shipped binary
+    std::string folder; // for settings and logs; removed when the run was good
+};
+
+// Runs gateways as processes under faults drawn from the seed and checks the promises from what callers and servers saw.
+// Prints what was broken and one line of JSON; returns whether nothing was.
+bool runSoak(const SoakOptions&);
+
+}
--- /dev/null
+++ b/Source/Core/Soak/SoakCallers.cpp
@@ -0,0 +1,125 @@
+#include "Soak/SoakCallers.h"
+
+#include <memory>
+#include <random>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+
+#include "platform/Names.h"
+
+namespace Soak {
+
+namespace {
+
+    namespace Names = PlatformAdapter::Names;
+    using Poco::Net::HTTPClientSession;
+
+    constexpr int ok = 200;
+
+    std::unique_ptr<HTTPClientSession> connectTo(const std::string& address)
+    {
+        auto session = std::make_unique<HTTPClientSession>(Poco::Net::SocketAddress(address));
+        session->setKeepAlive(true);
+        session->setTimeout(Poco::Timespan(1, 0), Poco::Timespan(3, 0), Poco::Timespan(3, 0));
+        // A second send by the library would look like a request run twice.
+        session->setKeepAliveTimeout(Poco::Timespan(3600, 0));
+        return session;
+    }
+
+    // Sends one request and reads its answer into the outcome; false when the connection is not to be used again.
+    bool exchange(HTTPClientSession& session, const CallersOptions& options, Outcome& outcome)
+    {
+        Poco::Net::HTTPRequest request(outcome.once ? "POST" : "GET", outcome.once ? "/once/x" : "/safe/x", "HTTP/1.1");
+        request.set("Host", "host.example");
+        request.set(Names::requestId, outcome.id);
+        request.set(Names::deadline, std::to_string(options.deadlineMs));
+        std::string body = outcome.once ? "body of " + outcome.id : "";
+        if (outcome.once)
+            request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        try {
+            session.sendRequest(request) << body << std::flush;
+            outcome.connected = true;
+            Poco::Net::HTTPResponse response;
+            std::string received;
+            Poco::StreamCopier::copyToString(session.receiveResponse(response), received);
+            outcome.status = response.getStatus();
+            outcome.wrongBody = outcome.status == ok && received != "answer to " + outcome.id;
+            return response.getKeepAlive();
+        } catch (const Poco::Exception&) {
+            return false; // no answer: the outcome says so with status 0
+        }
+    }
+
+}
+
+SoakCallers::SoakCallers(CallersOptions options)
+    : m_options(std::move(options))
+{
+    for (int i = 0; i < m_options.threads; ++i)
+        m_threads.emplace_back([this, i] { run(i); });
+}
+
+SoakCallers::~SoakCallers()
+{
+    stop();
+}
+
+void SoakCallers::stop()
+{
+    m_stopping = true;
+    for (auto& thread : m_threads) {
+        if (thread.joinable())
+            thread.join();
+    }
+}
+
+std::vector<Outcome> SoakCallers::outcomes() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_outcomes;
+}
+
+void SoakCallers::run(int number)
+{
+    std::mt19937_64 random(m_options.seed * 1000 + static_cast<std::uint64_t>(number));
+    std::unique_ptr<HTTPClientSession> session;
+    std::string gateway;
+    for (int n = 0; !m_stopping; ++n) {
+        if (!session) {
+            gateway = m_options.gateways[random() % m_options.gateways.size()];
+            session = connectTo(gateway);
+        }
+        Outcome outcome { .id = std::to_string(number) + "-" + std::to_string(n), .once = random() % 2 == 0, .status = 0, .wrongBody = false, .connected = false, .gateway = gateway, .sent = Common::TimePoint(std::chrono::steady_clock::now()), .ended = {} };
+        if (!exchange(*session, m_options, outcome))
+            session.reset();
+        outcome.ended = Common::TimePoint(std::chrono::steady_clock::now());
+        {
+            std::lock_guard lock(m_mutex);
+            m_outcomes.push_back(outcome);
+        }
+        std::this_thread::sleep_for(m_options.pause);
+    }
+}
+
+int statusOf(const std::string& address, const std::string& target)
+{
+    try {
+        HTTPClientSession session { Poco::Net::SocketAddress(address) };
+        session.setTimeout(Poco::Timespan(1, 0));
+        Poco::Net::HTTPRequest request("GET", target, "HTTP/1.1");
+        request.set("Host", "host.example");
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        session.receiveResponse(response);
+        return response.getStatus();
+    } catch (const Poco::Exception&) {
+        return 0; // nobody answers
+    }
+}
+
+}
--- /dev/null
+++ b/Source/Core/Soak/SoakCallers.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Common/Clock.h"
+
+namespace Soak {
+
+// What one caller saw of one request.
+struct Outcome {
+    std::string id;
+    bool once = false; // must not run twice
+    int status = 0; // 0: the connection ended without an answer
+    bool wrongBody = false; // a success with other bytes than the server's
+    bool connected = false; // the request was written
+    std::string gateway;
+    Common::TimePoint sent;
+    Common::TimePoint ended;
+};
+
+struct CallersOptions {
+    std::vector<std::string> gateways; // callers' addresses
+    int threads = 8;
+    int deadlineMs = 1000;
+    Common::Duration pause = std::chrono::milliseconds(15); // between a caller's requests
+    std::uint64_t seed = 1;
+};
+
+// Callers that keep their connections open until the process behind is gone.
+class SoakCallers {
+public:
+    explicit SoakCallers(CallersOptions);
+    ~SoakCallers();
+    SoakCallers(const SoakCallers&) = delete;
+    SoakCallers& operator=(const SoakCallers&) = delete;
+
+    void stop();
+    std::vector<Outcome> outcomes() const;
+
+private:
+    void run(int number);
+
+    CallersOptions m_options;
+    std::atomic<bool> m_stopping = false;
+    mutable std::mutex m_mutex; // guards m_outcomes
+    std::vector<Outcome> m_outcomes;
+    std::vector<std::thread> m_threads;
+};
+
+// One request over a new connection; status 0 without an answer.
+int statusOf(const std::string& address, const std::string& target);
+
+}
