--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -113,7 +113,6 @@
         return Operator::toInt(Operator::ExitCode::InvalidFile);
     auto signals = blockSignals();
     sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     Gateway::Daemon daemon({
         .settings = *settings,
         .platform = PlatformAdapter::binding(),
@@ -169,8 +168,18 @@
 
 }
 
+// A change of settings that is announced while an instance starts must not end it.
+void blockHangUp()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 int main(int argc, char* argv[])
 {
+    blockHangUp();
     auto args = docopt::docopt(usage, { argv + 1, argv + argc }, true, "cowslipledge 0.1.0");
     if (args["entry"].asBool())
         return entryCommand(args["--settings"].asString());
--- a/Source/Core/Gateway/NewsController.cpp
+++ b/Source/Core/Gateway/NewsController.cpp
@@ -35,6 +35,9 @@
     constexpr auto entriesMemory = std::chrono::seconds(30);
 
     constexpr std::size_t relaysWanted = 2;
+    // Longest pause between tries at a store that is away: relays try often, since all others depend on them.
+    constexpr auto relayBackoff = std::chrono::milliseconds(500);
+    constexpr auto followerBackoff = std::chrono::milliseconds(3000);
     // From so many entries on, a standby with so many times the leading relay's processor share takes its place.
     constexpr std::size_t manyEntries = 60;
     constexpr double capacityGain = 1.5;
@@ -114,6 +117,7 @@
     follow();
     auto now = facts();
     if (!m_leaving || !m_client.following().empty()) {
+        m_reader.setMaxBackoff(now.role == NewsRole::Follower ? followerBackoff : relayBackoff);
         if (Decisions::shouldRead(now, m_options.duty))
             m_reader.start();
         else
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -63,13 +63,19 @@
     });
 }
 
+bool RelayClient::isAvoided(const std::string& relay) const
+{
+    auto it = m_trials.find(relay);
+    return it != m_trials.end() && m_loop.now() < it->second.avoidUntil;
+}
+
+bool RelayClient::allAvoided() const
+{
+    return std::all_of(m_candidates.begin(), m_candidates.end(), [this](const auto& relay) { return isAvoided(relay); });
+}
+
 std::string RelayClient::choose() const
 {
-    auto now = m_loop.now();
-    auto isAvoided = [&](const std::string& relay) {
-        auto it = m_trials.find(relay);
-        return it != m_trials.end() && now < it->second.avoidUntil;
-    };
     for (const auto& relay : m_candidates) {
         if (!isAvoided(relay))
             return relay;
@@ -140,7 +146,6 @@
         if (m_following != relay)
             m_log.log(Common::EventId::RelayFollowed, { { "relay", relay }, { "before", m_following }, { "age_ms", std::to_string(static_cast<long>(Common::toMilliseconds(news.update.age))) } });
         m_following = relay;
-        m_lastAnswer = now;
         if (isFresh)
             m_lastFresh = now;
         m_catalog.apply(news.update);
@@ -151,7 +156,7 @@
     if (m_rosterHook)
         m_rosterHook(news.roster);
     if (m_running)
-        askLater(isFresh ? Common::Duration::zero() : Common::Duration(m_options.retryPause));
+        askLater(isFresh || !allAvoided() ? Common::Duration::zero() : retryPause());
 }
 
 void RelayClient::onFailure(const std::string& relay, std::string_view cause)
@@ -165,7 +170,7 @@
         m_membersRevision = 0;
     }
     if (m_running)
-        askLater(m_options.retryPause);
+        askLater(allAvoided() ? retryPause() : Common::Duration::zero());
 }
 
 }
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -19,7 +19,7 @@
     std::function<Roster()> roster; // as this entry knows it
     Common::Duration answerSlack = std::chrono::milliseconds(300); // beside the wait asked for
     Common::Duration slackPerEntry = std::chrono::milliseconds(2); // a relay that many turn to at once answers them in turn
-    Common::Duration retryPause = std::chrono::milliseconds(150); // between attempts at relays that fail
+    Common::Duration retryPause = std::chrono::milliseconds(150); // between attempts at relays that fail or are behind
     Common::Duration avoidTime = std::chrono::seconds(1); // for which a relay that failed is only asked when no other is left
     Common::Duration staleAge = std::chrono::milliseconds(1000); // a relay whose news are older is like one that failed
 };
@@ -42,8 +42,7 @@
     // Asks again at once, so that the relay learns of a change of this entry.
     void renew();
 
-    // Last answer of a relay; a relay that is not fresh counts only where `fresh` is false.
-    Common::TimePoint lastAnswer() const { return m_lastAnswer; }
+    // The last answer of a relay with fresh news.
     Common::TimePoint lastFreshAnswer() const { return m_lastFresh; }
     // The relay that answered last; empty before the first.
     const std::string& following() const { return m_following; }
@@ -55,8 +54,12 @@
 
     void ask();
     void askLater(Common::Duration);
+    Common::Duration retryPause() const { return m_options.retryPause + m_options.slackPerEntry * static_cast<int>(m_members.size()); }
     Common::Duration answerSlack() const { return m_options.answerSlack + m_options.slackPerEntry * static_cast<int>(m_members.size()); }
     Net::Request newsRequest(const std::string& relay, Common::Duration wait) const;
+    bool isAvoided(const std::string& relay) const;
+    // No relay is left that has not failed or been behind of late.
+    bool allAvoided() const;
     std::string choose() const;
     void onAnswer(const std::string& relay, Net::ResponseHead&&);
     void onFailure(const std::string& relay, std::string_view cause);
@@ -76,7 +79,6 @@
     std::string m_listedBy;
     std::uint64_t m_membersRevision = 0;
     Common::Duration m_wait = std::chrono::milliseconds(400);
-    Common::TimePoint m_lastAnswer;
     Common::TimePoint m_lastFresh;
     Net::EventLoop::TimerId m_timer = 0;
     bool m_running = false;
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -68,8 +68,8 @@
         return;
     noteAnswer(read.state != ReadState::Unavailable, read.error);
     if (read.state == ReadState::Unavailable) {
-        later(m_registryTimer, m_backoff, &StoreReader::readRegistry);
-        m_backoff = std::min(2 * m_backoff, m_options.maxBackoff);
+        later(m_registryTimer, std::min(m_backoff, m_options.maxBackoff), &StoreReader::readRegistry);
+        m_backoff = 2 * m_backoff;
         return;
     }
     m_backoff = m_options.firstBackoff;
@@ -104,7 +104,9 @@
         return;
     if (read.state == ReadState::Unavailable) {
         ++m_failures;
-        later(m_operatorTimer, m_backoff, &StoreReader::readOperators);
+        // While the registry cannot be read either, its return starts this again.
+        if (m_answers)
+            later(m_operatorTimer, m_options.firstBackoff, &StoreReader::readOperators);
         return;
     }
     if (read.state == ReadState::HistoryGone) {
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -27,6 +27,8 @@
 
     void start();
     void stop();
+    // Longest pause between tries while the store does not answer.
+    void setMaxBackoff(Common::Duration limit) { m_options.maxBackoff = limit; }
     bool isRunning() const { return m_running; }
     // The last look at the registry was answered.
     bool storeAnswers() const { return m_answers; }
