cowslipledge explain: from a request's id to its cause; a server's own failure is delivered before one of ours

The test of three failed requests found that a safe request which its only server had failed was answered 502 instead of the server's own 500: one function now gives up for all cases. Log lines name the age of the report and the expected wait.

--- a/Source/Core/Common/Tables.cpp
+++ b/Source/Core/Common/Tables.cpp
@@ -24,8 +24,8 @@
 std::string eventsPage()
 {
     std::string page = "# Events\n\n"
-                       "One line each on standard error, and in the time line; events of single calls (2000 to\n"
-                       "2999) appear only there. Made by `cowslipledge-bench tables`.\n\n"
+                       "One line each on standard error (an entry) or standard output (a gateway), and in the time line; an entry tells events\n"
+                       "of single calls (2000 to 2999) only there. Made by `cowslipledge-bench tables`.\n\n"
                        "| event | name | severity | meaning |\n|---|---|---|---|\n";
     for (const auto& row : eventTable())
         page += fmt::format("| {} | {} | {} | {} |\n", static_cast<int>(row.id), row.name, severityName(row.severity), row.meaning);
--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -8,6 +8,7 @@
 #include "Gateway/Daemon.h"
 #include "Operator/CheckCommand.h"
 #include "Operator/ExitCode.h"
+#include "Operator/ExplainCommand.h"
 #include "Operator/RecordCommandLine.h"
 #include "Operator/StatusCommand.h"
 #include "Operator/TimelineCommand.h"
@@ -33,6 +34,7 @@
   cowslipledge record wait REVISION --platform ADDR [--timeout-ms T] [--json]
   cowslipledge status [--platform ADDR] [--peer ADDR] --key-file FILE [--json]
   cowslipledge timeline [--platform ADDR] [--peer ADDR] --key-file FILE [--since T] [--request ID] [--service S] [--json]
+  cowslipledge explain ID
   cowslipledge --help
   cowslipledge --version
 
@@ -191,5 +193,7 @@
         return Operator::statusCommand({ .peers = peerOptions(args), .json = args["--json"].asBool() });
     if (args["timeline"].asBool())
         return Operator::timelineCommand({ .peers = peerOptions(args), .since = textOf(args["--since"]), .request = textOf(args["--request"]), .service = textOf(args["--service"]), .json = args["--json"].asBool() });
+    if (args["explain"].asBool())
+        return Operator::explainCommand(args["ID"].asString());
     return Operator::checkCommand(args["FILE"].asString());
 }
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -63,6 +63,8 @@
     Decisions::ServerSignal signal(Common::TimePoint now) const;
     const std::optional<LoadReport>& report() const { return m_report; }
     double failureShare(Common::TimePoint now) const;
+    // Age of the last report; nothing where there is none.
+    std::optional<Common::Duration> reportAge(Common::TimePoint now) const { return m_report ? std::optional(now - m_report->at) : std::nullopt; }
     // Did not answer the last questions: asked again only when little else is left, or after a pause.
     bool isSuspect(Common::TimePoint now) const { return now < m_suspectUntil; }
     bool hasFreeConnection() const { return !m_free.empty(); }
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -54,6 +54,7 @@
 Daemon::Daemon(DaemonOptions options)
     : m_options(std::move(options))
     , m_loop(m_options.hooks)
+    , m_writer({ .descriptor = m_options.logDescriptor })
     , m_log({ .process = m_options.settings.node, .format = m_options.settings.logFormat, .ringSize = ringEvents, .traceRingSize = ringEvents, .sink = [this](const std::string& line) { m_writer.append(line); }, .linesPerSecond = m_options.settings.logLinesPerSecond })
     , m_backends(m_loop, m_log, { .headers = m_options.platform.headers, .failureDomain = m_options.settings.failureDomain, .client = { .silenceLimit = silenceLimit } })
     , m_engine(m_loop, m_log, m_backends, { .headers = m_options.platform.headers, .placement = {}, .retries = { .ratio = m_options.settings.retryRatio, .slack = static_cast<double>(m_options.settings.retrySlack), .window = std::chrono::milliseconds(m_options.settings.retryWindowMs) }, .probesPerServer = m_options.settings.probesPerServer })
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -36,6 +36,7 @@
     Settings::GatewaySettings settings;
     PlatformBinding platform;
     Common::Hooks hooks = Common::systemHooks();
+    int logDescriptor = 1; // standard output
     // Reads the settings again; nothing where they hold mistakes.
     std::function<std::optional<Settings::GatewaySettings>()> reload = {};
     // Grows with each change of the settings file.
--- a/Source/Core/Gateway/Engine.cpp
+++ b/Source/Core/Gateway/Engine.cpp
@@ -97,7 +97,7 @@
     ++m_counters.requests;
     if (!m_configuration) {
         ++m_counters.refused;
-        m_log.log(Common::EventId::CallRefused, { { "cause", "no configuration is known yet" } });
+        m_log.log(Common::EventId::CallRefused, { { "request", std::string(Net::findHeader(exchange->request().headers, m_options.headers.requestId).value_or("")) }, { "cause", "no configuration is known yet" } });
         auto wait = Decisions::retryAfter({ .reason = Decisions::RefusalReason::NotConfigured, .timeLeftMs = 3000, .excessMs = 0, .jitter = Common::randomUnit(m_loop.hooks()) });
         return exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { "Retry-After", std::to_string(std::chrono::duration<double>(wait).count()) } }, .body = {} });
     }
--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -219,23 +219,20 @@
     if (backends.empty()) {
         if (m_open > 0)
             return; // a first send is still under way
-        if (m_mayHaveRun)
-            return fail(BadGateway, "no other server answers");
-        if (full > 0)
-            return refuse(RefusalReason::Busy, 0);
-        return refuse(m_engine.backends().usable(m_service) == 0 ? RefusalReason::NoServer : RefusalReason::NoReport, 0);
+        auto reason = full > 0 ? RefusalReason::Busy : m_engine.backends().usable(m_service) == 0 ? RefusalReason::NoServer
+                                                                                                  : RefusalReason::NoReport;
+        return giveUp("no other server has room or answers", reason, 0);
     }
     auto workMs = m_engine.usualWorkMs(m_route);
     auto best = Decisions::bestServer(signals, workMs, options);
     const auto& signal = signals[best];
     auto expectedMs = Decisions::expectedWaitMs(signal, workMs, options);
-    m_lastInputs = fmt::format("running={} waiting={} slots={} work_factor={:.2f} slowness={:.2f} failures={:.2f} own_domain={} of={} full={}", signal.running, signal.waiting, signal.slots, signal.workFactor, signal.slowness, signal.failureShare, signal.sameDomain, backends.size(), full);
+    auto reportAge = backends[best]->reportAge(now);
+    m_lastInputs = fmt::format("running={} waiting={} slots={} work_factor={:.2f} slowness={:.2f} failures={:.2f} own_domain={} report_ms={} expected_ms={:.0f} of={} full={}", signal.running, signal.waiting, signal.slots, signal.workFactor, signal.slowness, signal.failureShare, signal.sameDomain, reportAge ? fmt::format("{:.0f}", Common::toMilliseconds(*reportAge)) : "none", expectedMs, backends.size(), full);
     if (expectedMs > timeLeftMs()) {
         if (m_open > 0)
             return;
-        if (m_mayHaveRun)
-            return fail(BadGateway, "the best other server would answer too late");
-        return refuse(RefusalReason::Busy, expectedMs - timeLeftMs());
+        return giveUp("the best server would answer too late", RefusalReason::Busy, expectedMs - timeLeftMs());
     }
     send(backends[best], expectedMs);
 }
@@ -375,11 +372,17 @@
         engine.log().log(EventId::CallRetried, std::move(fields));
         return ask(Scope::OwnDomain);
     }
+    giveUp(cause, RefusalReason::Shed, 0);
+}
+
+// The best answer that is left: a server's own failure before one of ours, and "not run" only where that is sure.
+void RequestRun::giveUp(const char* cause, RefusalReason reason, double excessMs)
+{
     if (m_serverFailure)
         return deliver(std::move(*m_serverFailure), {});
     if (m_mayHaveRun)
         return fail(BadGateway, cause);
-    refuse(RefusalReason::Shed, 0);
+    refuse(reason, excessMs);
 }
 
 void RequestRun::armSecondSend()
--- a/Source/Core/Gateway/RequestRun.h
+++ b/Source/Core/Gateway/RequestRun.h
@@ -52,6 +52,7 @@
     Flight endFlight(std::size_t flight);
     // After an attempt that brought no answer to deliver.
     void tryAgain(const char* cause);
+    void giveUp(const char* cause, Decisions::RefusalReason, double excessMs);
     void armSecondSend();
     void onSecondSendDue();
     void deliver(Net::Response&&, const Flight&);
--- a/Source/UnitTests/Gateway/GatewayWorld.h
+++ b/Source/UnitTests/Gateway/GatewayWorld.h
@@ -94,8 +94,8 @@
 // A gateway on a thread of its own.
 class RunningGateway {
 public:
-    RunningGateway(const std::string& store, const std::vector<std::string>& seeds, const std::string& control)
-        : m_daemon({ .settings = settings(store, seeds, control), .platform = PlatformAdapter::binding() })
+    RunningGateway(const std::string& store, const std::vector<std::string>& seeds, const std::string& control, int logDescriptor = -1)
+        : m_daemon({ .settings = settings(store, seeds, control, logDescriptor < 0 ? Common::LogFormat::Off : Common::LogFormat::Json), .platform = PlatformAdapter::binding(), .logDescriptor = logDescriptor })
     {
         auto opened = m_daemon.open();
         m_open = opened.has_value();
@@ -111,7 +111,7 @@
     RunningGateway(const RunningGateway&) = delete;
     RunningGateway& operator=(const RunningGateway&) = delete;
 
-    static Settings::GatewaySettings settings(const std::string& store, const std::vector<std::string>& seeds, const std::string& control)
+    static Settings::GatewaySettings settings(const std::string& store, const std::vector<std::string>& seeds, const std::string& control, Common::LogFormat logFormat)
     {
         Settings::GatewaySettings settings;
         settings.node = "test";
@@ -124,7 +124,7 @@
         settings.seeds = seeds;
         settings.store = store;
         settings.graceMs = 2000;
-        settings.logFormat = Common::LogFormat::Off;
+        settings.logFormat = logFormat;
         return settings;
     }
 
@@ -198,9 +198,9 @@
     {
         thread.call([&] { servers[index]->setMode(mode); });
     }
-    std::unique_ptr<RunningGateway> gateway(const std::vector<std::string>& seeds = {}, const std::string& control = "127.0.0.1:0")
+    std::unique_ptr<RunningGateway> gateway(const std::vector<std::string>& seeds = {}, const std::string& control = "127.0.0.1:0", int logDescriptor = -1)
     {
-        return std::make_unique<RunningGateway>(storeAddress(), seeds, control);
+        return std::make_unique<RunningGateway>(storeAddress(), seeds, control, logDescriptor);
     }
     std::string storeAddress()
     {
