--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -160,7 +160,6 @@
              auto self = weak.lock();
              if (!self)
                  return;
-             constexpr int ok = 200;
              auto id = Net::findHeader(head.response.headers, self->m_options.headers->instanceId);
              self->m_silences = 0;
              self->m_suspectUntil = {};
@@ -168,7 +167,7 @@
                  self->setMisdirected();
                  return done({ .answered = true, .healthy = false, .reported = false });
              }
-             self->m_healthy = head.response.status == ok;
+             self->m_healthy = head.response.status == Net::HttpStatus::Ok;
              auto before = self->m_report ? self->m_report->at : Common::TimePoint();
              self->noteReport(head.response.headers);
              auto reported = self->m_report && self->m_report->at > before;
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -8,10 +8,6 @@
 
     using Common::EventId;
 
-    constexpr int ok = 200;
-    constexpr int notFound = 404;
-    constexpr int unavailable = 503;
-
     // Steps of a shutdown and of housekeeping, and of the latter until the entry serves.
     constexpr auto shutdownStep = std::chrono::milliseconds(50);
     constexpr auto housekeepingTime = std::chrono::seconds(1);
@@ -129,8 +125,8 @@
 void Daemon::serveReady(const std::shared_ptr<Net::Exchange>& exchange)
 {
     auto isAsked = Net::pathOf(exchange->request().target) == m_options.platform.readyPath;
-    exchange->respond({ .status = !isAsked ? notFound : isReady() ? ok
-                                                                  : unavailable,
+    exchange->respond({ .status = !isAsked ? Net::HttpStatus::NotFound : isReady() ? Net::HttpStatus::Ok
+                                                                                   : Net::HttpStatus::Unavailable,
         .reason = {},
         .headers = {},
         .body = {} });
@@ -139,11 +135,11 @@
 void Daemon::serveDirectory(const std::shared_ptr<Net::Exchange>& exchange)
 {
     if (Net::pathOf(exchange->request().target) != m_options.platform.directoryPath)
-        return exchange->respond(textResponse(notFound, {}));
+        return exchange->respond(textResponse(Net::HttpStatus::NotFound, {}));
     ++m_resolves;
     auto addresses = m_members.addressesFor(m_options.platform.callerDomain(exchange->request()), m_options.platform.maxAddresses, m_options.hooks);
     if (addresses.empty())
-        return exchange->respond(textResponse(unavailable, "no entry serves callers"));
+        return exchange->respond(textResponse(Net::HttpStatus::Unavailable, "no entry serves callers"));
     exchange->respond(m_options.platform.directoryAnswer(addresses, std::chrono::milliseconds(m_options.settings.directoryTtlMs)));
 }
 
@@ -175,7 +171,7 @@
     page.summary("request_ms", m_engine.totalTimes().quantiles());
     page.summary("server_ms", m_engine.serverTimes().quantiles());
     page.summary("placement_ms", m_engine.placeTimes().quantiles());
-    exchange->respond(textResponse(ok, page.text()));
+    exchange->respond(textResponse(Net::HttpStatus::Ok, page.text()));
 }
 
 void Daemon::shutDown()
--- a/Source/Core/Gateway/Engine.cpp
+++ b/Source/Core/Gateway/Engine.cpp
@@ -14,11 +14,7 @@
     // Weight of the newest answer in the learned work.
     constexpr double workGain = 0.05;
 
-    enum HttpStatus : int {
-        BadRequest = 400,
-        NotFound = 404,
-        Unavailable = 503,
-    };
+    using enum Net::HttpStatus;
 
 }
 
--- a/Source/Core/Gateway/News.cpp
+++ b/Source/Core/Gateway/News.cpp
@@ -13,17 +13,6 @@
         return { .code = Common::ResultCode::PeerRefused, .text = what };
     }
 
-    Common::Result<Json::Value> parseObject(const std::string& text)
-    {
-        Json::Value json;
-        Json::CharReaderBuilder builder;
-        std::string error;
-        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        if (!reader->parse(text.data(), text.data() + text.size(), &json, &error) || !json.isObject())
-            return malformed("not a JSON object");
-        return json;
-    }
-
     // An array instead of an object: a list of members is sent often.
     Json::Value toJson(const Member& member)
     {
@@ -89,11 +78,11 @@
     template <typename Read>
     auto readTyped(const std::string& text, Read read) -> Common::Result<decltype(read(Json::Value()))>
     {
-        auto json = parseObject(text);
+        auto json = Common::parseJsonObject(text);
         if (!json)
-            return json.error();
+            return malformed("not a JSON object");
         try {
-            return read(json.value());
+            return read(*json);
         } catch (const Json::Exception& ec) {
             return malformed(ec.what());
         }
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -8,7 +8,6 @@
 
     constexpr auto connectTimeout = std::chrono::milliseconds(400);
     constexpr auto silenceLimit = std::chrono::seconds(2);
-    constexpr int ok = 200;
 
 }
 
@@ -135,7 +134,7 @@
 {
     m_isAsking = false;
     auto now = m_loop.now();
-    auto answer = head.response.status == ok ? parseNewsAnswer(head.response.body) : Common::Result<NewsAnswer>(Common::Error { .code = Common::ResultCode::PeerRefused, .text = "status " + std::to_string(head.response.status) });
+    auto answer = head.response.status == Net::HttpStatus::Ok ? parseNewsAnswer(head.response.body) : Common::Result<NewsAnswer>(Common::Error { .code = Common::ResultCode::PeerRefused, .text = "status " + std::to_string(head.response.status) });
     if (!answer)
         return onFailure(relay, answer.error().text);
     auto& news = answer.value();
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -13,9 +13,6 @@
     // An entry whose connection ended asks again within this time if it is alive.
     constexpr auto reconnectTime = std::chrono::milliseconds(400);
 
-    constexpr int ok = 200;
-    constexpr int badRequest = 400;
-
 }
 
 RelayServer::RelayServer(Net::EventLoop& loop, Catalog& catalog, Members& members, RelayServerOptions options)
@@ -30,7 +27,7 @@
 {
     auto request = parseNewsRequest(exchange->request().body);
     if (!request)
-        return exchange->respond({ .status = badRequest, .reason = {}, .headers = {}, .body = request.error().text });
+        return exchange->respond({ .status = Net::HttpStatus::BadRequest, .reason = {}, .headers = {}, .body = request.error().text });
     m_options.onRoster(request.value().roster);
     if (!m_options.relays())
         return answer(exchange, request.value());
@@ -63,7 +60,7 @@
         answer.update = m_catalog.changesSince(request.position);
         answer.members = m_members.changesSince(isListed ? request.membersRevision : 0, request.member.failureDomain);
     }
-    exchange->respond({ .status = ok, .reason = {}, .headers = { { "Content-Type", "application/json" } }, .body = toText(answer) });
+    exchange->respond({ .status = Net::HttpStatus::Ok, .reason = {}, .headers = { { "Content-Type", "application/json" } }, .body = toText(answer) });
 }
 
 void RelayServer::answerWaiting(Place place)
--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -37,19 +37,11 @@
     // Answers slower than this share of the goal are logged one by one.
     constexpr double slowShareOfGoal = 1.0;
 
-    enum HttpStatus : int {
-        Ok = 200,
-        FirstRedirect = 300,
-        FirstServerError = 500,
-        Misdirected = 421,
-        BadGateway = 502,
-        Unavailable = 503,
-        GatewayTimeout = 504,
-    };
+    using enum Net::HttpStatus;
 
     bool isIdempotentFailure(int status)
     {
-        return status >= FirstServerError;
+        return status >= ServerError;
     }
 
 }
--- a/Source/Core/Net/HttpMessage.h
+++ b/Source/Core/Net/HttpMessage.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "Net/HttpStatus.h"
+
 namespace Net {
 
 struct Header {
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -19,12 +19,7 @@
     // Connections taken in one turn, so that a rush of them does not hold up requests.
     constexpr int acceptBatch = 16;
 
-    enum HttpStatus : int {
-        BadRequest = 400,
-        RequestTimeout = 408,
-        ContentTooLarge = 413,
-        HeaderTooLarge = 431,
-    };
+    using enum Net::HttpStatus;
 
 }
 
--- /dev/null
+++ b/Source/Core/Net/HttpStatus.h
@@ -0,0 +1,24 @@
+#pragma once
+
+namespace Net {
+
+// The status codes that the code names (RFC 9110).
+enum HttpStatus : int {
+    Ok = 200,
+    FirstRedirect = 300,
+    BadRequest = 400,
+    NotFound = 404,
+    RequestTimeout = 408,
+    Gone = 410,
+    ConditionFailed = 412,
+    ContentTooLarge = 413,
+    Misdirected = 421,
+    TooManyRequests = 429,
+    HeaderTooLarge = 431,
+    ServerError = 500, // and all above
+    BadGateway = 502,
+    Unavailable = 503,
+    GatewayTimeout = 504,
+};
+
+}
--- a/Source/Core/Operator/ExplainCommand.cpp
+++ b/Source/Core/Operator/ExplainCommand.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <iostream>
-#include <memory>
 #include <set>
 #include <vector>
 
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "Common/JsonText.h"
 #include "Operator/ExitCode.h"
 
 namespace Operator {
@@ -18,13 +18,19 @@
     // How far back beliefs about a server may matter for a request.
     constexpr std::int64_t contextMs = 10'000;
 
+    // Logs may hold lines of other programs: any type is read as text.
+    std::string textOf(const Json::Value& value)
+    {
+        return value.isConvertibleTo(Json::stringValue) ? value.asString() : Common::jsonText(value);
+    }
+
     struct Line {
         std::int64_t timeMs = 0;
         std::string process;
         std::string name;
         Json::Value fields;
 
-        std::string field(const char* key) const { return fields.get(key, "").asString(); }
+        std::string field(const char* key) const { return textOf(fields[key]); }
     };
 
     bool parseLine(const std::string& text, Line& line)
@@ -32,13 +38,11 @@
         auto begin = text.find('{');
         if (begin == std::string::npos)
             return false;
-        Json::Value json;
-        Json::CharReaderBuilder builder;
-        std::string error;
-        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        if (!reader->parse(text.data() + begin, text.data() + text.size(), &json, &error) || !json.isObject() || !json["fields"].isObject())
+        auto json = Common::parseJsonObject(std::string_view(text).substr(begin));
+        if (!json || !(*json)["fields"].isObject())
             return false;
-        line = { .timeMs = json.get("time_ms", 0).asInt64(), .process = json.get("process", "").asString(), .name = json.get("name", "").asString(), .fields = json["fields"] };
+        const auto& time = (*json)["time_ms"];
+        line = { .timeMs = time.isInt64() ? time.asInt64() : 0, .process = textOf((*json)["process"]), .name = textOf((*json)["name"]), .fields = (*json)["fields"] };
         return true;
     }
 
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -39,13 +39,7 @@
     // Ports a gateway: callers, ready, directory, control.
     constexpr int portsEach = 4;
 
-    enum HttpStatus : int {
-        Ok = 200,
-        RequestTimeout = 408,
-        Misdirected = 421,
-        TooManyRequests = 429,
-        Unavailable = 503,
-    };
+    using enum Net::HttpStatus;
 
     bool promisesNotRun(int status)
     {
--- a/Source/UnitTests/Gateway/ExplainTest.cpp
+++ b/Source/UnitTests/Gateway/ExplainTest.cpp
@@ -81,7 +81,7 @@
 
 TEST_CASE("A request that no line names is not explained")
 {
-    std::istringstream lines("{\"fields\":{\"request\":\"x\"},\"name\":\"call-failed\",\"process\":\"p\",\"time_ms\":1}\n{\"fields\":3}\nnonsense\n");
+    std::istringstream lines("{\"fields\":{\"request\":\"x\"},\"name\":\"call-failed\",\"process\":\"p\",\"time_ms\":1}\n{\"fields\":3}\n{\"fields\":{\"request\":{}},\"time_ms\":\"x\",\"name\":[]}\nnonsense\n");
     CHECK(Operator::explainRequest("y", lines).empty());
 }
 
