Reports of an earlier choice are ignored; a test of at most once after an ended connection

Cause: answers to questions of an earlier choice were taken for those of the present one, by their place in the list (the condition on rounds could never hold).

--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -103,13 +103,13 @@
     auto& engine = m_engine;
     auto keep = shared_from_this();
     m_scope = scope;
-    ++m_round;
     if (scope == Scope::OwnDomain) {
+        ++m_choice;
         m_questions.clear();
         m_questionsLeft = engine.questions().beginChoice(engine.loop().now());
     }
     auto candidates = rankedCandidates(scope);
-    // The own domain gets the larger half; a fraction of a question is asked as often.
+    // The own domain gets the first half; a fraction of a question is asked as often.
     auto share = scope == Scope::OwnDomain ? ownDomainShare * m_questionsLeft : m_questionsLeft;
     auto wanted = static_cast<std::size_t>(share + Common::randomUnit(engine.loop().hooks()));
     auto n = engine.questions().take(std::min(candidates.size(), wanted), engine.loop().now());
@@ -135,21 +135,22 @@
         }
     });
     m_asked += static_cast<int>(n);
-    auto round = m_round;
+    auto choice = m_choice;
     auto first = m_questions.size();
     for (std::size_t i = 0; i < n; ++i)
         m_questions.push_back({ .backend = candidates[i] });
     for (std::size_t i = 0; i < n; ++i) {
-        candidates[i]->probe(questionLimit, [weak, round, index = first + i](const ProbeAnswer& answer) {
+        candidates[i]->probe(questionLimit, [weak, choice, index = first + i](const ProbeAnswer& answer) {
             if (auto self = weak.lock())
-                self->onReport(index, round, answer);
+                self->onReport(index, choice, answer);
         });
     }
 }
 
-void RequestRun::onReport(std::size_t index, std::size_t round, const ProbeAnswer& answer)
+void RequestRun::onReport(std::size_t index, std::size_t choice, const ProbeAnswer& answer)
 {
-    if (m_ended || index >= m_questions.size() || round > m_round)
+    // Questions of an earlier choice have been cleared.
+    if (m_ended || choice != m_choice)
         return;
     auto& question = m_questions[index];
     question.answered = answer.answered && question.backend->isUsable();
@@ -310,11 +311,9 @@
     if (response.status == Misdirected) {
         m_engine.log().log(EventId::ServerMisdirected, { { "request", m_id }, { "server", flight.backend->record().id }, { "address", flight.backend->record().address } });
         flight.backend->setMisdirected();
-        m_shed = true;
         return tryAgain("another server has the address");
     }
     if (Net::findHeader(response.headers, m_engine.options().headers.notExecuted)) {
-        m_shed = true;
         return tryAgain("the server turned it away unrun");
     }
     m_engine.serverTimes().add(now - flight.sentAt);
@@ -343,8 +342,6 @@
     m_engine.log().log(EventId::ServerUnreachable, { { "request", m_id }, { "server", flight.backend->record().id }, { "fault", std::string(Net::failureName(failure.kind)) }, { "sent", failure.bytesSent ? "true" : "false" } });
     if (failure.bytesSent)
         m_mayHaveRun = true;
-    else
-        m_shed = true;
     if (failure.bytesSent && !mayRepeat())
         return fail(BadGateway, "the connection ended without an answer");
     tryAgain("the connection ended without an answer");
--- a/Source/Core/Gateway/RequestRun.h
+++ b/Source/Core/Gateway/RequestRun.h
@@ -22,7 +22,7 @@
     void abandon();
 
 private:
-    // One server's part in the round of questions.
+    // One server's part in a choice.
     struct Question {
         std::shared_ptr<Backend> backend;
         bool answered = false;
@@ -42,7 +42,7 @@
 
     std::vector<std::shared_ptr<Backend>> rankedCandidates(Scope);
     void ask(Scope);
-    void onReport(std::size_t index, std::size_t round, const ProbeAnswer&);
+    void onReport(std::size_t index, std::size_t choice, const ProbeAnswer&);
     void onPatienceOver();
     void place();
     void hold();
@@ -73,7 +73,7 @@
     std::string m_id;
     Common::TimePoint m_deadline;
     Scope m_scope = Scope::OwnDomain;
-    std::size_t m_round = 0;
+    std::size_t m_choice = 0; // number of the choice under way; a request sent again is chosen for anew
     std::vector<Question> m_questions;
     std::set<std::string> m_tried; // servers the request was sent to
     std::vector<Flight> m_flights; // ended ones have no connection
@@ -87,8 +87,6 @@
     int m_holds = 0;
     int m_asked = 0; // questions for load
     bool m_mayHaveRun = false; // a send ended without proof that it did not run
-    bool m_shed = false; // a server turned it away unrun
-    bool m_answeredAny = false; // a server answered a question in this round
     bool m_ended = false;
     std::optional<Net::Response> m_serverFailure; // a server's own failure, delivered when nothing better comes
     std::string m_lastServer;
--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -137,6 +137,15 @@
     { "bytes behind the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "/safe/x", 200, false },
 };
 
+// The registry's row of a server "raw" at an address.
+std::string registeredAt(GatewayWorld& world, const std::string& address)
+{
+    auto value = PlatformStandIn::Server(world.thread.loop(), world.runs, { .id = "raw" }).registryValue();
+    auto at = value.find("127.0.0.1:");
+    value.replace(at, value.find('"', at) - at, address);
+    return value;
+}
+
 TEST_CASE("Answers that are no proper ones")
 {
     for (const auto& row : rawCases) {
@@ -149,12 +158,7 @@
             script.push_back(WaitForClient {});
         ScriptedServer server({ script });
         GatewayWorld world(0);
-        world.thread.call([&] {
-            auto value = PlatformStandIn::Server(world.thread.loop(), world.runs, { .id = "raw" }).registryValue();
-            auto at = value.find("127.0.0.1:");
-            value.replace(at, value.find('"', at) - at, server.address());
-            world.store->put(Names::registryTable, "raw", value);
-        });
+        world.thread.call([&] { world.store->put(Names::registryTable, "raw", registeredAt(world, server.address())); });
         auto gateway = world.gateway();
         REQUIRE(gateway->waitReady());
         CallerConnection caller(gateway->daemon().callersAddress());
@@ -167,6 +171,34 @@
     }
 }
 
+TEST_CASE("A request that must not run twice is not sent again after its connection has ended")
+{
+    for (bool resets : { false, true }) {
+        CAPTURE(resets);
+        using namespace UnitTests;
+        Script script { ReadRequest {}, SendBytes { health }, ReadRequest {} };
+        if (resets)
+            script.push_back(ResetConnection {});
+        else
+            script.push_back(CloseConnection {});
+        ScriptedServer server({ script });
+        GatewayWorld world(1);
+        world.thread.call([&] { world.store->put(Names::registryTable, "raw", registeredAt(world, server.address())); });
+        auto gateway = world.gateway();
+        REQUIRE(gateway->waitReady());
+        int lost = 0;
+        for (int i = 0; i < 12; ++i) {
+            auto id = "twice-" + std::to_string(i);
+            auto response = gateway->call(requestBytes("POST", "/once/x", id, 1000, "body"));
+            auto reachedRaw = server.head().find(id) != std::string::npos;
+            lost += reachedRaw ? 1 : 0;
+            CHECK(response.status == (reachedRaw ? 502 : 200));
+            CHECK(world.runs.runs(id) == (reachedRaw ? 0 : 1));
+        }
+        CHECK(lost > 0);
+    }
+}
+
 TEST_CASE("Work of a caller that has left is cancelled")
 {
     GatewayWorld world(1);
