--- a/Source/UnitTests/Gateway/NewsPathTest.cpp
+++ b/Source/UnitTests/Gateway/NewsPathTest.cpp
@@ -172,7 +172,7 @@
 TEST_CASE("Three entries: one reads the store for all, and a change reaches each of them")
 {
     GatewayWorld world(1);
-    std::vector<std::string> controls { "127.0.0.1:47301", "127.0.0.1:47302", "127.0.0.1:47303" };
+    std::vector<std::string> controls { "127.0.0.1:18301", "127.0.0.1:18302", "127.0.0.1:18303" };
     std::vector<std::unique_ptr<RunningGateway>> gateways;
     for (const auto& control : controls)
         gateways.push_back(world.gateway({ controls[0], controls[1] }, control));
@@ -197,7 +197,7 @@
 TEST_CASE("The entry that reads for others ends: the others go on with fresh news")
 {
     GatewayWorld world(1);
-    std::vector<std::string> controls { "127.0.0.1:47311", "127.0.0.1:47312", "127.0.0.1:47313" };
+    std::vector<std::string> controls { "127.0.0.1:18311", "127.0.0.1:18312", "127.0.0.1:18313" };
     std::vector<std::unique_ptr<RunningGateway>> gateways;
     for (const auto& control : controls)
         gateways.push_back(world.gateway({ controls[0], controls[1] }, control));
