--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -61,7 +61,6 @@
     void endWork();
 
     Decisions::ServerSignal signal(Common::TimePoint now) const;
-    const std::optional<LoadReport>& report() const { return m_report; }
     double failureShare(Common::TimePoint now) const;
     // Age of the last report; nothing where there is none.
     std::optional<Common::Duration> reportAge(Common::TimePoint now) const { return m_report ? std::optional(now - m_report->at) : std::nullopt; }
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -101,12 +101,6 @@
     return static_cast<std::size_t>(std::count_if(it->second.begin(), it->second.end(), [](const auto& backend) { return backend->isUsable(); }));
 }
 
-std::shared_ptr<Backend> Backends::find(const std::string& id) const
-{
-    auto it = m_backends.find(id);
-    return it == m_backends.end() ? nullptr : it->second;
-}
-
 std::uint64_t Backends::connectionsOpened() const
 {
     auto n = m_openedByRemoved;
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -36,7 +36,6 @@
     std::vector<std::shared_ptr<Backend>> candidates(const std::string& service, bool ownDomain, const std::set<std::string>& exclude);
     std::size_t usable(const std::string& service) const;
     std::size_t size() const { return m_backends.size(); }
-    std::shared_ptr<Backend> find(const std::string& id) const;
     std::uint64_t connectionsOpened() const;
 
     // Housekeeping, about once a second.
--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -39,7 +39,7 @@
 
     using enum Net::HttpStatus;
 
-    bool isIdempotentFailure(int status)
+    bool isServerFailure(int status)
     {
         return status >= ServerError;
     }
@@ -317,7 +317,7 @@
         return tryAgain("the server turned it away unrun");
     }
     m_engine.serverTimes().add(now - flight.sentAt);
-    if (isIdempotentFailure(response.status)) {
+    if (isServerFailure(response.status)) {
         flight.backend->noteFailure();
         if (mayRepeat()) {
             m_mayHaveRun = true;
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -59,7 +59,6 @@
     // Connected or connecting, and free for a request.
     bool isFree() const { return !m_closed && !m_busy; }
     bool isClosed() const { return m_closed; }
-    bool isConnected() const { return m_connected; }
     // When the last answer was complete; the time of opening before the first.
     Common::TimePoint lastUsed() const { return m_lastUsed; }
     // The peer's announced limit for idle connections, where it told one.
@@ -79,7 +78,6 @@
     void finish();
     void fail(FailureKind);
     void updateInterest();
-    std::size_t maxBuffer() const { return m_options.maxAnswerBytes; }
 
     EventLoop& m_loop;
     ClientOptions m_options;
--- a/Source/Core/Net/HttpMessage.cpp
+++ b/Source/Core/Net/HttpMessage.cpp
@@ -134,6 +134,22 @@
         return isLarge ? ParseFault::HeadTooLarge : ParseFault::Malformed;
     }
 
+    // Reads a head into one of the library's messages; nothing on success.
+    template <typename Message>
+    std::optional<ParseFault> readInto(Message& message, std::string_view bytes)
+    {
+        if (!hasPlainLines(bytes))
+            return ParseFault::Malformed;
+        message.setFieldLimit(maxFields);
+        try {
+            Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+            message.read(stream);
+        } catch (const Poco::Exception& ec) {
+            return faultOf(ec);
+        }
+        return std::nullopt;
+    }
+
     std::optional<int> idleTimeout(const Headers& all)
     {
         auto value = findHeader(all, "Keep-Alive");
@@ -188,16 +204,9 @@
 
 Parsed<RequestHead> parseRequestHead(std::string_view bytes)
 {
-    if (!hasPlainLines(bytes))
-        return {};
     Poco::Net::HTTPRequest message;
-    message.setFieldLimit(maxFields);
-    try {
-        Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-        message.read(stream);
-    } catch (const Poco::Exception& ec) {
-        return { .head = {}, .fault = faultOf(ec) };
-    }
+    if (auto fault = readInto(message, bytes))
+        return { .head = {}, .fault = *fault };
     auto all = allHeaders(message);
     auto rule = bodyRule(all);
     const auto& target = message.getURI();
@@ -213,16 +222,9 @@
 
 Parsed<ResponseHead> parseResponseHead(std::string_view bytes, bool hasBody)
 {
-    if (!hasPlainLines(bytes))
-        return {};
     Poco::Net::HTTPResponse message;
-    message.setFieldLimit(maxFields);
-    try {
-        Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-        message.read(stream);
-    } catch (const Poco::Exception& ec) {
-        return { .head = {}, .fault = faultOf(ec) };
-    }
+    if (auto fault = readInto(message, bytes))
+        return { .head = {}, .fault = *fault };
     auto all = allHeaders(message);
     auto rule = bodyRule(all);
     auto status = static_cast<int>(message.getStatus());
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -76,7 +76,6 @@
     std::string address() const { return m_listener.address().toString(); }
     // From now on each answer ends its connection, unless later requests of it are under way.
     void startDraining() { m_draining = true; }
-    bool isDraining() const { return m_draining; }
     void stopAccepting();
     // Closes connections that have no request under way.
     void closeIdle();
