--- a/Source/Core/Gateway/RequestRun.cpp
+++ b/Source/Core/Gateway/RequestRun.cpp
@@ -24,9 +24,6 @@
     // A second send starts when the first takes this many times the expected time, and never before the floor.
     constexpr double lateFactor = 2.5;
     constexpr double lateFloorMs = 60;
-    // Servers are looked for this often, with such a pause, before a request is refused as busy.
-    constexpr int maxHolds = 1;
-    constexpr double holdShareOfGoal = 0.05;
     // Of the questions of a choice, asked in the own failure domain first.
     constexpr double ownDomainShare = 0.5;
     // Random spread of known waits when servers to ask are picked, so that entries do not all ask the same ones.
@@ -207,8 +204,6 @@
         backends.push_back(question.backend);
     }
     m_lastInputs = fmt::format("of={} full={}", backends.size() + static_cast<std::size_t>(full), full);
-    if (backends.empty() && full > 0 && m_holds < maxHolds)
-        return hold();
     if (backends.empty()) {
         if (m_open > 0)
             return; // a first send is still under way
@@ -230,20 +225,6 @@
     send(backends[best], expectedMs);
 }
 
-// All servers asked are full: others are asked a moment later, well within the time that a refusal may take.
-void RequestRun::hold()
-{
-    ++m_holds;
-    std::weak_ptr<RequestRun> weak = weak_from_this();
-    auto delay = Common::fromMilliseconds(holdShareOfGoal * Common::toMilliseconds(m_route.goal) * (0.5 + Common::randomUnit(m_engine.loop().hooks())));
-    m_holdTimer = m_engine.loop().after(delay, [weak] {
-        if (auto self = weak.lock()) {
-            self->m_holdTimer = 0;
-            self->ask(Scope::OwnDomain);
-        }
-    });
-}
-
 std::string RequestRun::requestBytes(const Backend& backend) const
 {
     const auto& names = m_engine.options().headers;
@@ -484,7 +465,6 @@
 {
     m_ended = true;
     m_engine.loop().cancel(m_patience);
-    m_engine.loop().cancel(m_holdTimer);
     m_engine.loop().cancel(m_deadlineTimer);
     m_engine.loop().cancel(m_secondSendTimer);
     for (auto& flight : m_flights) {
--- a/Source/Core/Gateway/RequestRun.h
+++ b/Source/Core/Gateway/RequestRun.h
@@ -45,7 +45,6 @@
     void onReport(std::size_t index, std::size_t choice, const ProbeAnswer&);
     void onPatienceOver();
     void place();
-    void hold();
     void send(const std::shared_ptr<Backend>&, double expectedMs);
     void onAnswer(std::size_t flight, Net::ResponseHead&&);
     void onFailure(std::size_t flight, Net::ClientFailure);
@@ -79,12 +78,10 @@
     std::vector<Flight> m_flights; // ended ones have no connection
     std::size_t m_open = 0; // flights under way
     Net::EventLoop::TimerId m_patience = 0;
-    Net::EventLoop::TimerId m_holdTimer = 0;
     Net::EventLoop::TimerId m_deadlineTimer = 0;
     Net::EventLoop::TimerId m_secondSendTimer = 0;
     double m_questionsLeft = 0; // of this choice
     int m_sends = 0;
-    int m_holds = 0;
     int m_asked = 0; // questions for load
     bool m_mayHaveRun = false; // a send ended without proof that it did not run
     bool m_ended = false;
