Fresh news cover the configuration too; larger entries lead; few look at a store that relays cannot reach

Now freshness needs both tables, and a reader that starts looks at the configuration at once instead of waiting for a change. The wait for changes lasts 2 s instead of 10: a connection gone silent costs no more.

Ruled out: a fault of one relay (all were "overdue").

New event roster-adopted.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -51,6 +51,7 @@
         EventRow { RelayLost, "relay-lost", Severity::Warning, "The entry that relayed the store's news no longer does." },
         EventRow { RelayStarted, "relay-started", Severity::Info, "This entry reads the store itself." },
         EventRow { RelayStopped, "relay-stopped", Severity::Info, "This entry no longer reads the store itself." },
+        EventRow { RosterAdopted, "roster-adopted", Severity::Info, "Other entries relay the store's news from now on, the first one leading." },
         EventRow { ServerAdded, "server-added", Severity::Info, "A backend server joined a service's pool." },
         EventRow { ServerRemoved, "server-removed", Severity::Info, "A backend server left a service's pool." },
         EventRow { ServerEjected, "server-ejected", Severity::Warning, "A backend server gets no work for a while." },
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -50,6 +50,7 @@
     RelayLost = 4006,
     RelayStarted = 4007,
     RelayStopped = 4008,
+    RosterAdopted = 4009,
     ServerAdded = 5000,
     ServerRemoved = 5001,
     ServerEjected = 5002,
--- a/Source/Core/Decisions/NewsDuty.cpp
+++ b/Source/Core/Decisions/NewsDuty.cpp
@@ -1,7 +1,18 @@
 #include "Decisions/NewsDuty.h"
 
+#include <algorithm>
+
 namespace Decisions {
 
+namespace {
+
+    Common::Duration scaled(Common::Duration duration, double factor)
+    {
+        return Common::fromMilliseconds(factor * Common::toMilliseconds(duration));
+    }
+
+}
+
 bool shouldRead(const NewsFacts& facts, const NewsDutyOptions& options)
 {
     if (facts.role == NewsRole::Leading)
@@ -10,6 +21,8 @@
     if (isStarting)
         return false;
     auto limit = facts.role == NewsRole::Standby ? options.standbyAge : options.followerAge;
+    if (facts.complete && facts.role == NewsRole::Follower && facts.relayAnswers && !facts.reading && facts.entries >= options.manyEntries)
+        limit += scaled(std::min<Common::Duration>(options.outagePause * facts.entries, options.maxOutageSpread), facts.jitter) + (facts.largerKnown ? options.largerPause : Common::Duration::zero());
     if (facts.age > limit)
         return true;
     if (!facts.complete)
@@ -25,9 +38,10 @@
 {
     if (facts.role == NewsRole::Leading)
         return false;
-    auto spread = Common::fromMilliseconds(facts.jitter * Common::toMilliseconds(options.takeoverSpread));
+    auto spread = scaled(options.takeoverSpread, facts.jitter) + (facts.largerKnown ? options.largerPause : Common::Duration::zero());
+    auto isSeed = facts.seedIndex >= 0;
     if (!facts.rosterKnown) {
-        auto wait = facts.seedIndex >= 0 ? facts.seedIndex * options.seedPause : options.rosterPatience + spread;
+        auto wait = isSeed ? facts.seedIndex * options.seedPause : options.rosterPatience + spread;
         return facts.now - facts.started >= wait;
     }
     // Whoever cannot reach the store cannot lead.
@@ -36,6 +50,12 @@
     auto without = facts.now - facts.relayedSince;
     if (facts.role == NewsRole::Standby)
         return without > options.standbyTakeover;
+    // Relays that answer without fresh news have lost the store, which this entry reaches: no reason to wait for them.
+    if (facts.relayAnswers)
+        return without > options.standbyTakeover + scaled(spread, options.shortSpread);
+    // Everybody knows the seeds, so after a start of all they are found first.
+    if (isSeed)
+        return without > options.standbyTakeover + facts.seedIndex * options.seedPause;
     return without > options.followerTakeover + spread;
 }
 
--- a/Source/Core/Decisions/NewsDuty.h
+++ b/Source/Core/Decisions/NewsDuty.h
@@ -11,6 +11,11 @@
     Common::Duration standbyTakeover = std::chrono::milliseconds(500); // without the leading relay, until the standby leads
     Common::Duration followerTakeover = std::chrono::milliseconds(1200); // without any relay, until another entry leads
     Common::Duration takeoverSpread = std::chrono::milliseconds(1200); // so that not all try at once
+    Common::Duration outagePause = std::chrono::milliseconds(50); // between entries' first looks at a store that relays cannot reach
+    Common::Duration maxOutageSpread = std::chrono::seconds(6); // for all entries' first looks
+    int manyEntries = 60; // from which on those looks are spread: fewer are no load
+    Common::Duration largerPause = std::chrono::milliseconds(300); // in which larger entries may look, or take the lead, first
+    double shortSpread = 0.25; // of takeoverSpread, where it is sure that the relays cannot lead
     Common::Duration startPatience = std::chrono::milliseconds(80); // for others to give a starting entry what it lacks
     Common::Duration startTime = std::chrono::seconds(4); // after a start, in which one look at the store has to do
     Common::Duration rosterPatience = std::chrono::milliseconds(1000); // for seeds to tell who relays
@@ -37,9 +42,13 @@
     double jitter = 0; // uniform in [0, 1), drawn once a process
     bool reading = false; // the store, directly
     bool storeAnswers = false; // where reading
+    bool relayAnswers = false; // an entry asked for news answers, be its news old
+    int entries = 1;
+    bool largerKnown = false; // another entry has far more processor share
 };
 
-// Whether to read the store directly now. Knowledge never gets older than followerAge while the store answers.
+// Whether to read the store directly now. Knowledge never gets older than followerAge while the store answers, unless a relay
+// answers and has no newer news itself: then the store is away for the relay, and a few entries find out whether it is for all.
 bool shouldRead(const NewsFacts&, const NewsDutyOptions&);
 
 // Whether to look at the store's roster now, and to take the lead if nobody new is in it.
--- a/Source/Core/Gateway/NewsController.cpp
+++ b/Source/Core/Gateway/NewsController.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace Gateway {
 
 namespace {
@@ -37,10 +39,11 @@
     constexpr std::size_t relaysWanted = 2;
     // Longest pause between tries at a store that is away: relays try often, since all others depend on them.
     constexpr auto relayBackoff = std::chrono::milliseconds(500);
-    constexpr auto followerBackoff = std::chrono::milliseconds(3000);
-    // From so many entries on, a standby with so many times the leading relay's processor share takes its place.
+    constexpr auto followerBackoff = std::chrono::milliseconds(4000);
+    // From so many entries on, a standby with so many times the leading relay's processor share takes its place, after so long.
     constexpr std::size_t manyEntries = 60;
     constexpr double capacityGain = 1.5;
+    constexpr auto handOverPause = std::chrono::milliseconds(800);
 
 }
 
@@ -58,6 +61,8 @@
 {
     m_client.onRoster([this](const Roster& roster) { adopt(roster); });
     m_catalog.onNews([this] { m_server.onCatalogNews(); });
+    // Not within the reader's own call: the review may stop it.
+    m_reader.onConfirmed([this] { m_loop.defer([this] { review(); }); });
 }
 
 void NewsController::start()
@@ -92,6 +97,7 @@
 Decisions::NewsFacts NewsController::facts() const
 {
     auto it = std::find(m_options.seeds.begin(), m_options.seeds.end(), m_members.self().control);
+    auto members = m_members.all();
     return {
         .now = m_loop.now(),
         .started = m_started,
@@ -105,6 +111,9 @@
         .jitter = m_jitter,
         .reading = m_reader.isRunning(),
         .storeAnswers = m_reader.storeAnswers(),
+        .relayAnswers = m_client.lastAnswer() != Common::TimePoint() && m_loop.now() - m_client.lastAnswer() < m_relayPatience,
+        .entries = m_entries,
+        .largerKnown = std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.capacity > capacityGain * m_members.self().capacity; }),
     };
 }
 
@@ -115,23 +124,29 @@
     if (role() == NewsRole::Leading && m_members.expire(m_loop.now()))
         m_server.onMembersChanged();
     follow();
-    auto now = facts();
-    if (!m_leaving || !m_client.following().empty()) {
-        m_reader.setMaxBackoff(now.role == NewsRole::Follower ? followerBackoff : relayBackoff);
-        if (Decisions::shouldRead(now, m_options.duty))
-            m_reader.start();
-        else
-            m_reader.stop();
-    }
-    if (!m_leaving && !m_rosterCall) {
-        if (Decisions::shouldTakeLead(now, m_options.duty))
-            takeLead();
-        else if (now.role == NewsRole::Leading)
-            appointStandby();
-    }
+    review();
     m_loop.after(m_catalog.isComplete() ? Common::Duration(tickTime) : Common::Duration(startTickTime), [this] { tick(); });
 }
 
+// Whether to read and to lead, by what is known now.
+void NewsController::review()
+{
+    if (m_leaving && m_client.following().empty())
+        return;
+    auto now = facts();
+    m_reader.setMaxBackoff(now.role == NewsRole::Follower ? followerBackoff : relayBackoff);
+    if (Decisions::shouldRead(now, m_options.duty))
+        m_reader.start();
+    else
+        m_reader.stop();
+    if (m_leaving || m_rosterCall)
+        return;
+    if (Decisions::shouldTakeLead(now, m_options.duty))
+        takeLead();
+    else if (now.role == NewsRole::Leading)
+        appointStandby();
+}
+
 void NewsController::trackRelay()
 {
     auto wait = std::min<Common::Duration>(baseWait + waitPerEntry * static_cast<int>(m_members.size()), maxWait);
@@ -140,8 +155,9 @@
     m_client.setWait(wait);
     auto usualAge = m_options.reader.registryInterval + wait + ageSlack;
     m_options.duty.followerAge = std::min<Common::Duration>(std::max<Common::Duration>(usualAge, m_options.minFollowerAge), Common::fromMilliseconds(shareOfApplyTime * Common::toMilliseconds(m_options.applyTime)));
+    m_relayPatience = wait + relaySlack;
     auto last = m_client.lastFreshAnswer();
-    auto relayed = last != Common::TimePoint() && m_loop.now() - last < wait + relaySlack;
+    auto relayed = last != Common::TimePoint() && m_loop.now() - last < m_relayPatience;
     if (relayed == m_relayed)
         return;
     m_relayed = relayed;
@@ -176,6 +192,7 @@
     if (roster.version <= m_roster.version)
         return;
     auto wasRelay = role() != NewsRole::Follower;
+    m_log.log(Common::EventId::RosterAdopted, { { "relays", fmt::format("{}", fmt::join(roster.relays, " ")) }, { "version", std::to_string(roster.version) }, { "before", std::to_string(m_roster.version) } });
     m_roster = roster;
     m_standbySeen = m_loop.now();
     m_rosterWasRead = false;
@@ -232,7 +249,7 @@
     if (hasStandby) {
         // Relaying to many takes a processor share that small entries do not have.
         auto standby = std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.control == m_roster.relays[1]; });
-        if (members.size() > manyEntries && standby->capacity > capacityGain * m_members.self().capacity && now - m_standbySeen > standbyPatience)
+        if (members.size() > manyEntries && standby->capacity > capacityGain * m_members.self().capacity && now - m_standbySeen > handOverPause)
             return writeRoster({ standby->control, m_members.self().control });
         return;
     }
--- a/Source/Core/Gateway/NewsController.h
+++ b/Source/Core/Gateway/NewsController.h
@@ -46,6 +46,7 @@
 
 private:
     void tick();
+    void review();
     void trackRelay();
     void countEntries();
     Decisions::NewsRole role() const;
@@ -74,6 +75,7 @@
     Common::TimePoint m_relayedSince;
     Common::TimePoint m_standbySeen;
     Common::TimePoint m_entriesAt;
+    Common::Duration m_relayPatience {}; // after which a relay counts as silent
     double m_jitter = 0;
     int m_entries = 0;
     bool m_relayed = false;
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -138,6 +138,7 @@
     if (!answer)
         return onFailure(relay, answer.error().text);
     auto& news = answer.value();
+    m_lastAnswer = now;
     auto isFresh = news.relays && news.update.age <= m_options.staleAge;
     if (!isFresh)
         m_trials[relay].avoidUntil = now + m_options.avoidTime;
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -44,6 +44,8 @@
 
     // The last answer of a relay with fresh news.
     Common::TimePoint lastFreshAnswer() const { return m_lastFresh; }
+    // The last answer of an entry asked, be it no relay or without fresh news.
+    Common::TimePoint lastAnswer() const { return m_lastAnswer; }
     // The relay that answered last; empty before the first.
     const std::string& following() const { return m_following; }
 
@@ -80,6 +82,7 @@
     std::uint64_t m_membersRevision = 0;
     Common::Duration m_wait = std::chrono::milliseconds(400);
     Common::TimePoint m_lastFresh;
+    Common::TimePoint m_lastAnswer;
     Net::EventLoop::TimerId m_timer = 0;
     bool m_running = false;
     bool m_isAsking = false;
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -24,6 +24,8 @@
     m_running = true;
     m_backoff = m_options.firstBackoff;
     m_lastAnswer = m_loop.now();
+    m_sawOperators = false;
+    m_registryAsOf = {};
     m_log.log(Common::EventId::RelayStarted, { { "age_ms", std::to_string(static_cast<long>(Common::toMilliseconds(m_catalog.age()))) }, { "position", std::to_string(m_catalog.position().registry) } });
     readRegistry();
     readOperators();
@@ -82,8 +84,20 @@
         m_catalog.applyWhole(m_options.registryTable, read.rows, read.version);
     else
         m_catalog.applyChanges(m_options.registryTable, read.rows, read.version);
-    m_catalog.confirm(begun);
     later(m_registryTimer, m_options.registryInterval, &StoreReader::readRegistry);
+    m_registryAsOf = begun;
+    confirm();
+}
+
+// What is known is as fresh as the registry's last look, once the configuration has been looked at too: it may be large and
+// arrive later, and whoever counts as fresh stops reading.
+void StoreReader::confirm()
+{
+    if (!m_sawOperators || m_registryAsOf == Common::TimePoint())
+        return;
+    m_catalog.confirm(m_registryAsOf);
+    if (m_confirmed)
+        m_confirmed();
 }
 
 void StoreReader::readOperators()
@@ -91,11 +105,12 @@
     ++m_calls;
     auto position = m_catalog.position().operators;
     auto whole = position == 0 || m_rereadOperators;
+    auto wait = m_sawOperators ? m_options.operatorWait : Common::Duration::zero();
     auto done = [this, whole](const Platform::RowsRead& read) { onOperators(read, whole); };
     if (whole)
         m_table.readAll(m_options.operatorTable, done);
     else
-        m_table.readChanges(m_options.operatorTable, position, m_options.operatorWait, done);
+        m_table.readChanges(m_options.operatorTable, position, wait, done);
 }
 
 void StoreReader::onOperators(const Platform::RowsRead& read, bool whole)
@@ -118,10 +133,11 @@
         m_catalog.applyWhole(m_options.operatorTable, read.rows, read.version);
     else
         m_catalog.applyChanges(m_options.operatorTable, read.rows, read.version);
-    // An empty table has no first version to continue from: it is read whole until something is in it. An entry that only
-    // wanted a first look is switched off before it looks again.
+    // An empty table has no first version to continue from: it is read whole until something is in it.
     auto wait = whole ? m_options.firstBackoff : Common::Duration::zero();
     later(m_operatorTimer, wait, &StoreReader::readOperators);
+    m_sawOperators = true;
+    confirm();
 }
 
 void StoreReader::noteAnswer(bool answered, const std::string& error)
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -14,8 +14,8 @@
     std::string operatorTable;
     // Between looks at the registry. Every heartbeat of a server is a change there, so waiting for the next one would end at once.
     Common::Duration registryInterval = std::chrono::milliseconds(600);
-    // How long one call waits for a change of the configuration.
-    Common::Duration operatorWait = std::chrono::seconds(10);
+    // How long one call waits for a change of the configuration: a connection that has gone silent costs so much at most.
+    Common::Duration operatorWait = std::chrono::seconds(2);
     Common::Duration firstBackoff = std::chrono::milliseconds(200);
     Common::Duration maxBackoff = std::chrono::milliseconds(1500);
 };
@@ -27,6 +27,8 @@
 
     void start();
     void stop();
+    // Called each time that both tables have been looked at.
+    void onConfirmed(std::function<void()> hook) { m_confirmed = std::move(hook); }
     // Longest pause between tries while the store does not answer.
     void setMaxBackoff(Common::Duration limit) { m_options.maxBackoff = limit; }
     bool isRunning() const { return m_running; }
@@ -41,6 +43,7 @@
     void onRegistry(const Platform::RowsRead&, bool whole, Common::TimePoint begun);
     void onOperators(const Platform::RowsRead&, bool whole);
     void noteAnswer(bool answered, const std::string& error);
+    void confirm();
     void later(Net::EventLoop::TimerId&, Common::Duration, void (StoreReader::*)());
 
     Net::EventLoop& m_loop;
@@ -52,10 +55,13 @@
     Net::EventLoop::TimerId m_operatorTimer = 0;
     Common::Duration m_backoff;
     Common::TimePoint m_lastAnswer;
+    Common::TimePoint m_registryAsOf; // of the newest look at the registry
     bool m_running = false;
     bool m_answers = true;
     bool m_rereadRegistry = false;
     bool m_rereadOperators = false;
+    bool m_sawOperators = false; // since the last start
+    std::function<void()> m_confirmed;
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
 };
