Large fleets: few deputies watch the relays, starts and outages no longer make everybody read the store

Rows of an answer are made once for all who ask from one position, deflated (400 rows in under 6 KB), and a relay gives whole catalogs only as often as its processor allows. On the first start of a fleet (the settings say so) entries wait for the relay instead of reading.

--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -4,6 +4,24 @@
 
 namespace Common {
 
+namespace {
+
+    std::optional<Json::Value> parseJson(std::string_view text)
+    {
+        Json::CharReaderBuilder builder;
+        builder["collectComments"] = false;
+        builder["allowComments"] = false;
+        builder["failIfExtra"] = true;
+        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+        Json::Value json;
+        std::string error;
+        if (!reader->parse(text.data(), text.data() + text.size(), &json, &error))
+            return std::nullopt;
+        return json;
+    }
+
+}
+
 std::string jsonText(const Json::Value& json)
 {
     Json::StreamWriterBuilder builder;
@@ -13,16 +31,14 @@
 
 std::optional<Json::Value> parseJsonObject(std::string_view text)
 {
-    Json::CharReaderBuilder builder;
-    builder["collectComments"] = false;
-    builder["allowComments"] = false;
-    builder["failIfExtra"] = true;
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value json;
-    std::string error;
-    if (!reader->parse(text.data(), text.data() + text.size(), &json, &error) || !json.isObject())
-        return std::nullopt;
-    return json;
+    auto json = parseJson(text);
+    return json && json->isObject() ? json : std::nullopt;
+}
+
+std::optional<Json::Value> parseJsonArray(std::string_view text)
+{
+    auto json = parseJson(text);
+    return json && json->isArray() ? json : std::nullopt;
 }
 
 }
--- a/Source/Core/Common/JsonText.h
+++ b/Source/Core/Common/JsonText.h
@@ -13,5 +13,7 @@
 
 // A whole text as one JSON object, without comments or anything behind it; nothing where it is not one.
 std::optional<Json::Value> parseJsonObject(std::string_view);
+// The same for an array.
+std::optional<Json::Value> parseJsonArray(std::string_view);
 
 }
--- a/Source/Core/Decisions/NewsDuty.cpp
+++ b/Source/Core/Decisions/NewsDuty.cpp
@@ -20,15 +20,21 @@
     auto isStarting = !facts.complete && facts.now - facts.started < options.startPatience;
     if (isStarting)
         return false;
-    auto limit = facts.role == NewsRole::Standby ? options.standbyAge : options.followerAge;
-    if (facts.complete && facts.role == NewsRole::Follower && facts.relayAnswers && !facts.reading && facts.entries >= options.manyEntries)
-        limit += scaled(std::min<Common::Duration>(options.outagePause * facts.entries, options.maxOutageSpread), facts.jitter) + (facts.largerKnown ? options.largerPause : Common::Duration::zero());
+    auto isMany = facts.entries >= options.manyEntries;
+    auto limit = options.followerAge;
+    if (facts.role == NewsRole::Standby)
+        limit = options.standbyAge;
+    else if (isMany && facts.deputy)
+        limit = options.deputyAge;
+    else if (isMany && facts.complete && facts.relayAnswers && !facts.reading)
+        limit += scaled(std::min<Common::Duration>(options.outagePause * facts.entries, options.maxOutageSpread), facts.jitter);
     if (facts.age > limit)
         return true;
     if (!facts.complete)
         return true;
     // Entries that start together would all go on reading until they have found the relay.
-    if (!facts.reading || facts.now - facts.started < options.startTime)
+    // The seeds go on: one of them may have to lead.
+    if (!facts.reading || (facts.now - facts.started < options.startTime && facts.seedIndex < 0))
         return false;
     // Goes on until a relay has been reliable for a while: its age alone stays low while this entry reads.
     return !facts.relayed || facts.now - facts.relayedSince < options.settleTime;
@@ -48,9 +54,15 @@
     if (facts.relayed || !facts.reading || !facts.storeAnswers)
         return false;
     auto without = facts.now - facts.relayedSince;
+    // A store that was away for all comes back for the relays too.
+    auto patience = options.returnPatience + (facts.role == NewsRole::Standby ? Common::Duration::zero() : spread);
+    if (facts.storeBackFor && *facts.storeBackFor < patience)
+        return false;
     if (facts.role == NewsRole::Standby)
         return without > options.standbyTakeover;
     // Relays that answer without fresh news have lost the store, which this entry reaches: no reason to wait for them.
+    if (facts.relayAnswers && facts.entries >= options.manyEntries && !facts.deputy)
+        return facts.freshFor > options.lookerPatience + spread;
     if (facts.relayAnswers)
         return without > options.standbyTakeover + scaled(spread, options.shortSpread);
     // Everybody knows the seeds, so after a start of all they are found first.
--- a/Source/Core/Gateway/News.cpp
+++ b/Source/Core/Gateway/News.cpp
@@ -3,11 +3,17 @@
 #include <json/json.h>
 
 #include "Common/JsonText.h"
+#include "Net/Deflate.h"
 
 namespace Gateway {
 
 namespace {
 
+    // Shorter rows gain nothing.
+    constexpr std::size_t deflateFrom = 1024;
+    // Of 19,000 servers, the size to design for, with some reserve.
+    constexpr std::size_t maxRowsBytes = 32 * 1024 * 1024;
+
     Common::Error malformed(const std::string& what)
     {
         return { .code = Common::ResultCode::PeerRefused, .text = what };
@@ -104,7 +110,18 @@
     return Common::jsonText(json);
 }
 
-std::string toText(const NewsAnswer& answer)
+EncodedRows encodeRows(const std::vector<Platform::TableRow>& rows)
+{
+    Json::Value json(Json::arrayValue);
+    for (const auto& row : rows)
+        json.append(toJson(row));
+    EncodedRows encoded { .bytes = Common::jsonText(json), .isDeflated = false };
+    if (encoded.bytes.size() >= deflateFrom)
+        encoded = { .bytes = Net::deflated(encoded.bytes), .isDeflated = true };
+    return encoded;
+}
+
+std::string toText(const NewsAnswer& answer, const EncodedRows& rows)
 {
     Json::Value json;
     json["relays"] = answer.relays;
@@ -115,9 +132,7 @@
         json["registry"] = Json::UInt64(answer.update.position.registry);
         json["operators"] = Json::UInt64(answer.update.position.operators);
         json["age_ms"] = Common::toMilliseconds(answer.update.age);
-        json["rows"] = Json::Value(Json::arrayValue);
-        for (const auto& row : answer.update.rows)
-            json["rows"].append(toJson(row));
+        json["rows_deflated"] = rows.isDeflated;
         json["members_whole"] = answer.members.whole;
         json["members_revision"] = Json::UInt64(answer.members.revision);
         json["members_total"] = answer.members.total;
@@ -126,7 +141,8 @@
             json["members"].append(toJson(member));
         json["gone"] = toJson(answer.members.gone);
     }
-    return Common::jsonText(json);
+    // JSON on one line has no line break of its own.
+    return Common::jsonText(json) + "\n" + (answer.relays ? rows.bytes : std::string());
 }
 
 Common::Result<NewsRequest> parseNewsRequest(const std::string& text)
@@ -143,22 +159,38 @@
     });
 }
 
-Common::Result<NewsAnswer> parseNewsAnswer(const std::string& text)
+Common::Result<NewsAnswer> parseNewsAnswer(const std::string& bytes)
 {
-    return readTyped(text, [](const Json::Value& json) {
+    auto end = std::min(bytes.find('\n'), bytes.size());
+    auto tail = std::string_view(bytes).substr(std::min(end + 1, bytes.size()));
+    auto head = readTyped(bytes.substr(0, end), [](const Json::Value& json) {
         NewsAnswer answer;
         answer.relays = json["relays"].asBool();
         answer.roster = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64() };
         answer.update.whole = json["whole"].asBool();
         answer.update.position = { .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() };
         answer.update.age = Common::fromMilliseconds(json["age_ms"].asDouble());
-        for (const auto& row : json["rows"])
-            answer.update.rows.push_back(toRow(row));
         answer.members = { .whole = json["members_whole"].asBool(), .revision = json["members_revision"].asUInt64(), .total = json["members_total"].asInt(), .members = {}, .gone = toStrings(json["gone"]) };
         for (const auto& member : json["members"])
             answer.members.members.push_back(toMember(member));
-        return answer;
+        return std::pair(answer, json["rows_deflated"].asBool());
     });
+    if (!head)
+        return head.error();
+    auto [news, isDeflated] = head.value();
+    if (!news.relays)
+        return news;
+    auto rows = isDeflated ? Net::inflated(tail, maxRowsBytes) : std::optional(std::string(tail));
+    auto list = rows ? Common::parseJsonArray(*rows) : std::nullopt;
+    if (!list)
+        return malformed("rows are no JSON array");
+    try {
+        for (const auto& row : *list)
+            news.update.rows.push_back(toRow(row));
+    } catch (const Json::Exception& ec) {
+        return malformed(ec.what());
+    }
+    return news;
 }
 
 std::string toText(const Roster& roster)
--- a/Source/Core/Gateway/News.h
+++ b/Source/Core/Gateway/News.h
@@ -28,17 +28,25 @@
 };
 
 struct NewsAnswer {
-    bool relays = false; // whether the one asked is a relay
+    bool relays = false; // whether the one asked is a relay, and not too busy to answer
     Roster roster;
     CatalogUpdate update;
     MemberUpdate members;
 };
 
-// JSON forms. Errors: PeerRefused.
+// Rows as they travel: JSON, deflated where that is much shorter. The same for all who ask from one position.
+struct EncodedRows {
+    std::string bytes;
+    bool isDeflated = false;
+};
+
+EncodedRows encodeRows(const std::vector<Platform::TableRow>&);
+
+// JSON forms; the rows of an answer follow its JSON as bytes of their own. Errors: PeerRefused.
 std::string toText(const NewsRequest&);
-std::string toText(const NewsAnswer&);
+std::string toText(const NewsAnswer&, const EncodedRows& rows);
 Common::Result<NewsRequest> parseNewsRequest(const std::string&);
-Common::Result<NewsAnswer> parseNewsAnswer(const std::string&);
+Common::Result<NewsAnswer> parseNewsAnswer(const std::string& bytes);
 std::string toText(const Roster&);
 Common::Result<Roster> parseRoster(const std::string&, std::uint64_t version);
 
--- a/Source/Core/Gateway/NewsController.cpp
+++ b/Source/Core/Gateway/NewsController.cpp
@@ -18,7 +18,7 @@
     constexpr auto baseWait = std::chrono::milliseconds(400);
     constexpr auto waitPerEntry = std::chrono::milliseconds(2);
     constexpr auto maxWait = std::chrono::milliseconds(900);
-    // A standby has to notice sooner than others that the leading relay is gone.
+    // A standby, and deputies, have to notice sooner than others that the leading relay is gone.
     constexpr auto standbyWait = std::chrono::milliseconds(200);
     // For an answer's way and a relay's other work, beside its wait and the time between its looks at the store.
     constexpr auto ageSlack = std::chrono::milliseconds(400);
@@ -36,8 +36,14 @@
     // How long a larger count than the present one holds: entries that restart have spent their share before.
     constexpr auto entriesMemory = std::chrono::seconds(30);
 
+    // Where all entries start for the first time, no caller waits yet, and one read of the store does for all.
+    constexpr auto bootstrapPatience = std::chrono::milliseconds(2500);
+    constexpr auto bootstrapPause = std::chrono::milliseconds(400);
+
     constexpr std::size_t relaysWanted = 2;
-    // Longest pause between tries at a store that is away: relays try often, since all others depend on them.
+    // Pauses between tries at a store that is away: relays try often, since all others depend on them.
+    constexpr auto firstBackoff = std::chrono::milliseconds(200);
+    constexpr auto outageBackoff = std::chrono::milliseconds(2000);
     constexpr auto relayBackoff = std::chrono::milliseconds(500);
     constexpr auto followerBackoff = std::chrono::milliseconds(4000);
     // From so many entries on, a standby with so many times the leading relay's processor share takes its place, after so long.
@@ -55,18 +61,26 @@
     , m_rosterTable(std::move(rosterTable))
     , m_options(std::move(options))
     , m_reader(loop, log, catalog, std::move(readTable), m_options.reader)
-    , m_server(loop, catalog, members, { .relays = [this] { return relays(); }, .roster = [this] { return m_roster; }, .onRoster = [this](const Roster& roster) { adopt(roster); } })
+    , m_server(loop, catalog, members, { .relays = [this] { return relays(); }, .roster = [this] { return m_roster; }, .onRoster = [this](const Roster& roster) { adopt(roster); }, .capacity = members.self().capacity })
     , m_client(loop, log, catalog, members, { .target = m_options.newsTarget, .roster = [this] { return m_roster; } })
     , m_jitter(Common::randomUnit(loop.hooks()))
 {
     m_client.onRoster([this](const Roster& roster) { adopt(roster); });
     m_catalog.onNews([this] { m_server.onCatalogNews(); });
     // Not within the reader's own call: the review may stop it.
-    m_reader.onConfirmed([this] { m_loop.defer([this] { review(); }); });
+    m_reader.onConfirmed([this] {
+        if (m_freshSince == Common::TimePoint())
+            m_freshSince = m_loop.now();
+        m_loop.defer([this] { review(); });
+    });
 }
 
 void NewsController::start()
 {
+    if (m_options.bootstrap) {
+        m_options.duty.startPatience = bootstrapPatience;
+        m_client.setRetryPause(bootstrapPause);
+    }
     m_started = m_loop.now();
     m_relayedSince = m_started;
     m_standbySeen = m_started;
@@ -111,9 +125,12 @@
         .jitter = m_jitter,
         .reading = m_reader.isRunning(),
         .storeAnswers = m_reader.storeAnswers(),
+        .storeBackFor = m_reader.backSince() == Common::TimePoint() ? std::nullopt : std::optional(m_loop.now() - m_reader.backSince()),
         .relayAnswers = m_client.lastAnswer() != Common::TimePoint() && m_loop.now() - m_client.lastAnswer() < m_relayPatience,
         .entries = m_entries,
         .largerKnown = std::any_of(members.begin(), members.end(), [&](const auto& member) { return member.capacity > capacityGain * m_members.self().capacity; }),
+        .deputy = m_isDeputy,
+        .freshFor = m_freshSince == Common::TimePoint() ? Common::Duration::zero() : m_loop.now() - m_freshSince,
     };
 }
 
@@ -134,11 +151,15 @@
     if (m_leaving && m_client.following().empty())
         return;
     auto now = facts();
-    m_reader.setMaxBackoff(now.role == NewsRole::Follower ? followerBackoff : relayBackoff);
+    // While a relay answers, the store is likely away for all, and relays look for its return.
+    if (now.role == NewsRole::Follower && now.relayAnswers)
+        m_reader.setBackoff(outageBackoff, followerBackoff);
+    else
+        m_reader.setBackoff(firstBackoff, now.role == NewsRole::Follower ? followerBackoff : relayBackoff);
     if (Decisions::shouldRead(now, m_options.duty))
         m_reader.start();
     else
-        m_reader.stop();
+        stopReading();
     if (m_leaving || m_rosterCall)
         return;
     if (Decisions::shouldTakeLead(now, m_options.duty))
@@ -147,10 +168,20 @@
         appointStandby();
 }
 
+void NewsController::stopReading()
+{
+    m_reader.stop();
+    m_freshSince = {};
+}
+
 void NewsController::trackRelay()
 {
     auto wait = std::min<Common::Duration>(baseWait + waitPerEntry * static_cast<int>(m_members.size()), maxWait);
-    if (role() != NewsRole::Follower)
+    auto members = m_members.all();
+    const auto& self = m_members.self();
+    auto isBefore = [&](const Member& member) { return member.failureDomain == self.failureDomain && member.control != self.control && std::pair(member.capacity, member.control) > std::pair(self.capacity, self.control); };
+    m_isDeputy = Decisions::isDeputy(static_cast<int>(std::count_if(members.begin(), members.end(), isBefore)));
+    if (role() != NewsRole::Follower || (m_isDeputy && m_entries >= m_options.duty.manyEntries))
         wait = standbyWait;
     m_client.setWait(wait);
     auto usualAge = m_options.reader.registryInterval + wait + ageSlack;
--- a/Source/Core/Gateway/NewsController.h
+++ b/Source/Core/Gateway/NewsController.h
@@ -23,6 +23,7 @@
     Decisions::NewsDutyOptions duty;
     Common::Duration applyTime = std::chrono::seconds(2); // in which a change has to be in force everywhere (the operators' bound)
     Common::Duration minFollowerAge = std::chrono::milliseconds(1300);
+    bool bootstrap = false; // the whole fleet starts for the first time
 };
 
 // Keeps the catalog and the list of members fresh: follows a relay, reads the store where that is this entry's duty or no
@@ -47,6 +48,7 @@
 private:
     void tick();
     void review();
+    void stopReading();
     void trackRelay();
     void countEntries();
     Decisions::NewsRole role() const;
@@ -76,6 +78,8 @@
     Common::TimePoint m_standbySeen;
     Common::TimePoint m_entriesAt;
     Common::Duration m_relayPatience {}; // after which a relay counts as silent
+    Common::TimePoint m_freshSince; // own reading has brought both tables; the epoch while it has not
+    bool m_isDeputy = false;
     double m_jitter = 0;
     int m_entries = 0;
     bool m_relayed = false;
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -33,6 +33,8 @@
     void setCandidates(std::vector<std::string>);
     // How long a relay may wait for news.
     void setWait(Common::Duration wait) { m_wait = wait; }
+    // Between attempts while no relay has fresh news.
+    void setRetryPause(Common::Duration pause) { m_options.retryPause = pause; }
     // Called with the roster of every answer.
     void onRoster(std::function<void(const Roster&)> hook) { m_rosterHook = std::move(hook); }
     void start();
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/RelayServer.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -12,6 +14,10 @@
     constexpr auto maxWait = std::chrono::seconds(5);
     // An entry whose connection ended asks again within this time if it is alive.
     constexpr auto reconnectTime = std::chrono::milliseconds(400);
+    // Answers with the whole catalog, a second and processor: one takes about 1 ms. Whoever gets none reads the store.
+    constexpr double wholeAnswersPerSecond = 300;
+    constexpr double wholeAnswersAtOnce = 4;
+    constexpr std::size_t maxCachedRows = 8;
 
 }
 
@@ -20,6 +26,7 @@
     , m_catalog(catalog)
     , m_members(members)
     , m_options(std::move(options))
+    , m_wholeAnswers(wholeAnswersPerSecond * m_options.capacity, wholeAnswersAtOnce)
 {
 }
 
@@ -55,12 +62,30 @@
 void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const NewsRequest& request)
 {
     NewsAnswer answer { .relays = m_options.relays(), .roster = m_options.roster(), .update = {}, .members = {} };
+    if (answer.relays)
+        answer.update = m_catalog.changesSince(request.position);
+    // Entries that start together would take all of this one's time.
+    if (answer.update.whole && !m_wholeAnswers.take(m_loop.now()))
+        answer.relays = false;
+    static const EncodedRows noRows {};
+    const auto* rows = &noRows;
     if (answer.relays) {
         auto isListed = request.listedBy == m_members.self().control;
-        answer.update = m_catalog.changesSince(request.position);
         answer.members = m_members.changesSince(isListed ? request.membersRevision : 0, request.member.failureDomain);
+        rows = &rowsSince(request.position, answer.update);
     }
-    exchange->respond({ .status = Net::HttpStatus::Ok, .reason = {}, .headers = { { "Content-Type", "application/json" } }, .body = toText(answer) });
+    exchange->respond({ .status = Net::HttpStatus::Ok, .reason = {}, .headers = { { "Content-Type", "application/json" } }, .body = toText(answer, *rows) });
+}
+
+const EncodedRows& RelayServer::rowsSince(const CatalogPosition& from, const CatalogUpdate& update)
+{
+    auto it = std::find_if(m_cachedRows.begin(), m_cachedRows.end(), [&](const auto& cached) { return cached.from == from && cached.to == update.position; });
+    if (it != m_cachedRows.end())
+        return it->rows;
+    m_cachedRows.push_front({ .from = from, .to = update.position, .rows = encodeRows(update.rows) });
+    if (m_cachedRows.size() > maxCachedRows)
+        m_cachedRows.pop_back();
+    return m_cachedRows.front().rows;
 }
 
 void RelayServer::answerWaiting(Place place)
--- a/Source/Core/Gateway/RelayServer.h
+++ b/Source/Core/Gateway/RelayServer.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
 #include <string>
 
+#include "Decisions/TokenBucket.h"
 #include "Gateway/Catalog.h"
 #include "Gateway/Members.h"
 #include "Gateway/News.h"
@@ -16,6 +18,7 @@
     std::function<bool()> relays; // whether this entry relays now
     std::function<Roster()> roster;
     std::function<void(const Roster&)> onRoster; // with the roster of every request
+    double capacity = 1; // of this entry, in processors
 };
 
 // Answers other entries' requests for news: at once where there is some, else when it comes or their wait is over.
@@ -37,10 +40,17 @@
         Net::EventLoop::TimerId timer = 0;
     };
     using Place = std::list<Waiting>::iterator;
+    // Most ask from the position of the last change: its rows are made once.
+    struct CachedRows {
+        CatalogPosition from;
+        CatalogPosition to;
+        EncodedRows rows;
+    };
 
     void answer(const std::shared_ptr<Net::Exchange>&, const NewsRequest&);
     void answerWaiting(Place);
     void answerAll();
+    const EncodedRows& rowsSince(const CatalogPosition& from, const CatalogUpdate&);
     bool hasNewsFor(const NewsRequest&) const;
     void answerSoon(Common::Duration);
 
@@ -49,6 +59,8 @@
     Members& m_members;
     RelayServerOptions m_options;
     std::list<Waiting> m_waiting;
+    std::deque<CachedRows> m_cachedRows;
+    Decisions::TokenBucket m_wholeAnswers;
     Net::EventLoop::TimerId m_batchTimer = 0;
     Common::TimePoint m_batchAt;
 };
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -42,6 +42,12 @@
     m_log.log(Common::EventId::RelayStopped, {});
 }
 
+void StoreReader::setBackoff(Common::Duration first, Common::Duration longest)
+{
+    m_options.firstBackoff = first;
+    m_options.maxBackoff = longest;
+}
+
 void StoreReader::later(Net::EventLoop::TimerId& timer, Common::Duration delay, void (StoreReader::*next)())
 {
     m_loop.cancel(timer);
@@ -148,6 +154,7 @@
         if (m_answers)
             m_log.log(Common::EventId::StoreUnreachable, { { "error", error } });
     } else if (!m_answers) {
+        m_backSince = now;
         m_catalog.noteOutage();
         m_log.log(Common::EventId::StoreReachable, { { "away_ms", std::to_string(static_cast<long>(Common::toMilliseconds(now - m_lastAnswer))) } });
         // A call that waits for the next configuration may have been swallowed by the outage.
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -29,11 +29,13 @@
     void stop();
     // Called each time that both tables have been looked at.
     void onConfirmed(std::function<void()> hook) { m_confirmed = std::move(hook); }
-    // Longest pause between tries while the store does not answer.
-    void setMaxBackoff(Common::Duration limit) { m_options.maxBackoff = limit; }
+    // First and longest pause between tries while the store does not answer.
+    void setBackoff(Common::Duration first, Common::Duration longest);
     bool isRunning() const { return m_running; }
     // The last look at the registry was answered.
     bool storeAnswers() const { return m_answers; }
+    // When the store answered again after it did not; the epoch where it never failed.
+    Common::TimePoint backSince() const { return m_backSince; }
     std::uint64_t calls() const { return m_calls; }
     std::uint64_t failures() const { return m_failures; }
 
@@ -55,6 +57,7 @@
     Net::EventLoop::TimerId m_operatorTimer = 0;
     Common::Duration m_backoff;
     Common::TimePoint m_lastAnswer;
+    Common::TimePoint m_backSince;
     Common::TimePoint m_registryAsOf; // of the newest look at the registry
     bool m_running = false;
     bool m_answers = true;
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -23,6 +23,7 @@
         settings.control = readAddress(reader, "control");
         settings.metrics = readAddress(reader, "metrics", std::string());
         settings.capacity = reader.number("capacity", 0.001, 1024, settings.capacity);
+        settings.bootstrap = reader.boolean("bootstrap", settings.bootstrap);
         settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
         settings.graceMs = static_cast<int>(reader.integer("grace_ms", 100, maxTimeMs, settings.graceMs));
         settings.applyMs = static_cast<int>(reader.integer("apply_ms", 100, maxTimeMs, settings.applyMs));
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -21,6 +21,7 @@
     std::vector<std::string> seeds; // control addresses of some entries; may be stale
     std::string store; // ip:port of the platform's store
     double capacity = 1; // share of a processor
+    bool bootstrap = false; // the whole fleet starts for the first time
     int directoryTtlMs = 3000; // how long callers may keep a directory answer
     int graceMs = 6000; // from SIGTERM to SIGKILL
     int applyMs = 2000; // in which a change of configuration or registry has to be in force
--- a/Source/UnitTests/Gateway/NewsTest.cpp
+++ b/Source/UnitTests/Gateway/NewsTest.cpp
@@ -15,7 +15,7 @@
     CHECK(read.value().wait == request.wait);
 
     NewsAnswer answer { .relays = true, .roster = request.roster, .update = { .whole = true, .position = { .registry = 8, .operators = 2 }, .age = std::chrono::milliseconds(12), .rows = { { .table = "t", .key = "k", .value = "v\"\n", .version = 6 }, { .table = "t", .key = "gone", .value = {}, .version = 7 } } }, .members = { .whole = false, .revision = 11, .total = 2, .members = { request.member }, .gone = { "z" } } };
-    auto back = parseNewsAnswer(toText(answer));
+    auto back = parseNewsAnswer(toText(answer, encodeRows(answer.update.rows)));
     REQUIRE(back.has_value());
     CHECK(back.value().update.rows.size() == 2);
     CHECK(back.value().update.rows[0].value == "v\"\n");
@@ -32,5 +32,28 @@
         CHECK(!parseNewsRequest(text));
     }
     CHECK(!parseNewsAnswer(R"({"relays":[]})"));
+    CHECK(!parseNewsAnswer(R"({"relays":true})"));
+    CHECK(!parseNewsAnswer("{\"relays\":true}\n[5"));
+    CHECK(!parseNewsAnswer("{\"relays\":true,\"rows_deflated\":true}\nno zlib"));
     CHECK(!parseRoster("nonsense", 1));
 }
+
+TEST_CASE("Many rows travel in few bytes, and damage to them is seen")
+{
+    std::vector<Platform::TableRow> rows;
+    for (int i = 0; i < 400; ++i)
+        rows.push_back({ .table = "servers", .key = "i-" + std::to_string(i), .value = R"({"address":"10.1.0.1:8000","status":{"state":"ready"}})", .version = static_cast<std::uint64_t>(i) });
+    auto encoded = encodeRows(rows);
+    CHECK(encoded.isDeflated);
+    CHECK(encoded.bytes.size() < 6000);
+    NewsAnswer answer { .relays = true, .roster = {}, .update = { .whole = true, .position = {}, .age = {}, .rows = {} }, .members = {} };
+    auto text = toText(answer, encoded);
+    auto back = parseNewsAnswer(text);
+    REQUIRE(back.has_value());
+    REQUIRE(back.value().update.rows.size() == rows.size());
+    CHECK(back.value().update.rows.back().key == rows.back().key);
+    for (auto cut : { text.size() - 1, text.size() - 200 })
+        CHECK(!parseNewsAnswer(text.substr(0, cut)));
+    text[text.size() - 100] = static_cast<char>(text[text.size() - 100] ^ 0x55);
+    CHECK(!parseNewsAnswer(text));
+}
