Net: a full send buffer is no broken connection

Cause: on a non-blocking socket Poco's sendBytes() throws IOException with code EAGAIN when the send buffer is full, unlike receiveBytes(), which returns a negative number. ServerConnection::write and ClientConnection::writeOut took that for a dead peer and closed in the middle of the body; FaultProxy did the same.

Change: sendAvailable() is the one place that sends on a non-blocking socket.

How it stayed unseen: no test sent more than a socket buffer.

Ruled out: timers and the dead peer timeout (the cuts came 10 to 150 ms after the server had ended).

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include "Common/NameTable.h"
+#include "Net/SocketIo.h"
 
 namespace Net {
 
@@ -35,7 +36,7 @@
     return Common::nameOf(failureNames, kind);
 }
 
-void configureSocket(Poco::Net::StreamSocket& socket, Common::Duration deadPeerTimeout)
+void configureSocket(Poco::Net::StreamSocket& socket, Common::Duration deadPeerTimeout, int sendBufferBytes)
 {
     auto ms = static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(deadPeerTimeout).count());
     auto seconds = std::max(1, static_cast<int>(std::chrono::floor<std::chrono::seconds>(deadPeerTimeout).count()) - 1);
@@ -45,6 +46,8 @@
     socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, 1);
     socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, 1);
     socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+    if (sendBufferBytes > 0)
+        socket.setSendBufferSize(sendBufferBytes);
 }
 
 ClientConnection::ClientConnection(EventLoop& loop, const ClientOptions& options)
@@ -78,7 +81,7 @@
     try {
         m_socket.connectNB(Poco::Net::SocketAddress(address));
         m_socket.setBlocking(false);
-        configureSocket(m_socket, m_options.deadPeerTimeout);
+        configureSocket(m_socket, m_options.deadPeerTimeout, m_options.sendBufferBytes);
     } catch (const Poco::Exception&) {
         return failDeferred(FailureKind::Refused);
     }
@@ -156,11 +159,11 @@
 {
     try {
         while (!m_out.empty()) {
-            auto n = m_socket.sendBytes(m_out.data(), static_cast<int>(m_out.size()));
-            if (n <= 0)
+            auto n = sendAvailable(m_socket, m_out);
+            if (n == 0)
                 break;
             m_bytesSent = true;
-            m_out.erase(0, static_cast<std::size_t>(n));
+            m_out.erase(0, n);
         }
     } catch (const Poco::Exception&) {
         // Deferred because send() must not call its handlers before it returns to the caller.
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -40,6 +40,7 @@
     Common::Duration connectTimeout = std::chrono::seconds(1);
     // The kernel closes the connection when sent data or keep-alive probes stay unacknowledged for about this long.
     Common::Duration deadPeerTimeout = std::chrono::seconds(2);
+    int sendBufferBytes = 0; // of the socket; 0: the kernel's default
     std::size_t maxResponseBytes = 8 * 1024 * 1024; // of the body; a larger one fails the request with TooLarge
 };
 
@@ -104,6 +105,7 @@
 };
 
 // Sets TCP_NODELAY and makes the kernel detect an unresponsive peer after about deadPeerTimeout, by keep-alive and TCP_USER_TIMEOUT.
-void configureSocket(Poco::Net::StreamSocket&, Common::Duration deadPeerTimeout);
+// `sendBufferBytes` 0 leaves the kernel's default.
+void configureSocket(Poco::Net::StreamSocket&, Common::Duration deadPeerTimeout, int sendBufferBytes);
 
 }
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/NetException.h>
 
 #include "Net/HttpClient.h"
+#include "Net/SocketIo.h"
 
 namespace Net {
 
@@ -37,7 +38,7 @@
     void start()
     {
         m_socket.setBlocking(false);
-        configureSocket(m_socket, m_server.m_options.deadPeerTimeout);
+        configureSocket(m_socket, m_server.m_options.deadPeerTimeout, m_server.m_options.sendBufferBytes);
         std::weak_ptr<ServerConnection> weak = weak_from_this();
         m_loop.watch(m_socket, true, false, [weak](Readiness ready) {
             if (auto self = weak.lock())
@@ -203,10 +204,10 @@
     {
         try {
             while (!m_out.empty()) {
-                auto n = m_socket.sendBytes(m_out.data(), static_cast<int>(m_out.size()));
-                if (n <= 0)
+                auto n = sendAvailable(m_socket, m_out);
+                if (n == 0)
                     break;
-                m_out.erase(0, static_cast<std::size_t>(n));
+                m_out.erase(0, n);
             }
         } catch (const Poco::Exception&) {
             return close();
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -62,6 +62,7 @@
         return Response { .status = status, .reason = {}, .headers = {}, .body = {} };
     };
     Common::Duration deadPeerTimeout = std::chrono::seconds(4);
+    int sendBufferBytes = 0; // of each connection's socket; 0: the kernel's default
 };
 
 // Accepts connections and parses requests, with pipelining. Responses are sent in request order on each connection.
--- a/Source/Core/Soak/FaultProxy.cpp
+++ b/Source/Core/Soak/FaultProxy.cpp
@@ -5,6 +5,8 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include "Net/SocketIo.h"
+
 namespace Soak {
 
 struct FaultProxy::Pair {
@@ -77,9 +79,9 @@
     auto& socket = toClient ? pair->client : pair->server;
     try {
         for (std::size_t done = 0; done < bytes.size();) {
-            auto n = socket.sendBytes(bytes.data() + done, static_cast<int>(bytes.size() - done));
+            auto n = Net::sendAvailable(socket, std::string_view(bytes).substr(done));
             if (n > 0)
-                done += static_cast<std::size_t>(n);
+                done += n;
             else if (!socket.poll(Poco::Timespan(0, 100'000), Poco::Net::Socket::SELECT_WRITE))
                 return end(pair, true);
         }
