--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -42,6 +42,9 @@
         EventRow { ConfigurationApplied, "configuration-applied", Severity::Info, "A newer configuration is in force." },
         EventRow { ConfigurationRejected, "configuration-rejected", Severity::Error, "A stored configuration could not be read; the old one stays in force." },
         EventRow { RegistryRowRejected, "registry-row-rejected", Severity::Warning, "A row of the server registry could not be parsed; no server is taken from it." },
+        EventRow { RouteKindUnknown, "route-kind-unknown", Severity::Warning, "A route has a kind that this version does not know; its requests are never repeated." },
+        EventRow { StoreEraChanged, "store-era-changed", Severity::Warning, "The store came back from an older copy of its data; the tables are read in full." },
+        EventRow { StoreEraRejected, "store-era-rejected", Severity::Warning, "An answer of the store names no valid era or an older one; the answer is not used." },
         EventRow { MemberJoined, "member-joined", Severity::Info, "An entry instance joined or came back." },
         EventRow { MemberSuspected, "member-suspected", Severity::Warning, "An entry instance missed its heartbeats." },
         EventRow { MemberFailed, "member-failed", Severity::Warning, "A suspected entry instance was removed." },
@@ -60,6 +63,8 @@
         EventRow { ServerConnectionsSuspect, "server-connections-suspect", Severity::Warning, "Connections to a backend server stopped responding; all older ones are replaced." },
         EventRow { ServerMisdirected, "server-misdirected", Severity::Warning, "A different server answers at the address; the address is no longer used." },
         EventRow { ServerUnreachable, "server-unreachable", Severity::Warning, "A backend server could not be reached or did not answer." },
+        EventRow { ServerLeaving, "server-leaving", Severity::Info, "A backend server said in an answer that it is leaving; it gets no new requests." },
+        EventRow { ServerPaused, "server-paused", Severity::Info, "A backend server rejected a request and asked for a pause; it gets no requests and no load probes until its end." },
     };
 
     constexpr std::array severityNames {
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -41,6 +41,9 @@
     ConfigurationApplied = 3006,
     ConfigurationRejected = 3007,
     RegistryRowRejected = 3008,
+    RouteKindUnknown = 3009,
+    StoreEraChanged = 3010,
+    StoreEraRejected = 3011,
     MemberJoined = 4000,
     MemberSuspected = 4001,
     MemberFailed = 4002,
@@ -59,6 +62,8 @@
     ServerConnectionsSuspect = 5005,
     ServerMisdirected = 5006,
     ServerUnreachable = 5007,
+    ServerLeaving = 5008,
+    ServerPaused = 5009,
 };
 
 enum class Severity {
--- a/Source/Core/Decisions/Refusal.cpp
+++ b/Source/Core/Decisions/Refusal.cpp
@@ -12,6 +12,8 @@
     constexpr double startupRetryAfterMs = 300;
     // By then, a server that did not answer has been replaced or has recovered.
     constexpr double outageRetryAfterMs = 100;
+    // Retries after a pause are spread over this share of its remaining time.
+    constexpr double pauseSpread = 0.25;
     // Callers honour at most this share of the time until their deadline.
     constexpr double maxShareOfTimeLeft = 1.0 / 3;
 
@@ -19,6 +21,9 @@
 
 Common::Duration retryAfter(const RefusalInputs& inputs)
 {
+    // Spread behind the end of the pause: before it, no request can be served.
+    if (inputs.reason == RefusalReason::Paused)
+        return Common::fromMilliseconds(std::max(minRetryAfterMs, inputs.pauseLeftMs * (1 + pauseSpread * inputs.jitter)));
     auto base = inputs.excessMs;
     if (inputs.reason == RefusalReason::NotConfigured)
         base = startupRetryAfterMs;
--- a/Source/Core/Decisions/Refusal.h
+++ b/Source/Core/Decisions/Refusal.h
@@ -10,6 +10,7 @@
     NoServer, // the service has no usable server
     NoReport, // none of the probed servers answered
     Busy, // no probed server has capacity, or the best one would answer after the deadline
+    Paused, // every server of the service has asked for a pause
     Shed, // servers shed the request and no further attempt is allowed
 };
 
@@ -17,11 +18,13 @@
     RefusalReason reason = RefusalReason::Busy;
     double timeLeftMs = 0; // until the caller's deadline
     double excessMs = 0; // by how much the best server's expected response would miss the deadline
+    double pauseLeftMs = 0; // with Paused: until the first server takes requests again
     double jitter = 0; // uniform in [0, 1)
 };
 
 // Delay for Retry-After. Retries are spread over the time in which capacity is expected to return, and come early enough
-// to be answered in time: callers honour delays of at most a third of the time that they have left.
+// to be answered in time: callers honour delays of at most a third of the time that they have left. While all servers pause,
+// it is the time until the first one's pause ends, however long that is.
 Common::Duration retryAfter(const RefusalInputs&);
 
 }
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -42,6 +42,7 @@
     auto isReplaced = record.startedMs != m_record.startedMs || record.address != m_record.address;
     m_record = record;
     m_misdirected = m_misdirected && !isReplaced;
+    m_leaving = m_leaving && !isReplaced;
     m_coldUntil = std::max(m_coldUntil, m_loop.now() + std::chrono::milliseconds(record.warmupLeftMs));
     if (isReplaced)
         resetLearnedState();
@@ -58,6 +59,7 @@
     m_consecutiveProbeFailures = 0;
     m_healthy = true;
     m_suspectUntil = {};
+    m_pause = {};
     m_coldUntil = m_loop.now() + std::chrono::milliseconds(m_record.warmupLeftMs);
 }
 
@@ -73,6 +75,27 @@
     m_free.clear();
 }
 
+void Backend::setLeaving()
+{
+    m_leaving = true;
+    m_free.clear();
+}
+
+void Backend::learnFrom(const Net::Response& response)
+{
+    updateLoadReport(response.headers);
+    const auto& names = *m_options.headers;
+    if (!m_leaving && Net::findHeader(response.headers, names.leaving) == "1") {
+        setLeaving();
+        m_options.left(m_record);
+    }
+    auto text = response.status == Net::HttpStatus::Unavailable ? Net::findHeader(response.headers, names.retryAfter) : std::nullopt;
+    if (auto pause = text ? Decisions::parsePause(*text) : std::nullopt) {
+        m_pause.extend(*pause, m_loop.now());
+        m_options.paused(m_record, *pause);
+    }
+}
+
 bool Backend::isStale(const Net::ClientConnection& connection, Common::TimePoint now) const
 {
     Common::Duration maxIdle = defaultIdleTimeout;
@@ -179,7 +202,7 @@
              }
              self->m_healthy = head.response.status == Net::HttpStatus::Ok;
              auto before = self->m_report ? self->m_report->at : Common::TimePoint();
-             self->updateLoadReport(head.response.headers);
+             self->learnFrom(head.response);
              auto reported = self->m_report && self->m_report->at > before;
              done({ .answered = true, .healthy = self->m_healthy, .reported = reported }); },
             .failed = [weak, done, mayRetryOnNewConnection, hadFreeConnection, timeout](Net::ClientFailure failure) {
@@ -188,7 +211,7 @@
                     return;
                 // The server may have closed a reused connection just before the probe arrived.
                 auto wasClosed = failure.kind == Net::FailureKind::Reset || failure.kind == Net::FailureKind::Closed;
-                if (mayRetryOnNewConnection && hadFreeConnection && wasClosed && self->isUsable()) {
+                if (mayRetryOnNewConnection && hadFreeConnection && wasClosed && self->isAvailable(self->m_loop.now())) {
                     self->m_free.clear();
                     return self->sendProbe(timeout, false, done);
                 }
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "Decisions/Placement.h"
+#include "Decisions/ServerPause.h"
 #include "Gateway/LoadReport.h"
 #include "Gateway/ServerRecord.h"
 #include "Gateway/WireHeaders.h"
@@ -18,6 +19,9 @@
     const WireHeaders* headers = nullptr;
     std::string healthPath;
     std::string failureDomain; // of this gateway
+    // Called once when the server says that it is leaving, and each time that it asks for a pause.
+    std::function<void(const ServerRecord&)> left = [](const ServerRecord&) {};
+    std::function<void(const ServerRecord&, Common::Duration pause)> paused = [](const ServerRecord&, Common::Duration) {};
     int maxConnections = 15; // free connections kept: this gateway's share of the server's limit
     Net::ClientOptions client;
 };
@@ -42,8 +46,15 @@
 
     // Called when the registry no longer lists the server: it takes no more requests.
     void retire();
-    // Whether it may take requests: not retired, not draining, and no other server answers at its address.
-    bool isUsable() const { return !m_retired && !m_record.draining && !m_misdirected; }
+    // Whether it may take requests: not retired, not draining or leaving, and no other server answers at its address.
+    bool isUsable() const { return !m_retired && !m_record.draining && !m_leaving && !m_misdirected; }
+    // Whether it may get requests and load probes now: it is usable and has not asked for a pause.
+    bool isAvailable(Common::TimePoint now) const { return isUsable() && !m_pause.isActive(now); }
+    // Until the end of the pause that the server asked for; zero without one.
+    Common::Duration pauseLeft(Common::TimePoint now) const { return m_pause.timeLeft(now); }
+    // Called when the server said that it is leaving. Holds for this incarnation, whatever the registry says.
+    void setLeaving();
+    bool isLeaving() const { return m_leaving; }
     // Called when another server answered at the address; holds until the registry gives a new incarnation or address.
     void setMisdirected();
 
@@ -59,7 +70,8 @@
     // Update the statistics. `expectedMs`: response time predicted at placement; `tookMs`: the measured one.
     void recordAnswer(double tookMs, double expectedMs);
     void recordFailure();
-    void updateLoadReport(const Net::Headers&);
+    // Takes what a response tells of the server: load, that it is leaving, a pause that it asks for.
+    void learnFrom(const Net::Response&);
     void beginRequest() { ++m_unreported, ++m_inFlight; }
     void endRequest();
 
@@ -88,6 +100,7 @@
     bool isStale(const Net::ClientConnection&, Common::TimePoint now) const;
     void sendProbe(Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done);
     void recordProbeFailure();
+    void updateLoadReport(const Net::Headers&);
     void resetLearnedState();
 
     Net::EventLoop& m_loop;
@@ -109,6 +122,8 @@
     bool m_healthy = true;
     bool m_retired = false;
     bool m_misdirected = false;
+    bool m_leaving = false;
+    Decisions::ServerPause m_pause;
 };
 
 }
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -8,6 +8,8 @@
 
     // Share of a server's connections that all known gateways together may keep; the rest is for gateways not known yet.
     constexpr double knownGatewaysConnectionShare = 0.8;
+    // Leaving servers that are remembered after the registry has dropped them.
+    constexpr std::size_t maxLeftServers = 4096;
 
 }
 
@@ -18,12 +20,16 @@
 {
 }
 
-BackendOptions Backends::optionsFor(const std::string& service) const
+BackendOptions Backends::optionsFor(const std::string& service)
 {
     BackendOptions options {
         .headers = &m_options.headers,
         .healthPath = "/health",
         .failureDomain = m_options.failureDomain,
+        .left = [this](const ServerRecord& record) { onServerLeaving(record); },
+        .paused = [this](const ServerRecord& record, Common::Duration pause) {
+            m_log.log(Common::EventId::ServerPaused,
+                { { "server", record.id }, { "service", record.service }, { "pause_ms", std::to_string(static_cast<long>(Common::toMilliseconds(pause))) } }); },
         .maxConnections = 1,
         .client = m_options.client,
     };
@@ -35,6 +41,24 @@
     return options;
 }
 
+void Backends::onServerLeaving(const ServerRecord& record)
+{
+    m_log.log(Common::EventId::ServerLeaving, { { "server", record.id }, { "service", record.service }, { "address", record.address } });
+    if (m_left.insert_or_assign(record.id, record).second)
+        m_leftOrder.push_back(record.id);
+    if (m_leftOrder.size() > maxLeftServers) {
+        m_left.erase(m_leftOrder.front());
+        m_leftOrder.pop_front();
+    }
+}
+
+// Whether this incarnation said that it is leaving. One at another address or with another start time is a new server.
+bool Backends::hasLeft(const ServerRecord& record) const
+{
+    auto it = m_left.find(record.id);
+    return it != m_left.end() && it->second.startedMs == record.startedMs && it->second.address == record.address;
+}
+
 void Backends::put(const ServerRecord& record, std::uint64_t version)
 {
     auto& backend = m_backends[record.id];
@@ -44,6 +68,8 @@
     if (!entry) {
         entry = std::make_shared<Backend>(m_loop, record, optionsFor(record.service));
         m_byService[record.service].push_back(entry);
+        if (hasLeft(record))
+            entry->setLeaving();
         m_log.log(Common::EventId::ServerAdded,
             { { "server", record.id },
                 { "service", record.service },
@@ -99,7 +125,7 @@
         return found;
     for (const auto& backend : it->second) {
         auto isOwn = backend->record().failureDomain == m_options.failureDomain;
-        if (backend->isUsable() && isOwn == ownDomain && !exclude.contains(backend->record().id))
+        if (backend->isAvailable(m_loop.now()) && isOwn == ownDomain && !exclude.contains(backend->record().id))
             found.push_back(backend);
     }
     return found;
@@ -113,6 +139,23 @@
     return static_cast<std::size_t>(std::count_if(it->second.begin(), it->second.end(), [](const auto& backend) { return backend->isUsable(); }));
 }
 
+std::optional<Common::Duration> Backends::pauseLeft(const std::string& service) const
+{
+    std::optional<Common::Duration> shortest;
+    auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return shortest;
+    for (const auto& backend : it->second) {
+        if (!backend->isUsable())
+            continue;
+        auto left = backend->pauseLeft(m_loop.now());
+        if (left == Common::Duration::zero())
+            return std::nullopt;
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 std::uint64_t Backends::connectionsOpened() const
 {
     auto n = m_connectionsOpenedByRemoved;
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -32,11 +34,13 @@
     // Number of gateways that share the servers' connections.
     void setGatewayCount(int gatewayCount);
 
-    // Usable servers of the service, without those whose ids are in `exclude`: the ones in the own failure domain, or else
+    // Servers of the service that may get requests now, without those whose ids are in `exclude`: the ones in the own failure domain, or else
     // those in all others.
     std::vector<std::shared_ptr<Backend>> candidates(const std::string& service, bool ownDomain, const std::set<std::string>& exclude);
-    // Number of servers of the service that may take requests.
+    // Number of servers of the service that are usable, those that pause included.
     std::size_t usableCount(const std::string& service) const;
+    // If all usable servers of the service pause: the time until the first one takes requests again.
+    std::optional<Common::Duration> pauseLeft(const std::string& service) const;
     std::size_t size() const { return m_backends.size(); }
     std::uint64_t connectionsOpened() const;
 
@@ -44,7 +48,9 @@
     void closeIdleConnections();
 
 private:
-    BackendOptions optionsFor(const std::string& service) const;
+    BackendOptions optionsFor(const std::string& service);
+    void onServerLeaving(const ServerRecord&);
+    bool hasLeft(const ServerRecord&) const;
 
     Net::EventLoop& m_loop;
     Common::EventLog& m_log;
@@ -54,6 +60,10 @@
     std::unordered_map<std::string, std::shared_ptr<Backend>> m_backends; // by id
     std::unordered_map<std::string, std::vector<std::shared_ptr<Backend>>> m_byService;
     std::uint64_t m_connectionsOpenedByRemoved = 0;
+    // Incarnations that said that they are leaving, by server id, oldest first in m_leftOrder. The registry may drop and list
+    // them again meanwhile.
+    std::map<std::string, ServerRecord, std::less<>> m_left;
+    std::deque<std::string> m_leftOrder;
 };
 
 }
--- a/Source/Core/Gateway/Configuration.h
+++ b/Source/Core/Gateway/Configuration.h
@@ -23,6 +23,7 @@
     std::string host; // lower case, without port
     std::string prefix; // begins and ends with a slash
     Records::Repeat repeat = Records::Repeat::Never;
+    std::string unknownKind; // the kind that the operators gave it, if this version does not know it; then `repeat` is Never
     Common::Duration timeout = std::chrono::seconds(5); // longest time that a caller waits for a response
     Common::Duration goal = std::chrono::seconds(1); // latency goal: a later response is worth little to the caller
     int priority = 0; // 0 is the most urgent
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -158,7 +158,7 @@
     if (m_ended || round != m_probeRound)
         return;
     auto& probe = m_probes[index];
-    probe.answered = answer.answered && probe.backend->isUsable();
+    probe.answered = answer.answered && probe.backend->isAvailable(m_router.loop().now());
     probe.failed = !probe.answered;
     if (!isProbing())
         return;
@@ -202,7 +202,7 @@
     std::vector<std::shared_ptr<Backend>> backends;
     auto full = 0;
     for (const auto& probe : m_probes) {
-        if (!probe.answered || !probe.backend->isUsable() || m_tried.contains(probe.backend->record().id))
+        if (!probe.answered || !probe.backend->isAvailable(now) || m_tried.contains(probe.backend->record().id))
             continue;
         auto signal = probe.backend->signal(now);
         if (!Decisions::hasCapacity(signal, m_route.priority, options)) {
@@ -216,9 +216,10 @@
     if (backends.empty()) {
         if (m_openAttempts > 0)
             return; // an earlier attempt may still be answered
-        auto reason = full > 0                                ? RefusalReason::Busy
-            : m_router.backends().usableCount(m_service) == 0 ? RefusalReason::NoServer
-                                                              : RefusalReason::NoReport;
+        auto reason = full > 0                                  ? RefusalReason::Busy
+            : m_router.backends().usableCount(m_service) == 0   ? RefusalReason::NoServer
+            : m_router.backends().pauseLeft(m_service)          ? RefusalReason::Paused
+                                                                : RefusalReason::NoReport;
         return giveUp("no other server answered a load probe with room for the request", reason, 0);
     }
     auto serviceTimeMs = m_router.expectedServiceTimeMs(m_route);
@@ -304,13 +305,13 @@
     auto& response = head.response;
     auto now = m_router.loop().now();
     auto tookMs = Common::toMilliseconds(now - attempt.sentAt);
-    attempt.backend->updateLoadReport(response.headers);
     if (response.status == Misdirected) {
         m_router.log().log(EventId::ServerMisdirected,
             { { "request", m_id }, { "server", attempt.backend->record().id }, { "address", attempt.backend->record().address } });
         attempt.backend->setMisdirected();
         return retryOrGiveUp("a different server answered at the address");
     }
+    attempt.backend->learnFrom(response);
     if (Net::findHeader(response.headers, m_router.options().headers.notExecuted)) {
         return retryOrGiveUp("the server rejected the request without executing it");
     }
@@ -427,17 +428,22 @@
 void RequestForwarder::refuse(RefusalReason reason, double excessMs)
 {
     auto& router = m_router;
+    auto pauseLeft = router.backends().pauseLeft(m_service);
+    if (pauseLeft)
+        reason = RefusalReason::Paused;
     ++router.counters().refused;
     auto wait = Decisions::retryAfter({
         .reason = reason,
         .timeLeftMs = timeLeftMs(),
         .excessMs = excessMs,
+        .pauseLeftMs = pauseLeft ? Common::toMilliseconds(*pauseLeft) : 0,
         .jitter = Common::randomUnit(router.loop().hooks()),
     });
     auto retryAfter = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
     auto fields = logFields("refused");
     fields.push_back({ "cause",
         reason == RefusalReason::Busy           ? "busy"
+            : reason == RefusalReason::Paused   ? "all servers asked for a pause"
             : reason == RefusalReason::Shed     ? "shed"
             : reason == RefusalReason::NoReport ? "no server answered a load probe"
                                                 : "the service has no usable server" });
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -35,6 +35,10 @@
     auto before = m_configuration ? m_configuration->version : 0;
     m_configuration = std::move(configuration);
     m_backends.setServices(m_configuration->services);
+    for (const auto& route : m_configuration->routes) {
+        if (!route.unknownKind.empty() && m_unknownKinds.insert(route.unknownKind).second)
+            m_log.log(Common::EventId::RouteKindUnknown, { { "kind", route.unknownKind }, { "route", route.name } });
+    }
     std::erase_if(m_splits, [&](const auto& row) {
         auto it = std::find_if(m_configuration->routes.begin(), m_configuration->routes.end(), [&](const auto& route) { return route.name == row.first; });
         return it == m_configuration->routes.end();
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_set>
 
@@ -83,6 +84,7 @@
     RequestRouterOptions m_options;
     int m_gatewayCount = 1;
     std::shared_ptr<const Configuration> m_configuration;
+    std::set<std::string> m_unknownKinds; // kinds of routes that were logged as unknown
     std::map<std::string, Decisions::WeightedSplit> m_splits; // by route
     std::map<std::string, Decisions::WindowedRetryBudget> m_retryBudgets; // by service
     Decisions::LoadProbeBudget m_probeBudget;
--- a/Source/Core/Gateway/WireHeaders.h
+++ b/Source/Core/Gateway/WireHeaders.h
@@ -11,6 +11,8 @@
     std::string expectInstance; // id of the only server that may execute the request
     std::string instanceId; // id of the server that responds
     std::string notExecuted; // its presence says that the server did not execute the request
+    std::string leaving; // "1": the server is about to leave and must get no new requests
+    std::string retryAfter; // on a 503: seconds for which the server wants no requests
     std::string load; // load report: running, waiting, slots and, optionally, the work factor in percent
 };
 
--- a/Source/UnitTests/Decisions/RefusalTest.cpp
+++ b/Source/UnitTests/Decisions/RefusalTest.cpp
@@ -17,6 +17,7 @@
     double excessMs;
     double minMs;
     double maxMs;
+    double pauseLeftMs = 0;
 };
 
 const Case cases[] = {
@@ -24,6 +25,9 @@
     { "no probed server answers", RefusalReason::NoReport, 3000, 0, 50, 150 },
     { "busy, no delay known: near the minimum, with jitter", RefusalReason::Busy, 3000, 0, 30, 45 },
     { "busy: spread around the time until a server has capacity", RefusalReason::Busy, 3000, 400, 200, 600 },
+    { "all servers pause: never before the first one is back", RefusalReason::Paused, 3000, 0, 800, 1000, 800 },
+    { "all servers pause for longer than callers wait: the true time", RefusalReason::Paused, 300, 0, 2000, 2500, 2000 },
+    { "all servers pause, the end is near: the minimum", RefusalReason::Paused, 3000, 0, 30, 30, 5 },
     { "at most a third of the time left, which is what callers honour", RefusalReason::Busy, 300, 400, 30, 100 },
 };
 
@@ -35,7 +39,7 @@
         CAPTURE(row.name);
         for (double jitter : { 0.0, 0.5, 0.99 }) {
             auto ms = Common::toMilliseconds(
-                Decisions::retryAfter({ .reason = row.reason, .timeLeftMs = row.timeLeftMs, .excessMs = row.excessMs, .jitter = jitter }));
+                Decisions::retryAfter({ .reason = row.reason, .timeLeftMs = row.timeLeftMs, .excessMs = row.excessMs, .pauseLeftMs = row.pauseLeftMs, .jitter = jitter }));
             CHECK(ms >= row.minMs);
             CHECK(ms <= row.maxMs);
         }
