Store eras: positions of different eras are never compared

Cause: in a drill the store comes back from a copy some seconds old and gives versions out again. A gateway that knew version 109 took answers up to version 12 for older states: it applied no configuration until the versions had caught up, kept servers that were gone, and a condition of an older era could match a reissued version.

In a new era the catalog's versions start anew and both tables are read in full. The leader writes the relay list in force again, conditioned on the row found in the new era. Old gateways without eras are served until this process has seen a change, then they read the store themselves. The backoff of registry reads has a cap on itself now: it overflowed after 36 failures.

--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -33,7 +33,7 @@
   cowslipledge-bench load SERVICE PATH ENTRY... [--method M] [--rate R] [--seconds T] [--seed N]
   cowslipledge-bench replay FILE...
   cowslipledge-bench gossip [--entries N] [--loss P] [--seconds T]
-  cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--program FILE]
+  cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--drills] [--program FILE]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -57,6 +57,7 @@
   --entries N     Entries that gossip [default: 22].
   --loss P        Share of datagrams lost, 0 to 1 [default: 0].
   --seeds N       Seeds of the soak, from --seed on [default: 1].
+  --drills        Also restore the store from copies, and let servers leave or ask for pauses.
   --program FILE  The shipped program; the one beside this one without it.
   --table         Print a table of the services before the line of JSON.
 )";
@@ -157,7 +158,7 @@
     auto good = true;
     for (auto seed = first; seed < first + args["--seeds"].asLong(); ++seed) {
         auto folder = std::filesystem::temp_directory_path() / ("cowslipledge-soak-" + std::to_string(seed) + "-" + std::to_string(::getpid()));
-        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .program = program, .folder = folder.string() }) && good;
+        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .drills = args["--drills"].asBool(), .program = program, .folder = folder.string() }) && good;
     }
     return good ? 0 : 1;
 }
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -27,9 +27,8 @@
         .healthPath = "/health",
         .failureDomain = m_options.failureDomain,
         .left = [this](const ServerRecord& record) { onServerLeaving(record); },
-        .paused = [this](const ServerRecord& record, Common::Duration pause) {
-            m_log.log(Common::EventId::ServerPaused,
-                { { "server", record.id }, { "service", record.service }, { "pause_ms", std::to_string(static_cast<long>(Common::toMilliseconds(pause))) } }); },
+        .paused = [this](const ServerRecord& record, Common::Duration pause) { m_log.log(Common::EventId::ServerPaused,
+                                                                                   { { "server", record.id }, { "service", record.service }, { "pause_ms", std::to_string(static_cast<long>(Common::toMilliseconds(pause))) } }); },
         .maxConnections = 1,
         .client = m_options.client,
     };
--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -8,6 +8,9 @@
 
     // Removals kept for gateways that are behind; a gateway further behind gets the full catalog.
     constexpr std::size_t maxTombstones = 512;
+    // Rows of the copy that the store was restored from are believed after this many heartbeats: by then the store has dropped those
+    // of servers that no longer live, which it does after three.
+    constexpr int heartbeatsToConfirm = 4;
 
     // Heartbeats are not passed on: they change the sequence number, which is not decoded, and the remaining warm-up time, which
     // each gateway counts down by itself.
@@ -43,10 +46,68 @@
     m_freshAsOf = std::max(m_freshAsOf, asOf);
 }
 
-void Catalog::onStoreRecovered()
+void Catalog::beginEra(std::uint64_t era)
 {
-    if (age() < m_options.minOutage)
+    auto before = m_position;
+    m_position = { .era = era };
+    if (before == CatalogPosition())
         return;
+    m_log.log(Common::EventId::StoreEraChanged,
+        { { "era", std::to_string(era) }, { "before", std::to_string(before.era) }, { "position", std::to_string(before.registry) } });
+    m_eraChanged = true;
+    for (auto& [key, server] : m_servers)
+        server.row.version = 0;
+    for (const auto& [key, tombstone] : m_tombstones)
+        m_departed[key] = tombstone.startedMs;
+    m_tombstones.clear();
+    m_tombstoneFloor = 0;
+    m_heldRemovals.clear();
+    m_unconfirmed.clear();
+    m_firstSnapshotVersion.reset();
+    m_newestChange = 0;
+    if (m_configuration)
+        m_configuration->version = 0;
+    holdRemovals();
+    m_loop.cancel(m_unconfirmedTimer);
+    m_unconfirmedTimer = m_loop.after(heartbeatsToConfirm * m_options.serverHeartbeat, [this] {
+        m_unconfirmedTimer = 0;
+        applyUnconfirmedRows();
+    });
+}
+
+// Whether a row tells of an incarnation what is known to be over: that it is registered although it was removed, or ready
+// although it is draining, or that an earlier incarnation is running.
+bool Catalog::contradictsKnown(const std::string& key, const ServerRecord& record) const
+{
+    auto departed = m_departed.find(key);
+    if (departed != m_departed.end() && record.startedMs <= departed->second)
+        return true;
+    auto it = m_servers.find(key);
+    if (it == m_servers.end() || !it->second.record)
+        return false;
+    const auto& known = *it->second.record;
+    return record.startedMs < known.startedMs || (record.startedMs == known.startedMs && known.draining && !record.draining);
+}
+
+void Catalog::applyUnconfirmedRows()
+{
+    m_departed.clear();
+    auto rows = std::move(m_unconfirmed);
+    m_unconfirmed.clear();
+    for (const auto& [key, row] : rows)
+        applyServer(row);
+    if (!rows.empty())
+        notifyChanged();
+}
+
+void Catalog::onStoreRecovered()
+{
+    if (age() >= m_options.minOutage)
+        holdRemovals();
+}
+
+void Catalog::holdRemovals()
+{
     m_holdUntil = m_loop.now() + m_options.removalGracePeriod;
     m_loop.cancel(m_holdTimer);
     m_holdTimer = m_loop.after(m_options.removalGracePeriod, [this] {
@@ -72,6 +133,11 @@
     if (version < position)
         return; // an older state of the store than the known one
     if (isRegistry) {
+        if (m_eraChanged && !m_firstSnapshotVersion)
+            m_firstSnapshotVersion = version;
+        std::erase_if(m_unconfirmed, [&](const auto& unconfirmed) {
+            return std::none_of(rows.begin(), rows.end(), [&](const auto& row) { return row.key == unconfirmed.first; });
+        });
         std::vector<std::string> missing;
         for (const auto& [key, server] : m_servers) {
             auto isPresent = std::any_of(rows.begin(), rows.end(), [&key = key](const auto& row) { return row.key == key; });
@@ -110,11 +176,19 @@
 void Catalog::applyServer(const Platform::TableRow& row)
 {
     m_heldRemovals.erase(row.key);
-    auto& server = m_servers[row.key];
-    if (server.row.version > row.version)
+    auto known = m_servers.find(row.key);
+    if (known != m_servers.end() && known->second.row.version > row.version)
         return;
-    m_tombstones.erase(row.key);
     auto decoded = m_options.decoder.server(row.key, *row.value);
+    auto isOfFirstSnapshot = m_unconfirmedTimer != 0 && (!m_firstSnapshotVersion || row.version <= *m_firstSnapshotVersion);
+    if (isOfFirstSnapshot && decoded && contradictsKnown(row.key, decoded.value())) {
+        m_unconfirmed.insert_or_assign(row.key, row);
+        return;
+    }
+    m_unconfirmed.erase(row.key);
+    m_departed.erase(row.key);
+    m_tombstones.erase(row.key);
+    auto& server = m_servers[row.key];
     if (!decoded) {
         m_log.log(Common::EventId::RegistryRowRejected,
             { { "key", row.key },
@@ -137,6 +211,7 @@
 
 void Catalog::applyRemoval(const std::string& key, std::uint64_t version)
 {
+    m_unconfirmed.erase(key);
     if (holdsRemovals() && m_servers.contains(key)) {
         m_heldRemovals.try_emplace(key, version);
         return;
@@ -149,14 +224,14 @@
     auto it = m_servers.find(key);
     if (it == m_servers.end() || it->second.row.version > version)
         return;
+    m_tombstones[key] = { .version = version, .startedMs = it->second.record ? it->second.record->startedMs : 0 };
     m_servers.erase(it);
     m_backends.remove(key, version);
-    m_tombstones[key] = version;
     m_newestChange = std::max(m_newestChange, version);
     while (m_tombstones.size() > maxTombstones) {
         auto oldest = std::min_element(m_tombstones.begin(), m_tombstones.end(),
-            [](const auto& a, const auto& b) { return a.second < b.second; });
-        m_tombstoneFloor = std::max(m_tombstoneFloor, oldest->second);
+            [](const auto& a, const auto& b) { return a.second.version < b.second.version; });
+        m_tombstoneFloor = std::max(m_tombstoneFloor, oldest->second.version);
         m_tombstones.erase(oldest);
     }
 }
@@ -172,12 +247,30 @@
                 { "cause", decoded.error().text } });
         return;
     }
+    // The store may hold an older configuration than the one in force, if it was restored from a copy or the operators made a mistake.
+    // Neither this gateway nor those that learn from it go back.
+    auto inForce = m_router.configuration();
+    if (m_configuration && inForce && decoded.value().version < inForce->version) {
+        m_log.log(Common::EventId::ConfigurationRejected,
+            { { "version", std::to_string(row.version) },
+                { "cause", "configuration " + std::to_string(decoded.value().version) + " is older than the one in force, " + std::to_string(inForce->version) } });
+        return;
+    }
     m_configuration = row;
     m_router.apply(std::make_shared<const Configuration>(std::move(decoded.value())));
 }
 
-void Catalog::apply(const CatalogUpdate& update)
+bool Catalog::apply(const CatalogUpdate& update)
 {
+    // Gateways of versions before eras tell none; their positions mean the same as long as the store has not changed its era.
+    auto isOutdated = update.position.era < m_position.era && (update.position.era != 0 || m_eraChanged);
+    if (isOutdated)
+        return false;
+    if (update.position.era > m_position.era) {
+        if (!update.isFull)
+            return false;
+        beginEra(update.position.era);
+    }
     if (update.isFull) {
         std::vector<Platform::TableRow> servers;
         for (const auto& row : update.rows) {
@@ -196,10 +289,13 @@
     markFresh(m_loop.now() - update.age);
     if (!update.rows.empty())
         notifyChanged();
+    return true;
 }
 
 bool Catalog::hasChangedSince(const CatalogPosition& from) const
 {
+    if (from.era != m_position.era && from.era != 0)
+        return from.era < m_position.era;
     return from.registry == 0 || from.registry < m_newestChange || (m_configuration && m_configuration->version > from.operators);
 }
 
@@ -208,18 +304,21 @@
     CatalogUpdate update;
     update.position = position();
     update.age = age();
-    update.isFull = from.registry == 0 || from.registry < m_tombstoneFloor;
+    if (from.era > m_position.era)
+        return update; // nothing known here is of that era
+    auto isOlderEra = from.era < m_position.era && from.era != 0;
+    update.isFull = from.registry == 0 || from.registry < m_tombstoneFloor || isOlderEra;
     for (const auto& [key, server] : m_servers) {
         if (update.isFull || server.row.version > from.registry)
             update.rows.push_back(server.row);
     }
     if (!update.isFull) {
-        for (const auto& [key, version] : m_tombstones) {
-            if (version > from.registry)
-                update.rows.push_back({ .table = m_options.decoder.registryTable, .key = key, .value = {}, .version = version });
+        for (const auto& [key, tombstone] : m_tombstones) {
+            if (tombstone.version > from.registry)
+                update.rows.push_back({ .table = m_options.decoder.registryTable, .key = key, .value = {}, .version = tombstone.version });
         }
     }
-    if (m_configuration && m_configuration->version > from.operators)
+    if (m_configuration && (update.isFull || m_configuration->version > from.operators))
         update.rows.push_back(*m_configuration);
     return update;
 }
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -30,10 +30,13 @@
     Common::Duration removalGracePeriod = std::chrono::milliseconds(2300);
     // After outages shorter than this, removals are not held back: no registry row expires in them.
     Common::Duration minOutage = std::chrono::milliseconds(1500);
+    Common::Duration serverHeartbeat = std::chrono::milliseconds(1500); // interval at which live servers renew their rows
 };
 
-// The store versions up to which the two tables are known.
+// The store versions up to which the two tables are known. Positions of different eras can't be compared: the store has given
+// out the same versions again.
 struct CatalogPosition {
+    std::uint64_t era = 0; // of the store's data; 0: not told
     std::uint64_t registry = 0; // 0: the table has not been read
     std::uint64_t operators = 0; // 0: the table has not been read
     bool operator==(const CatalogPosition&) const = default;
@@ -59,15 +62,25 @@
     void applyChanges(const std::string& table, const std::vector<Platform::TableRow>&, std::uint64_t version);
     // The catalog was in line with the store at `asOf`, when the read that confirmed it began.
     void markFresh(Common::TimePoint asOf);
+    // The store's data were restored from an older copy. Positions start anew, and both tables have to be read in full. Servers that
+    // are missing in the copy are kept for removalGracePeriod; rows that contradict what is known of an incarnation (it has left,
+    // or is draining) are not believed until the server renews them.
+    void beginEra(std::uint64_t era);
+    // Whether this process has seen the era change.
+    bool hasEraChanged() const { return m_eraChanged; }
     // The store has become reachable again. Has to be called before the rows it returned are applied.
     void onStoreRecovered();
 
-    // For an update received from another gateway.
-    void apply(const CatalogUpdate&);
+    // For an update received from another gateway. Returns false, and changes nothing, if it is of an older era.
+    bool apply(const CatalogUpdate&);
     // The update for a gateway at `position`; the full catalog if `position` is too old.
     CatalogUpdate changesSince(const CatalogPosition& position) const;
 
     bool hasChangedSince(const CatalogPosition&) const;
+    // Whether updates can be given to a gateway at this position: not if it names no era, and the era has changed.
+    bool canServe(const CatalogPosition& position) const { return position.era != 0 || position.registry == 0 || !m_eraChanged; }
+    // Whether the registry has been read since the era began.
+    bool isReadInEra() const { return m_position.registry != 0; }
 
     CatalogPosition position() const;
     // Time since the last read of the store by this gateway or by the one that the catalog came from.
@@ -82,13 +95,20 @@
         Platform::TableRow row;
         std::optional<ServerRecord> record; // empty if the row could not be decoded
     };
+    struct Tombstone {
+        std::uint64_t version = 0; // of the removal
+        std::int64_t startedMs = 0; // of the incarnation that was removed
+    };
 
     void applyRow(const Platform::TableRow&);
     void applyServer(const Platform::TableRow&);
     void applyOperator(const Platform::TableRow&);
     void applyRemoval(const std::string& key, std::uint64_t version);
     void remove(const std::string& key, std::uint64_t version);
+    void holdRemovals();
     void applyHeldRemovals();
+    bool contradictsKnown(const std::string& key, const ServerRecord&) const;
+    void applyUnconfirmedRows();
     bool holdsRemovals() const { return m_loop.now() < m_holdUntil; }
     void notifyChanged();
 
@@ -100,8 +120,13 @@
     CatalogPosition m_position;
     std::map<std::string, ServerRow> m_servers; // by row key
     std::optional<Platform::TableRow> m_configuration;
-    std::map<std::string, std::uint64_t> m_tombstones; // row key -> version of its removal
+    std::map<std::string, Tombstone> m_tombstones; // by row key
     std::uint64_t m_tombstoneFloor = 0; // tombstones up to this version may have been discarded
+    std::map<std::string, std::int64_t> m_departed; // removed in an earlier era: row key -> start time of the incarnation
+    std::map<std::string, Platform::TableRow> m_unconfirmed; // rows of this era's first snapshot that are not believed yet, by key
+    std::optional<std::uint64_t> m_firstSnapshotVersion; // of the registry in this era, if it is not the first era
+    Net::EventLoop::TimerId m_unconfirmedTimer = 0;
+    bool m_eraChanged = false;
     std::map<std::string, std::uint64_t> m_heldRemovals; // row key -> version; may be expiries during an outage of the store
     Common::TimePoint m_holdUntil; // until which removals are held back
     Net::EventLoop::TimerId m_holdTimer = 0;
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -30,6 +30,8 @@
     constexpr auto standbyTimeout = std::chrono::seconds(3);
     // Minimum interval between two reads of the relay list by one gateway.
     constexpr auto relayListReadInterval = std::chrono::milliseconds(1500);
+    // The same for the leader that has to write the list again in a new era of the store.
+    constexpr auto relayListRenewInterval = std::chrono::milliseconds(300);
     // Gateways that start together do not know each other yet: for assumedCountPeriod after the start, budgets are divided by at
     // least this number.
     constexpr int minAssumedGateways = 20;
@@ -112,7 +114,7 @@
 
 bool CatalogSync::isRelay() const
 {
-    if (m_leaving || !m_catalog.isComplete() || role() == RelayRole::Follower)
+    if (m_leaving || !m_catalog.isComplete() || !m_catalog.isReadInEra() || role() == RelayRole::Follower)
         return false;
     // A leading relay that cannot reach the store gets its updates from the standby. Relaying them back would hide from the
     // standby that it has to take the lead.
@@ -178,7 +180,10 @@
         return;
     if (Decisions::shouldBecomeLeader(inputs, m_options.election))
         takeLead();
-    else if (inputs.role == RelayRole::Leader)
+    else if (inputs.role == RelayRole::Leader && isRelayListOutdated()) {
+        if (m_loop.now() - m_relayListReadAt > relayListRenewInterval)
+            renewRelayList();
+    } else if (inputs.role == RelayRole::Leader)
         appointStandby();
 }
 
@@ -238,14 +243,18 @@
     m_client.setCandidates(std::move(candidates));
 }
 
-void CatalogSync::adoptRelayList(const RelayList& list)
+void CatalogSync::adoptRelayList(RelayList list)
 {
-    if (list.version <= m_relayList.version)
+    // A gateway of a version before eras tells none.
+    if (list.era == 0 && !m_catalog.hasEraChanged())
+        list.era = m_relayList.era;
+    if (std::pair(list.era, list.version) <= std::pair(m_relayList.era, m_relayList.version))
         return;
     auto wasRelay = role() != RelayRole::Follower;
     m_log.log(Common::EventId::RosterAdopted,
         { { "relays", fmt::format("{}", fmt::join(list.relays, " ")) },
             { "version", std::to_string(list.version) },
+            { "era", std::to_string(list.era) },
             { "before", std::to_string(m_relayList.version) } });
     m_relayList = list;
     m_relayListChangedAt = m_loop.now();
@@ -267,7 +276,7 @@
     std::vector<std::string> relays { m_members.self().control };
     if (role() == RelayRole::Standby && !m_relayList.relays.empty())
         relays.push_back(m_relayList.relays.front());
-    writeRelayList(relays);
+    writeRelayList(relays, m_relayList.version);
 }
 
 void CatalogSync::readRelayList()
@@ -279,16 +288,16 @@
         m_relayListCallPending = false;
         if (read.state != Platform::ReadState::Ok)
             return;
-        auto before = m_relayList.version;
+        auto before = std::pair(m_relayList.era, m_relayList.version);
         for (const auto& row : read.rows) {
             auto list = row.key == m_options.relayListKey && row.value
-                ? parseRelayList(*row.value, row.version)
+                ? parseRelayList(*row.value, row.version, read.era)
                 : Common::Result<RelayList>(Common::Error {});
             if (list)
                 adoptRelayList(list.value());
         }
         // An unchanged list names relays that do not answer, or there is none: takeLead() may now write a new one.
-        m_relayListWasRead = m_relayList.version == before;
+        m_relayListWasRead = std::pair(m_relayList.era, m_relayList.version) == before && !isRelayListOutdated();
         if (!m_relayListWasRead)
             m_relayedSince = m_loop.now();
         else if (!m_leaving && Decisions::shouldBecomeLeader(electionInputs(), m_options.election))
@@ -296,6 +305,22 @@
     });
 }
 
+// After the store was restored from a copy, its relay list may be an older one. The leader writes the list in force again, so that
+// the relays of the copy are not followed.
+void CatalogSync::renewRelayList()
+{
+    m_relayListCallPending = true;
+    m_relayListReadAt = m_loop.now();
+    ++m_relayListCalls;
+    m_relayListTable.readAll(m_options.relayListTable, [this](const Platform::RowsRead& read) {
+        m_relayListCallPending = false;
+        if (read.state != Platform::ReadState::Ok || read.era != m_catalog.position().era || role() != RelayRole::Leader)
+            return;
+        auto row = std::find_if(read.rows.begin(), read.rows.end(), [&](const auto& it) { return it.key == m_options.relayListKey; });
+        writeRelayList(m_relayList.relays, row == read.rows.end() ? 0 : row->version);
+    });
+}
+
 void CatalogSync::appointStandby()
 {
     auto now = m_loop.now();
@@ -310,7 +335,7 @@
         if (members.size() > maxFleetWithoutHandover
             && standby->capacity > handoverCapacityRatio * m_members.self().capacity
             && now - m_relayListChangedAt > handoverDelay)
-            return writeRelayList({ standby->control, m_members.self().control });
+            return writeRelayList({ standby->control, m_members.self().control }, m_relayList.version);
         return;
     }
     if (now - m_relayListChangedAt < standbyTimeout)
@@ -324,17 +349,17 @@
             best = &member;
     }
     if (best)
-        writeRelayList({ m_members.self().control, best->control });
+        writeRelayList({ m_members.self().control, best->control }, m_relayList.version);
 }
 
-void CatalogSync::writeRelayList(const std::vector<std::string>& relays)
+void CatalogSync::writeRelayList(const std::vector<std::string>& relays, std::uint64_t expected)
 {
     m_relayListCallPending = true;
     m_relayListChangedAt = m_loop.now();
     ++m_relayListCalls;
     Platform::ConditionalWrite write {
         .row = { .table = m_options.relayListTable, .key = m_options.relayListKey, .value = toText(RelayList { .relays = relays }), .version = 0 },
-        .expected = m_relayList.version,
+        .expected = expected,
     };
     m_relayListTable.write(write, [this, relays](const Platform::CommitResult& result) { onRelayListWritten(relays, result); });
 }
@@ -344,7 +369,7 @@
     m_relayListCallPending = false;
     if (result.state == Platform::CommitState::Committed) {
         auto before = m_relayList.relays;
-        adoptRelayList({ .relays = relays, .version = result.version });
+        adoptRelayList({ .relays = relays, .version = result.version, .era = result.era });
         // Former relays may be cut off from the store, and then neither they nor their followers would learn of the new list.
         before.insert(before.end(), relays.begin(), relays.end());
         for (const auto& control : before) {
@@ -353,7 +378,7 @@
         }
     }
     for (const auto& row : result.rows) {
-        auto list = row.value ? parseRelayList(*row.value, row.version) : Common::Result<RelayList>(Common::Error {});
+        auto list = row.value ? parseRelayList(*row.value, row.version, result.era) : Common::Result<RelayList>(Common::Error {});
         if (list)
             adoptRelayList(list.value());
     }
@@ -379,8 +404,8 @@
     auto relays = m_relayList.relays;
     m_leaving = true;
     std::erase(relays, m_members.self().control);
-    if (before == RelayRole::Leader && !relays.empty() && !m_relayListCallPending)
-        writeRelayList(relays);
+    if (before == RelayRole::Leader && !relays.empty() && !m_relayListCallPending && !isRelayListOutdated())
+        writeRelayList(relays, m_relayList.version);
     m_server.answerAll();
     onSelfChanged();
 }
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -57,11 +57,15 @@
     bool isRelay() const;
     Decisions::RelayElectionInputs electionInputs() const;
     void updateCandidates();
-    void adoptRelayList(const RelayList&);
+    void adoptRelayList(RelayList);
+    // Whether the store's era has changed since the relay list was written: its version can't be used as a condition.
+    bool isRelayListOutdated() const { return m_catalog.hasEraChanged() && m_relayList.era < m_catalog.position().era; }
+    void renewRelayList();
     void readRelayList();
     void takeLead();
     void appointStandby();
-    void writeRelayList(const std::vector<std::string>& relays);
+    // `expected`: version of the stored list, 0 if there is none.
+    void writeRelayList(const std::vector<std::string>& relays, std::uint64_t expected);
     void onRelayListWritten(const std::vector<std::string>& relays, const Platform::CommitResult&);
 
     Net::EventLoop& m_loop;
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -86,7 +86,11 @@
                   .window = std::chrono::milliseconds(m_options.settings.retryWindowMs) },
               .probesPerServer = m_options.settings.probesPerServer,
           })
-    , m_catalog(m_loop, m_log, m_backends, m_router, { .decoder = m_options.platform.decoder })
+    , m_catalog(m_loop, m_log, m_backends, m_router,
+          {
+              .decoder = m_options.platform.decoder,
+              .serverHeartbeat = std::chrono::milliseconds(m_options.settings.serverHeartbeatMs),
+          })
     , m_members(selfMember(m_options.settings))
     , m_catalogSync(m_loop, m_log, m_catalog, m_members,
           m_options.platform.openStore(m_loop, m_options.settings.store),
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -148,10 +148,11 @@
         return onFailure(relay, response.error().text);
     auto& update = response.value();
     m_lastResponse = now;
-    auto isFresh = update.isRelay && update.catalog.age <= m_options.maxCatalogAge;
+    auto isApplied = update.isRelay && m_catalog.apply(update.catalog);
+    auto isFresh = isApplied && update.catalog.age <= m_options.maxCatalogAge;
     if (!isFresh)
         m_relayStates[relay].avoidUntil = now + m_options.avoidPeriod;
-    if (update.isRelay) {
+    if (isApplied) {
         if (m_currentRelay != relay) {
             m_log.log(Common::EventId::RelayFollowed,
                 { { "relay", relay },
@@ -161,7 +162,6 @@
         m_currentRelay = relay;
         if (isFresh)
             m_lastFreshResponse = now;
-        m_catalog.apply(update.catalog);
         m_members.apply(update.members, now);
         m_membersFrom = relay;
         m_membersRevision = update.members.revision;
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -105,6 +105,7 @@
 {
     Json::Value json;
     json["member"] = toJson(request.member);
+    json["era"] = Json::UInt64(request.position.era);
     json["registry"] = Json::UInt64(request.position.registry);
     json["operators"] = Json::UInt64(request.position.operators);
     json["listed_by"] = request.membersFrom;
@@ -112,6 +113,7 @@
     json["wait_ms"] = Common::toMilliseconds(request.wait);
     json["roster"] = toJson(request.relayList.relays);
     json["roster_version"] = Json::UInt64(request.relayList.version);
+    json["roster_era"] = Json::UInt64(request.relayList.era);
     return Common::jsonText(json);
 }
 
@@ -132,8 +134,10 @@
     json["relays"] = response.isRelay;
     json["roster"] = toJson(response.relayList.relays);
     json["roster_version"] = Json::UInt64(response.relayList.version);
+    json["roster_era"] = Json::UInt64(response.relayList.era);
     if (response.isRelay) {
         json["whole"] = response.catalog.isFull;
+        json["era"] = Json::UInt64(response.catalog.position.era);
         json["registry"] = Json::UInt64(response.catalog.position.registry);
         json["operators"] = Json::UInt64(response.catalog.position.operators);
         json["age_ms"] = Common::toMilliseconds(response.catalog.age);
@@ -155,11 +159,11 @@
     return readTyped(text, [](const Json::Value& json) {
         return UpdateRequest {
             .member = toMember(json["member"]),
-            .position = { .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() },
+            .position = { .era = json["era"].asUInt64(), .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() },
             .membersFrom = json["listed_by"].asString(),
             .membersRevision = json["members_revision"].asUInt64(),
             .wait = Common::fromMilliseconds(json["wait_ms"].asDouble()),
-            .relayList = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64() },
+            .relayList = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64(), .era = json["roster_era"].asUInt64() },
         };
     });
 }
@@ -171,9 +175,9 @@
     auto head = readTyped(bytes.substr(0, end), [](const Json::Value& json) {
         UpdateResponse response;
         response.isRelay = json["relays"].asBool();
-        response.relayList = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64() };
+        response.relayList = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64(), .era = json["roster_era"].asUInt64() };
         response.catalog.isFull = json["whole"].asBool();
-        response.catalog.position = { .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() };
+        response.catalog.position = { .era = json["era"].asUInt64(), .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() };
         response.catalog.age = Common::fromMilliseconds(json["age_ms"].asDouble());
         response.members = {
             .isFull = json["members_whole"].asBool(),
@@ -211,10 +215,10 @@
     return Common::jsonText(json);
 }
 
-Common::Result<RelayList> parseRelayList(const std::string& text, std::uint64_t version)
+Common::Result<RelayList> parseRelayList(const std::string& text, std::uint64_t version, std::uint64_t era)
 {
-    return readTyped(text, [version](const Json::Value& json) {
-        return RelayList { .relays = toStrings(json["relays"]), .version = version };
+    return readTyped(text, [version, era](const Json::Value& json) {
+        return RelayList { .relays = toStrings(json["relays"]), .version = version, .era = era };
     });
 }
 
--- a/Source/Core/Gateway/RelayMessages.h
+++ b/Source/Core/Gateway/RelayMessages.h
@@ -12,10 +12,11 @@
 namespace Gateway {
 
 // The gateways that relay updates of the store to the others, the leading one first. Kept in one row of the store; the list
-// with the highest row version is in force.
+// with the highest era and, in it, the highest row version is in force.
 struct RelayList {
     std::vector<std::string> relays; // control addresses
     std::uint64_t version = 0; // of the row; 0: no list is known
+    std::uint64_t era = 0; // of the store's data in which the row had that version; 0: not told
 };
 
 // Long-poll request to a relay for updates of the catalog and the member list.
@@ -49,6 +50,6 @@
 Common::Result<UpdateRequest> parseUpdateRequest(const std::string&);
 Common::Result<UpdateResponse> parseUpdateResponse(const std::string& bytes);
 std::string toText(const RelayList&);
-Common::Result<RelayList> parseRelayList(const std::string&, std::uint64_t version);
+Common::Result<RelayList> parseRelayList(const std::string&, std::uint64_t version, std::uint64_t era);
 
 }
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -62,7 +62,8 @@
 
 void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const UpdateRequest& request)
 {
-    UpdateResponse response { .isRelay = m_options.isRelay(), .relayList = m_options.relayList(), .catalog = {}, .members = {} };
+    // A gateway that names no era, of a version before eras, has to read the store once the era has changed.
+    UpdateResponse response { .isRelay = m_options.isRelay() && m_catalog.canServe(request.position), .relayList = m_options.relayList(), .catalog = {}, .members = {} };
     if (response.isRelay)
         response.catalog = m_catalog.changesSince(request.position);
     // Many gateways that start together would take up all processor time of this one. Beyond the limit they are told that this
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -216,10 +216,10 @@
     if (backends.empty()) {
         if (m_openAttempts > 0)
             return; // an earlier attempt may still be answered
-        auto reason = full > 0                                  ? RefusalReason::Busy
-            : m_router.backends().usableCount(m_service) == 0   ? RefusalReason::NoServer
-            : m_router.backends().pauseLeft(m_service)          ? RefusalReason::Paused
-                                                                : RefusalReason::NoReport;
+        auto reason = full > 0                                ? RefusalReason::Busy
+            : m_router.backends().usableCount(m_service) == 0 ? RefusalReason::NoServer
+            : m_router.backends().pauseLeft(m_service)        ? RefusalReason::Paused
+                                                              : RefusalReason::NoReport;
         return giveUp("no other server answered a load probe with room for the request", reason, 0);
     }
     auto serviceTimeMs = m_router.expectedServiceTimeMs(m_route);
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -59,41 +59,80 @@
     });
 }
 
+StoreReader::ReadRequest StoreReader::readRequest(std::uint64_t position, bool reread) const
+{
+    return { .isFull = position == 0 || reread, .era = m_catalog.position().era, .startedAt = m_loop.now() };
+}
+
 void StoreReader::readRegistry()
 {
     ++m_calls;
-    auto startedAt = m_loop.now();
     auto position = m_catalog.position().registry;
-    auto isFull = position == 0 || m_rereadRegistry;
-    auto done = [this, isFull, startedAt](const Platform::RowsRead& read) { onRegistryRead(read, isFull, startedAt); };
-    if (isFull)
+    auto request = readRequest(position, m_rereadRegistry);
+    auto done = [this, request](const Platform::RowsRead& read) { onRegistryRead(read, request); };
+    if (request.isFull)
         m_table.readAll(m_options.registryTable, done);
     else
         m_table.readChanges(m_options.registryTable, position, Common::Duration::zero(), done);
 }
 
-void StoreReader::onRegistryRead(const Platform::RowsRead& read, bool isFull, Common::TimePoint startedAt)
+// Compares the era of an answer with the catalog's, and begins a new era in the catalog if the answer tells of one.
+StoreReader::EraCheck StoreReader::checkEra(const Platform::RowsRead& read, const ReadRequest& request)
+{
+    auto known = m_catalog.position().era;
+    // An answer that tells no era is taken to be of the era in which it was asked for.
+    auto era = read.era != 0 ? read.era : request.era;
+    if (era < known) {
+        if (!m_eraRejected)
+            m_log.log(Common::EventId::StoreEraRejected, { { "era", std::to_string(era) }, { "expected", std::to_string(known) } });
+        m_eraRejected = true;
+        return EraCheck::Rejected;
+    }
+    m_eraRejected = false;
+    auto isFirst = m_catalog.position() == CatalogPosition();
+    if (era > known)
+        m_catalog.beginEra(era);
+    if (era > known && !isFirst) {
+        // Pending calls continue from versions of the old era.
+        m_table.cancel();
+        m_operatorsRead = false;
+        m_registryAsOf = {};
+        auto next = Common::Duration::zero();
+        schedule(m_registryTimer, next, &StoreReader::readRegistry);
+        schedule(m_operatorTimer, next, &StoreReader::readOperators);
+    }
+    return request.isFull || (request.era == era && read.state == ReadState::Ok) ? EraCheck::Usable : EraCheck::Repeat;
+}
+
+void StoreReader::onRegistryUnavailable(const std::string& error)
+{
+    onStoreResult(false, error);
+    schedule(m_registryTimer, std::min(m_backoff, m_options.maxBackoff), &StoreReader::readRegistry);
+    m_backoff = std::min(2 * m_backoff, m_options.maxBackoff);
+}
+
+void StoreReader::onRegistryRead(const Platform::RowsRead& read, const ReadRequest& request)
 {
     if (!m_running)
         return;
-    onStoreResult(read.state != ReadState::Unavailable, read.error);
-    if (read.state == ReadState::Unavailable) {
-        schedule(m_registryTimer, std::min(m_backoff, m_options.maxBackoff), &StoreReader::readRegistry);
-        m_backoff = 2 * m_backoff;
-        return;
-    }
+    if (read.state == ReadState::Unavailable)
+        return onRegistryUnavailable(read.error);
+    auto check = checkEra(read, request);
+    if (check == EraCheck::Rejected)
+        return onRegistryUnavailable("the store answered from an older era");
+    onStoreResult(true, {});
     m_backoff = m_options.firstBackoff;
-    if (read.state == ReadState::HistoryExpired) {
+    if (check == EraCheck::Repeat || read.state == ReadState::HistoryExpired) {
         m_rereadRegistry = true;
-        return readRegistry();
+        return schedule(m_registryTimer, Common::Duration::zero(), &StoreReader::readRegistry);
     }
     m_rereadRegistry = false;
-    if (isFull)
+    if (request.isFull)
         m_catalog.applySnapshot(m_options.registryTable, read.rows, read.version);
     else
         m_catalog.applyChanges(m_options.registryTable, read.rows, read.version);
     schedule(m_registryTimer, m_options.registryInterval, &StoreReader::readRegistry);
-    m_registryAsOf = startedAt;
+    m_registryAsOf = request.startedAt;
     confirmFresh();
 }
 
@@ -112,37 +151,38 @@
 {
     ++m_calls;
     auto position = m_catalog.position().operators;
-    auto isFull = position == 0 || m_rereadOperators;
+    auto request = readRequest(position, m_rereadOperators);
     auto wait = m_operatorsRead ? m_options.operatorPollTimeout : Common::Duration::zero();
-    auto done = [this, isFull](const Platform::RowsRead& read) { onOperatorsRead(read, isFull); };
-    if (isFull)
+    auto done = [this, request](const Platform::RowsRead& read) { onOperatorsRead(read, request); };
+    if (request.isFull)
         m_table.readAll(m_options.operatorTable, done);
     else
         m_table.readChanges(m_options.operatorTable, position, wait, done);
 }
 
-void StoreReader::onOperatorsRead(const Platform::RowsRead& read, bool isFull)
+void StoreReader::onOperatorsRead(const Platform::RowsRead& read, const ReadRequest& request)
 {
     if (!m_running)
         return;
-    if (read.state == ReadState::Unavailable) {
+    auto check = read.state == ReadState::Unavailable ? EraCheck::Rejected : checkEra(read, request);
+    if (check == EraCheck::Rejected) {
         ++m_failures;
         // If the registry cannot be read either, onStoreResult() starts this read again when it can.
         if (m_storeAnswers)
             schedule(m_operatorTimer, m_options.firstBackoff, &StoreReader::readOperators);
         return;
     }
-    if (read.state == ReadState::HistoryExpired) {
+    if (check == EraCheck::Repeat || read.state == ReadState::HistoryExpired) {
         m_rereadOperators = true;
-        return readOperators();
+        return schedule(m_operatorTimer, Common::Duration::zero(), &StoreReader::readOperators);
     }
     m_rereadOperators = false;
-    if (isFull)
+    if (request.isFull)
         m_catalog.applySnapshot(m_options.operatorTable, read.rows, read.version);
     else
         m_catalog.applyChanges(m_options.operatorTable, read.rows, read.version);
     // An empty table has no version to continue from: it is read in full until it has a row.
-    auto wait = isFull ? m_options.firstBackoff : Common::Duration::zero();
+    auto wait = request.isFull ? m_options.firstBackoff : Common::Duration::zero();
     schedule(m_operatorTimer, wait, &StoreReader::readOperators);
     m_operatorsRead = true;
     confirmFresh();
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -45,8 +45,23 @@
 private:
     void readRegistry();
     void readOperators();
-    void onRegistryRead(const Platform::RowsRead&, bool isFull, Common::TimePoint startedAt);
-    void onOperatorsRead(const Platform::RowsRead&, bool isFull);
+    // What a read was asked for.
+    struct ReadRequest {
+        bool isFull = false;
+        std::uint64_t era = 0; // of the catalog when the read began
+        Common::TimePoint startedAt;
+    };
+    enum class EraCheck {
+        Usable,
+        Repeat, // the read continued from a version of another era: read in full
+        Rejected, // the answer is of an older era
+    };
+
+    void onRegistryRead(const Platform::RowsRead&, const ReadRequest&);
+    void onOperatorsRead(const Platform::RowsRead&, const ReadRequest&);
+    void onRegistryUnavailable(const std::string& error);
+    EraCheck checkEra(const Platform::RowsRead&, const ReadRequest&);
+    ReadRequest readRequest(std::uint64_t position, bool reread) const;
     void onStoreResult(bool answered, const std::string& error);
     void confirmFresh();
     void schedule(Net::EventLoop::TimerId&, Common::Duration, void (StoreReader::*)());
@@ -67,6 +82,7 @@
     bool m_rereadRegistry = false; // the store has discarded the changes since our position
     bool m_rereadOperators = false;
     bool m_operatorsRead = false; // since start()
+    bool m_eraRejected = false; // the last answer was of an older era
     std::function<void()> m_tablesReadHandler;
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
--- a/Source/Core/Platform/AsyncTable.h
+++ b/Source/Core/Platform/AsyncTable.h
@@ -28,6 +28,7 @@
     ReadState state = ReadState::Unavailable;
     std::vector<TableRow> rows;
     std::uint64_t version = 0; // version of the store at the time of the read; later changes have greater ones
+    std::uint64_t era = 0; // of the store's data: versions of different eras can't be compared; 0: not told
     std::string error; // set if Unavailable
 };
 
@@ -41,6 +42,7 @@
     CommitState state = CommitState::Unknown;
     std::vector<TableRow> rows;
     std::uint64_t version = 0; // if Committed: version of the rows written
+    std::uint64_t era = 0; // as in RowsRead
     std::string error;
 };
 
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -63,6 +63,7 @@
     const auto* store = root.table("store");
     TomlReader storeReader(store ? *store : none, file, "store", errors);
     settings.store = readAddress(storeReader, "address");
+    settings.serverHeartbeatMs = static_cast<int>(storeReader.integer("server_heartbeat_ms", 10, maxTimeMs, settings.serverHeartbeatMs));
     storeReader.finish();
 
     const auto* bounds = root.table("bounds");
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -20,6 +20,7 @@
     std::string metrics; // empty: no metrics endpoint
     std::vector<std::string> seeds; // control addresses of some gateways; may be out of date
     std::string store; // ip:port of the platform's store
+    int serverHeartbeatMs = 1500; // interval at which backend servers renew their registry rows
     double capacity = 1; // processor share of this gateway, in processors
     bool bootstrap = false; // all gateways of the deployment start for the first time
     int directoryTtlMs = 3000; // how long callers may cache a directory response
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -125,16 +125,22 @@
         void putServer(std::size_t index, bool draining)
         {
             // Registered at its proxy's address.
-            auto value = m_servers[index]->registryValue(draining);
+            auto value = m_servers[index]->registryValue(draining, m_startedMs[index]);
             auto own = m_servers[index]->address();
             value.replace(value.find(own), own.size(), m_serverProxies[index]->address());
             m_store->put(Names::registryTable, m_servers[index]->options().id, value);
+            m_draining[index] = draining;
         }
 
         // Each version moves one route, so that a gateway can be asked which is in force.
         void putConfiguration()
         {
             ++m_version;
+            writeConfiguration();
+        }
+
+        void writeConfiguration()
+        {
             auto extra = fmt::format(R"(,"probe":{{"host":"host.example","prefix":"/v{}/","route_type":"safe","timeout_ms":1000,"target_latency_ms":300,"priority":1,"service":"service","max_attempts":2}})", m_version);
             m_store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(m_version, "service", extra));
         }
@@ -182,7 +188,12 @@
             auto until = Clock::now() + length;
             auto gateway = static_cast<std::size_t>(below(m_options.gateways));
             auto server = static_cast<std::size_t>(below(m_options.servers));
-            switch (below(9)) {
+            constexpr int faults = 9;
+            constexpr int faultsOfDrills = 3;
+            auto fault = below(m_options.drills ? faults + faultsOfDrills : faults);
+            if (fault >= faults)
+                return startDrill(fault - faults, server, until);
+            switch (fault) {
             case 0:
             case 1:
                 return signalGateway(gateway, length);
@@ -233,6 +244,50 @@
             }
         }
 
+        void startDrill(int kind, std::size_t server, Clock::time_point until)
+        {
+            if (kind == 0) {
+                note(fmt::format("server {} asks for a pause", server));
+                m_thread.call([&] { m_servers[server]->setMode(ServerMode::Pauses); });
+                m_active.push_back({ until, [this, server] { m_thread.call([&] { m_servers[server]->setMode(ServerMode::Serving); }); } });
+                return;
+            }
+            if (kind == 1) {
+                note(fmt::format("server {} says that it is leaving", server));
+                m_thread.call([&] { m_servers[server]->setLeaving(true); });
+                // What follows is a new incarnation.
+                m_active.push_back({ until, [this, server] { m_thread.call([&] {
+                                                                 m_servers[server]->setLeaving(false);
+                                                                 ++m_startedMs[server];
+                                                                 putServer(server, m_draining[server]);
+                                                             }); } });
+                return;
+            }
+            note(fmt::format("the store will be restored from a copy that lacks configuration {}", m_version + 1));
+            m_thread.call([&] {
+                m_store->saveCopy();
+                putConfiguration();
+            });
+            m_active.push_back({ until, [this] {
+                                    note("the store is restored");
+                                    m_thread.call([&] { restoreStore(); });
+                                } });
+        }
+
+        // What the operators and the servers wrote is written again some time after the store has come back.
+        void restoreStore()
+        {
+            m_store->restoreCopy();
+            constexpr auto rewriteDelay = milliseconds(700);
+            m_thread.loop().after(rewriteDelay, [this] {
+                if (!m_store)
+                    return; // the run is over
+                writeConfiguration();
+                for (std::size_t i = 0; i < m_servers.size(); ++i)
+                    putServer(i, m_draining[i]);
+            });
+        }
+
         void signalGateway(std::size_t index, milliseconds length)
         {
             auto& gateway = *m_gateways[index];
@@ -364,6 +419,8 @@
         PlatformStandIn::LoopThread m_thread;
         PlatformStandIn::ExecutionLog m_runs;
         std::unique_ptr<PlatformStandIn::Store> m_store;
+        std::map<std::size_t, bool> m_draining; // by server, as registered last
+        std::map<std::size_t, int> m_startedMs; // by server: start time of its incarnation
         std::vector<std::unique_ptr<PlatformStandIn::Server>> m_servers;
         std::vector<std::unique_ptr<FaultProxy>> m_serverProxies;
         std::vector<std::unique_ptr<FaultProxy>> m_storeProxies; // one a gateway
--- a/Source/Core/Soak/Soak.h
+++ b/Source/Core/Soak/Soak.h
@@ -10,6 +10,7 @@
     int seconds = 20; // of faults
     int gateways = 3;
     int servers = 4;
+    bool drills = false; // also restores the store from copies, and lets servers leave or ask for pauses
     std::string program; // path of the shipped binary
     std::string folder; // for settings and logs; removed when the run was good
 };
--- a/Source/UnitTests/Gateway/RelayMessagesTest.cpp
+++ b/Source/UnitTests/Gateway/RelayMessagesTest.cpp
@@ -55,7 +55,7 @@
     CHECK(!parseUpdateResponse(R"({"relays":true})"));
     CHECK(!parseUpdateResponse("{\"relays\":true}\n[5"));
     CHECK(!parseUpdateResponse("{\"relays\":true,\"rows_deflated\":true}\nno zlib"));
-    CHECK(!parseRelayList("nonsense", 1));
+    CHECK(!parseRelayList("nonsense", 1, 3));
 }
 
 TEST_CASE("Many rows are compressed, and truncated or corrupted ones are rejected")
--- a/Source/UnitTests/Gateway/ServerSignalsTest.cpp
+++ b/Source/UnitTests/Gateway/ServerSignalsTest.cpp
@@ -42,7 +42,9 @@
     auto putRow = [&](int startedMs) {
         fixture.thread.call([&] { fixture.store->put(Names::registryTable, "server-1", fixture.servers[0]->registryValue(false, startedMs)); });
     };
-    SUBCASE("its row stays as it was") { }
+    SUBCASE("its row stays as it was")
+    {
+    }
     SUBCASE("its row is removed and listed again")
     {
         fixture.thread.call([&] { fixture.store->remove(Names::registryTable, "server-1"); });
