RequestPathTest: a slow probe answer does not change the outcome

Change: the gateway of this case runs on a clock ten times slower than the system's, and the server's answer comes 120 ms late: fails in all 7 rows with the usual clock, passes with the slow one. The product's limit stays.

--- a/Source/UnitTests/Backends/ScriptedServer.h
+++ b/Source/UnitTests/Backends/ScriptedServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <variant>
@@ -23,11 +24,14 @@
 struct Flood {
     std::string bytes; // over and over without a pause, until the client leaves
 };
+struct Delay {
+    std::chrono::milliseconds length;
+};
 struct CloseConnection { };
 struct ResetConnection { };
 struct WaitForClient { }; // says nothing until the client leaves
 
-using Step = std::variant<ReadRequest, SendBytes, Trickle, Flood, CloseConnection, ResetConnection, WaitForClient>;
+using Step = std::variant<ReadRequest, SendBytes, Trickle, Flood, Delay, CloseConnection, ResetConnection, WaitForClient>;
 using Script = std::vector<Step>;
 
 // A TCP server on loopback that follows a script for each connection, the last one for all later connections, and counts
@@ -137,6 +141,8 @@
         }
     }
 
+    static void run(const Delay& step, Poco::Net::StreamSocket&) { std::this_thread::sleep_for(step.length); }
+
     void run(const CloseConnection&, Poco::Net::StreamSocket& socket)
     {
         socket.close();
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -93,13 +93,24 @@
     return text + "\r\n" + body;
 }
 
+// A monotonic clock that runs `factor` times slower than the system's. A gateway with it keeps its own time limits, while the test's
+// other threads have more time for their part, so that a busy machine does not make one expire.
+inline Common::Hooks slowClock(int factor)
+{
+    auto hooks = Common::systemHooks();
+    auto start = hooks.now();
+    hooks.now = [system = hooks.now, start, factor] { return start + (system() - start) / factor; };
+    return hooks;
+}
+
 // A gateway that runs on its own thread.
 class RunningGateway {
 public:
-    RunningGateway(const std::string& store, const std::vector<std::string>& seeds, const std::string& control, int logDescriptor = -1)
+    RunningGateway(const std::string& store, const std::vector<std::string>& seeds, const std::string& control, int logDescriptor = -1, Common::Hooks hooks = Common::systemHooks())
         : m_daemon({
             .settings = settings(store, seeds, control, logDescriptor < 0 ? Common::LogFormat::Off : Common::LogFormat::Json),
             .platform = PlatformAdapter::binding(),
+            .hooks = std::move(hooks),
             .logDescriptor = logDescriptor,
         })
     {
@@ -208,6 +219,10 @@
     {
         return std::make_unique<RunningGateway>(storeAddress(), seeds, control, logDescriptor);
     }
+    std::unique_ptr<RunningGateway> gateway(const Common::Hooks& hooks)
+    {
+        return std::make_unique<RunningGateway>(storeAddress(), std::vector<std::string>(), "127.0.0.1:0", -1, hooks);
+    }
     std::string storeAddress()
     {
         return thread.call([&] { return store->address(); });
--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -148,12 +148,17 @@
     return value;
 }
 
+// A server that answers load probes late must not change the outcome, so the gateway's clock is slow: with the system's, its limit for
+// the first answer to a load probe, 60 ms, expired on a busy machine, and the request was refused.
 TEST_CASE("Unusual and malformed server responses")
 {
+    constexpr auto probeDelay = std::chrono::milliseconds(120);
+    constexpr int clockFactor = 10;
     for (const auto& row : rawCases) {
         CAPTURE(row.what);
         using namespace UnitTests;
         Script script { ReadRequest {}, SendBytes { health }, ReadRequest {}, SendBytes { row.answer } };
+        script.insert(script.begin() + 1, Delay { probeDelay });
         if (row.closes)
             script.push_back(CloseConnection {});
         else
@@ -161,7 +166,7 @@
         ScriptedServer server({ script });
         GatewayFixture fixture(0);
         fixture.thread.call([&] { fixture.store->put(Names::registryTable, "raw", registeredAt(fixture, server.address())); });
-        auto gateway = fixture.gateway();
+        auto gateway = fixture.gateway(UnitTests::slowClock(clockFactor));
         REQUIRE(gateway->waitReady());
         CallerConnection caller(gateway->daemon().callersAddress());
         caller.send(requestBytes("GET", row.target, "raw1"));
