--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -19,8 +19,8 @@
 
     constexpr std::size_t readBufferBytes = 16 * 1024;
     constexpr std::size_t maxHeadBytes = 64 * 1024;
-    // Input that is read before it is decoded. A short response is read with all that follows it, so that bytes behind it show.
-    constexpr std::size_t maxInputBytes = 64 * 1024;
+    // Reads of one connection before others get their turn.
+    constexpr int maxReadsPerEvent = 4;
 
     constexpr std::array failureNames {
         EnumName<FailureKind> { FailureKind::Refused, "refused" },
@@ -103,8 +103,7 @@
     m_busy = true;
     m_bytesSent = false;
     m_expectsBody = expectsBody;
-    m_out.clear();
-    m_out.append(bytes);
+    m_out.assign(std::move(bytes));
     m_started = false;
     m_handlers = std::move(handlers);
     std::weak_ptr<ClientConnection> weak = weak_from_this();
@@ -193,32 +192,29 @@
 void ClientConnection::readIn()
 {
     std::array<char, readBufferBytes> buf;
-    auto ended = false;
-    try {
-        while (m_in.size() < maxInputBytes) {
-            auto n = m_socket.receiveBytes(buf.data(), static_cast<int>(buf.size()));
-            if (n < 0)
-                break;
-            ended = n == 0;
-            m_in.append(buf.data(), static_cast<std::size_t>(n));
-            if (n < static_cast<int>(buf.size()))
-                break;
+    for (int i = 0; i < maxReadsPerEvent; ++i) {
+        auto n = 0;
+        try {
+            n = m_socket.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+        } catch (const Poco::Exception&) {
+            return fail(FailureKind::Reset);
         }
-    } catch (const Poco::Exception&) {
-        return fail(FailureKind::Reset);
-    }
-    if (!m_busy) {
+        if (n < 0)
+            return;
+        m_in.append(buf.data(), static_cast<std::size_t>(n));
         // The peer closed the idle connection, or sent bytes although no request is pending.
-        if (ended || !m_in.empty())
-            fail(FailureKind::Closed);
-        return;
+        if (!m_busy)
+            return fail(FailureKind::Closed);
+        auto responses = m_responses;
+        consume();
+        // A handler may have sent the next request: what is there to read now is not its response.
+        if (m_closed || m_responses != responses)
+            return;
+        if (n == 0)
+            return m_body && m_body->end() == BodyDecoder::State::Complete ? finish() : fail(FailureKind::Closed);
+        if (m_paused || n < static_cast<int>(buf.size()))
+            return;
     }
-    consume();
-    if (!ended || m_closed || !m_busy)
-        return;
-    if (m_body && m_body->end() == BodyDecoder::State::Complete)
-        return finish();
-    fail(FailureKind::Closed);
 }
 
 void ClientConnection::consume()
@@ -297,6 +293,7 @@
         return;
     }
     m_busy = false;
+    ++m_responses;
     m_lastUsed = m_loop.now();
     m_idleTimeoutS = head.idleTimeoutS ? head.idleTimeoutS : m_idleTimeoutS;
     m_loop.cancel(m_requestTimer);
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -48,7 +49,7 @@
     Common::Duration deadPeerTimeout = std::chrono::seconds(2);
     int sendBufferBytes = 0; // of the socket; 0: the kernel's default
     std::size_t maxResponseBytes = 8 * 1024 * 1024; // of a body that is not passed on in parts; a larger one fails the request with TooLarge
-    std::size_t maxHeldBytes = 64 * 1024; // of a body, before it is passed on in parts
+    std::size_t maxHeldBytes = 32 * 1024; // of a body, before it is passed on in parts
 };
 
 // Client connection that carries one request at a time. close() and destruction of the last owner drop a pending request without
@@ -113,6 +114,7 @@
     bool m_started = false; // the response being read is passed on in parts
     bool m_paused = false; // nothing is read
     bool m_discarding = false; // the response being read does not match the pending request
+    std::uint64_t m_responses = 0; // that completed
     bool m_hasStaleResponse = false; // such a response was received: the connection must not be reused
 };
 
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -21,7 +21,7 @@
     // could reach the client before the response.
     constexpr auto lingerTimeout = std::chrono::seconds(1);
     // Response bytes of one connection that may wait to be sent before the source of a body has to pause.
-    constexpr std::size_t maxUnsentBytes = 64 * 1024;
+    constexpr std::size_t maxUnsentBytes = 32 * 1024;
     // It goes on when this many are left.
     constexpr std::size_t resumeUnsentBytes = maxUnsentBytes / 2;
     // Maximum number of connections accepted in one loop iteration, so that a burst of connections does not delay requests.
--- a/Source/Core/Net/OutputBuffer.h
+++ b/Source/Core/Net/OutputBuffer.h
@@ -10,6 +10,11 @@
 // Bytes that wait to be sent on one socket. Sent ones are dropped in batches, so that a long output is not moved with each send.
 class OutputBuffer {
 public:
+    void assign(std::string bytes)
+    {
+        m_bytes = std::move(bytes);
+        m_sent = 0;
+    }
     void append(std::string_view bytes) { m_bytes.append(bytes); }
     bool empty() const { return m_sent == m_bytes.size(); }
     std::size_t size() const { return m_bytes.size() - m_sent; }
