Gateway settings: bounds with fractions no longer keep a gateway from starting

Change: times are read as NAME_ms or NAME_s, both with fractions; the retry slack is a number. Both forms at once are an error.

--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -83,7 +83,7 @@
               .headers = m_options.platform.headers,
               .placement = {},
               .retries = { .ratio = m_options.settings.retryRatio,
-                  .slack = static_cast<double>(m_options.settings.retrySlack),
+                  .slack = m_options.settings.retrySlack,
                   .window = std::chrono::milliseconds(m_options.settings.retryWindowMs) },
               .probesPerServer = m_options.settings.probesPerServer,
           })
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -1,5 +1,7 @@
 #include "Settings/GatewaySettings.h"
 
+#include <cmath>
+
 #include "Common/Address.h"
 #include "Settings/Names.h"
 #include "Settings/ReadAddress.h"
@@ -13,6 +15,20 @@
     constexpr int maxTimeMs = 3'600'000;
     constexpr int maxCount = 1'000'000;
 
+    // A time limit as NAME_ms or NAME_s. The platform's bounds may have fractions.
+    int readMilliseconds(TomlReader& reader, const std::string& name, int lowMs, int fallbackMs)
+    {
+        constexpr double msPerSecond = 1000;
+        auto inSeconds = name + "_s";
+        auto inMs = name + "_ms";
+        if (!reader.has(inSeconds))
+            return static_cast<int>(std::lround(reader.number(inMs, lowMs, maxTimeMs, fallbackMs)));
+        if (reader.has(inMs))
+            reader.fail(inMs, "found beside " + inSeconds + ", expected one of them");
+        reader.number(inMs, lowMs, maxTimeMs, fallbackMs); // known, even if it is an error here
+        return static_cast<int>(std::lround(msPerSecond * reader.number(inSeconds, lowMs / msPerSecond, maxTimeMs / msPerSecond)));
+    }
+
     void readGateway(TomlReader& reader, GatewaySettings& settings)
     {
         settings.node = reader.string("node");
@@ -25,8 +41,8 @@
         settings.capacity = reader.number("capacity", 0.001, 1024, settings.capacity);
         settings.bootstrap = reader.boolean("bootstrap", settings.bootstrap);
         settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
-        settings.graceMs = static_cast<int>(reader.integer("grace_ms", 100, maxTimeMs, settings.graceMs));
-        settings.applyMs = static_cast<int>(reader.integer("apply_ms", 100, maxTimeMs, settings.applyMs));
+        settings.graceMs = readMilliseconds(reader, "grace", 100, settings.graceMs);
+        settings.applyMs = readMilliseconds(reader, "apply", 100, settings.applyMs);
         settings.seeds = reader.strings("seeds", std::vector<std::string>());
         for (const auto& seed : settings.seeds) {
             if (!Common::isAddress(seed))
@@ -38,8 +54,8 @@
     void readRetryAndProbeBounds(TomlReader& reader, GatewaySettings& settings)
     {
         settings.retryRatio = reader.number("retry_ratio", 0, 10, settings.retryRatio);
-        settings.retrySlack = static_cast<int>(reader.integer("retry_slack", 0, maxCount, settings.retrySlack));
-        settings.retryWindowMs = static_cast<int>(reader.integer("retry_window_ms", 100, maxTimeMs, settings.retryWindowMs));
+        settings.retrySlack = reader.number("retry_slack", 0, maxCount, settings.retrySlack);
+        settings.retryWindowMs = readMilliseconds(reader, "retry_window", 100, settings.retryWindowMs);
         settings.probesPerServer = reader.number("probes_per_server", 0, maxCount, settings.probesPerServer);
         reader.finish();
     }
@@ -63,7 +79,7 @@
     const auto* store = root.table("store");
     TomlReader storeReader(store ? *store : none, file, "store", errors);
     settings.store = readAddress(storeReader, "address");
-    settings.serverHeartbeatMs = static_cast<int>(storeReader.integer("server_heartbeat_ms", 10, maxTimeMs, settings.serverHeartbeatMs));
+    settings.serverHeartbeatMs = readMilliseconds(storeReader, "server_heartbeat", 10, settings.serverHeartbeatMs);
     storeReader.finish();
 
     const auto* bounds = root.table("bounds");
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -27,7 +27,7 @@
     int graceMs = 6000; // from SIGTERM to SIGKILL
     int applyMs = 2000; // time limit for a change of configuration or registry to take effect
     double retryRatio = 0.2; // attempts beyond the first per request, for each service and over all gateways
-    int retrySlack = 75; // attempts beyond the first per window that are allowed in addition, over all gateways
+    double retrySlack = 75; // attempts beyond the first per window that are allowed in addition, over all gateways
     int retryWindowMs = 10000; // window over which both limits are counted
     double probesPerServer = 60; // load probes per second to each server, over all gateways
     Common::LogFormat logFormat = Common::LogFormat::Json;
--- /dev/null
+++ b/Source/UnitTests/Settings/GatewaySettingsTest.cpp
@@ -0,0 +1,64 @@
+#include "Settings/GatewaySettings.h"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using Settings::GatewaySettings;
+
+// Settings with some lines added to their tables.
+std::optional<GatewaySettings> parse(const std::string& gateway, const std::string& store, const std::string& bounds, std::vector<Common::FileError>& errors)
+{
+    return Settings::parseGatewaySettings("[gateway]\nnode = \"n\"\nfailure_domain = \"a\"\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n"
+                                          "directory = \"127.0.0.1:3\"\ncontrol = \"127.0.0.1:4\"\n"
+            + gateway + "\n[store]\naddress = \"127.0.0.1:5\"\n" + store + "\n[bounds]\n" + bounds + "\n",
+        "settings.toml", errors);
+}
+
+struct TimeCase {
+    std::string gateway;
+    std::string store;
+    std::string bounds;
+    int graceMs;
+    int applyMs;
+    int heartbeatMs;
+    double retrySlack;
+    int retryWindowMs;
+};
+
+const TimeCase timeCases[] = {
+    { "", "", "", 6000, 2000, 1500, 75, 10000 },
+    { "grace_ms = 3000\napply_ms = 500", "server_heartbeat_ms = 700", "retry_slack = 10\nretry_window_ms = 400",
+        3000, 500, 700, 10, 400 },
+    { "grace_s = 6.5\napply_ms = 2000.4", "server_heartbeat_ms = 1500.0", "retry_slack = 28.4\nretry_window_s = 2.5",
+        6500, 2000, 1500, 28.4, 2500 },
+};
+
+}
+
+// The platform's bounds are whole numbers or fractions: a gateway with a fractional one did not start.
+TEST_CASE("Times and bounds of a gateway may have fractions, and be in seconds")
+{
+    for (const auto& row : timeCases) {
+        CAPTURE(row.gateway);
+        std::vector<Common::FileError> errors;
+        auto settings = parse(row.gateway, row.store, row.bounds, errors);
+        REQUIRE(settings);
+        CHECK(settings->graceMs == row.graceMs);
+        CHECK(settings->applyMs == row.applyMs);
+        CHECK(settings->serverHeartbeatMs == row.heartbeatMs);
+        CHECK(settings->retrySlack == row.retrySlack);
+        CHECK(settings->retryWindowMs == row.retryWindowMs);
+    }
+}
+
+TEST_CASE("Invalid times of a gateway are errors that name the key")
+{
+    for (const std::string line : { "grace_s = \"6\"", "grace_s = -1", "grace_s = 0", "grace_s = 6\ngrace_ms = 6000", "grace_ms = 1e99", "grace = 6" }) {
+        CAPTURE(line);
+        std::vector<Common::FileError> errors;
+        CHECK(!parse(line, "", "", errors));
+        REQUIRE(!errors.empty());
+        CHECK(errors.front().key.find("gateway.grace") == 0);
+    }
+}
