HttpClient: handlers are exchanged, not moved from

The linter takes a moved-from member that is assigned right after for one that may still be used; std::exchange says the same in one step. No change of behaviour meant.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <limits>
+#include <utility>
 
 #include <netinet/tcp.h>
 
@@ -297,8 +298,7 @@
     m_lastUsed = m_loop.now();
     m_idleTimeoutS = head.idleTimeoutS ? head.idleTimeoutS : m_idleTimeoutS;
     m_loop.cancel(m_requestTimer);
-    auto handlers = std::move(m_handlers);
-    m_handlers = {};
+    auto handlers = std::exchange(m_handlers, {});
     // Bytes after the response belong to no request. If the response came before the whole request was written, the rest of the request
     // stays unsent. The connection can't be reused in either case.
     if (endsConnection || m_hasStaleResponse || !m_in.empty() || !m_out.empty())
@@ -314,8 +314,8 @@
     if (m_closed)
         return;
     auto keep = shared_from_this();
-    auto handlers = std::move(m_handlers);
-    auto idleCloseHook = m_busy ? std::function<void()>() : std::move(m_idleCloseHook);
+    auto handlers = std::exchange(m_handlers, {});
+    auto idleCloseHook = m_busy ? std::function<void()>() : std::exchange(m_idleCloseHook, {});
     close();
     if (handlers.failed)
         handlers.failed({ .kind = kind, .bytesSent = m_bytesSent });
