--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -57,6 +57,7 @@
         EventRow { RelayStarted, "relay-started", Severity::Info, "This entry started to read the store directly." },
         EventRow { RelayStopped, "relay-stopped", Severity::Info, "This entry stopped reading the store directly." },
         EventRow { RosterAdopted, "roster-adopted", Severity::Info, "A new relay list is in force; its first entry is the leader." },
+        EventRow { RelayOutdated, "relay-outdated", Severity::Warning, "The followed entry answers, but without recent data of the store." },
         EventRow { ServerAdded, "server-added", Severity::Info, "A backend server joined a service's pool." },
         EventRow { ServerRemoved, "server-removed", Severity::Info, "A backend server left a service's pool." },
         EventRow { ServerEjected, "server-ejected", Severity::Warning, "A backend server is ejected: it gets no requests for a limited time." },
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -56,6 +56,7 @@
     RelayStarted = 4007,
     RelayStopped = 4008,
     RosterAdopted = 4009,
+    RelayOutdated = 4010,
     ServerAdded = 5000,
     ServerRemoved = 5001,
     ServerEjected = 5002,
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -41,6 +41,8 @@
     void serve(const std::shared_ptr<Net::Exchange>& exchange) { m_server.serve(exchange); }
 
     const StoreReader& reader() const { return m_reader; }
+    // Whether a relay with recent data answers.
+    bool isRelayed() const { return m_relayed; }
     const RelayList& relayList() const { return m_relayList; }
     // Store calls that read or wrote the relay list.
     std::uint64_t relayListCalls() const { return m_relayListCalls; }
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -223,6 +223,10 @@
     page.gauge("members", static_cast<double>(m_members.size()));
     page.gauge("catalog_age_ms", Common::toMilliseconds(m_catalog.age()));
     page.gauge("configuration_version", m_router.configuration() ? static_cast<double>(m_router.configuration()->version) : 0);
+    page.gauge("relayed", m_catalogSync.isRelayed() ? 1 : 0);
+    page.gauge("reading_store", m_catalogSync.reader().isRunning() ? 1 : 0);
+    page.gauge("store_answers", m_catalogSync.reader().storeAnswers() ? 1 : 0);
+    page.gauge("relay_list_version", static_cast<double>(m_catalogSync.relayList().version));
     page.gauge("ready", isReady() ? 1 : 0);
     page.summary("request_ms", m_router.totalTimes().quantiles());
     page.summary("server_ms", m_router.serverTimes().quantiles());
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RelayClient.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway {
 
@@ -150,8 +151,16 @@
     m_lastResponse = now;
     auto isApplied = update.isRelay && m_catalog.apply(update.catalog);
     auto isFresh = isApplied && update.catalog.age <= m_options.maxCatalogAge;
-    if (!isFresh)
+    if (!isFresh) {
         m_relayStates[relay].avoidUntil = now + m_options.avoidPeriod;
+        if (m_currentRelay == relay && !std::exchange(m_currentRelayOutdated, true)) {
+            m_log.log(Common::EventId::RelayOutdated,
+                { { "relay", relay },
+                    { "is_relay", update.isRelay ? "true" : "false" },
+                    { "age_ms", std::to_string(static_cast<long>(Common::toMilliseconds(m_catalog.age()))) },
+                    { "relay_list", std::to_string(update.relayList.version) } });
+        }
+    }
     if (isApplied) {
         if (m_currentRelay != relay) {
             m_log.log(Common::EventId::RelayFollowed,
@@ -160,8 +169,10 @@
                     { "age_ms", std::to_string(static_cast<long>(Common::toMilliseconds(update.catalog.age))) } });
         }
         m_currentRelay = relay;
-        if (isFresh)
+        if (isFresh) {
             m_lastFreshResponse = now;
+            m_currentRelayOutdated = false;
+        }
         m_members.apply(update.members, now);
         m_membersFrom = relay;
         m_membersRevision = update.members.revision;
@@ -179,6 +190,7 @@
     if (m_currentRelay == relay) {
         m_log.log(Common::EventId::RelayLost, { { "relay", relay }, { "cause", std::string(cause) } });
         m_currentRelay.clear();
+        m_currentRelayOutdated = false;
         m_membersFrom.clear();
         m_membersRevision = 0;
     }
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -194,7 +194,7 @@
     if (!answered) {
         ++m_failures;
         if (m_storeAnswers)
-            m_log.log(Common::EventId::StoreUnreachable, { { "error", error } });
+            m_log.log(Common::EventId::StoreUnreachable, { { "error", error }, { "retry_ms", std::to_string(static_cast<long>(Common::toMilliseconds(m_backoff))) } });
     } else if (!m_storeAnswers) {
         m_reachableSince = now;
         m_catalog.onStoreRecovered();
