--- /dev/null
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Gateway/RelayMessages.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpServer.h"
+#include "platform/StandIn/Store.h"
+
+namespace UnitTests {
+
+// What a relay answers to requests for updates.
+enum class RelayAnswer {
+    Fresh, // nothing new, as of now
+    Outdated, // nothing new, as of a minute ago
+    NoRelay, // that it relays no data
+};
+
+// A relay of a fleet of `members` gateways that is named in the store's relay list. Must be used on the loop's thread.
+class FakeRelay {
+public:
+    FakeRelay(Net::EventLoop& loop, PlatformStandIn::Store& store, int members)
+        : m_loop(loop)
+        , m_members(members)
+        , m_server(loop, { .address = "127.0.0.1:0", .serve = [this](const std::shared_ptr<Net::Exchange>& exchange) { serve(exchange); } })
+    {
+        if (auto opened = m_server.open(); !opened)
+            throw std::runtime_error(opened.error().text);
+        store.put("gateway", "relays", Gateway::toText(Gateway::RelayList { .relays = { address() } }));
+        m_listVersion = store.version();
+    }
+
+    std::string address() const { return m_server.address(); }
+    void setAnswer(RelayAnswer answer) { m_answer = answer; }
+    // The shortest time after which a request is answered; one that may be held open is held for all of its wait.
+    void setDelay(Common::Duration delay) { m_delay = delay; }
+
+    // The members that it tells of.
+    void setKnownMembers(std::vector<Gateway::Member> members) { m_knownMembers = std::move(members); }
+    // Sends a gateway the relay list in the store.
+    void announceTo(const std::string& control)
+    {
+        Gateway::UpdateRequest update {
+            .member = { .control = address(), .callers = address(), .failureDomain = "a" },
+            .position = {},
+            .membersFrom = {},
+            .membersRevision = 0,
+            .wait = {},
+            .relayList = { .relays = { address() }, .version = m_listVersion, .era = 1 },
+        };
+        Net::Request request { .method = "POST", .target = "/v1/news", .headers = { { "Host", control } }, .body = Gateway::toText(update), .keepAlive = true };
+        m_announcement = Net::ClientConnection::open(m_loop, control, {});
+        m_announcement->send(Net::toBytes(request), true, std::chrono::seconds(1), { .answered = [](Net::ResponseHead&&) {}, .failed = [](Net::ClientFailure) {} });
+    }
+
+private:
+    void serve(const std::shared_ptr<Net::Exchange>& exchange)
+    {
+        auto request = Gateway::parseUpdateRequest(exchange->request().body);
+        if (!request)
+            return exchange->respond({ .status = Net::HttpStatus::BadRequest, .reason = {}, .headers = {}, .body = {} });
+        auto isRelay = m_answer != RelayAnswer::NoRelay;
+        Gateway::UpdateResponse response { .isRelay = isRelay, .relayList = request.value().relayList, .catalog = {}, .members = {} };
+        response.catalog.position = request.value().position;
+        response.catalog.age = m_answer == RelayAnswer::Fresh ? std::chrono::seconds(0) : std::chrono::seconds(60);
+        response.members = { .isFull = true, .revision = 1, .total = m_members, .members = m_knownMembers, .departed = {} };
+        auto hold = isRelay ? request.value().wait : Common::Duration::zero();
+        m_loop.after(std::max(hold, m_delay), [exchange, response] {
+            exchange->respond({ .status = Net::HttpStatus::Ok, .reason = {}, .headers = {}, .body = Gateway::toText(response, Gateway::encodeRows({})) });
+        });
+    }
+
+    Net::EventLoop& m_loop;
+    int m_members;
+    RelayAnswer m_answer = RelayAnswer::Fresh;
+    Common::Duration m_delay = std::chrono::milliseconds(5);
+    std::vector<Gateway::Member> m_knownMembers;
+    std::uint64_t m_listVersion = 0;
+    std::shared_ptr<Net::ClientConnection> m_announcement;
+    Net::HttpServer m_server;
+};
+
+}
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -107,8 +107,12 @@
 class RunningGateway {
 public:
     RunningGateway(const std::string& store, const std::vector<std::string>& seeds, const std::string& control, int logDescriptor = -1, Common::Hooks hooks = Common::systemHooks())
+        : RunningGateway(settings(store, seeds, control, logDescriptor < 0 ? Common::LogFormat::Off : Common::LogFormat::Json), logDescriptor, std::move(hooks))
+    {
+    }
+    explicit RunningGateway(Settings::GatewaySettings settings, int logDescriptor = -1, Common::Hooks hooks = Common::systemHooks())
         : m_daemon({
-            .settings = settings(store, seeds, control, logDescriptor < 0 ? Common::LogFormat::Off : Common::LogFormat::Json),
+            .settings = std::move(settings),
             .platform = PlatformAdapter::binding(),
             .hooks = std::move(hooks),
             .logDescriptor = logDescriptor,
--- /dev/null
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -0,0 +1,210 @@
+#include "FakeRelay.h"
+#include "GatewayFixture.h"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using PlatformStandIn::StoreMode;
+using UnitTests::eventually;
+using UnitTests::FakeRelay;
+using UnitTests::GatewayFixture;
+using UnitTests::RelayAnswer;
+using UnitTests::requestBytes;
+using UnitTests::RunningGateway;
+namespace Names = PlatformAdapter::Names;
+
+// The operators' bound on the time from the end of an outage of the store until every gateway goes by its data again.
+constexpr auto recoveryBound = std::chrono::seconds(3);
+
+const char* const addedRoute = R"(,"added":{"host":"host.example","prefix":"/added/","route_type":"safe","timeout_ms":1000,"target_latency_ms":300,"priority":1,"service":"service","max_attempts":2})";
+
+bool serves(RunningGateway& gateway, const std::string& target)
+{
+    static std::atomic<int> number = 0;
+    return gateway.call(requestBytes("GET", target, "r" + std::to_string(++number))).status == 200;
+}
+
+struct OutageCase {
+    std::string name;
+    StoreMode outage = StoreMode::Silent;
+    RelayAnswer relay = RelayAnswer::NoRelay; // from the start of the outage on
+    std::chrono::milliseconds length {}; // then until the next call of the store
+};
+
+std::string metrics(RunningGateway& gateway)
+{
+    return RunningGateway::get(gateway.daemon().metricsAddress(), "/metrics").body;
+}
+
+double gauge(RunningGateway& gateway, const std::string& name)
+{
+    auto page = metrics(gateway);
+    auto at = page.find("\ncowslipledge_" + name + " ");
+    return at == std::string::npos ? -1 : std::stod(page.substr(page.find(' ', at)));
+}
+
+// A fleet that counts as large: two gateways with much processor share, all others with little.
+class LargeFleet {
+public:
+    explicit LargeFleet(GatewayFixture& fixture, int size = 218, int firstPort = 18400)
+    {
+        constexpr int largeGateways = 2;
+        std::vector<std::string> seeds;
+        for (int i = 0; i < size; ++i) {
+            auto control = "127.0.0.1:" + std::to_string(firstPort + i);
+            if (i < 3)
+                seeds.push_back(control);
+            auto settings = RunningGateway::settings(fixture.storeAddress(), seeds, control, Common::LogFormat::Off);
+            settings.callers = "127.0.0.1:" + std::to_string(firstPort + size + i);
+            settings.capacity = i < largeGateways ? 0.5 : 0.07;
+            gateways.push_back(std::make_unique<RunningGateway>(settings));
+        }
+    }
+
+    // Waits until all gateways get their data from the two relays in the list.
+    bool waitSettled()
+    {
+        return eventually([&] {
+            auto list = gauge(*gateways.front(), "relay_list_version");
+            return std::all_of(gateways.begin(), gateways.end(), [&](auto& it) { return gauge(*it, "relay_list_version") == list; })
+                && std::count_if(gateways.begin(), gateways.end(), [&](auto& it) { return gauge(*it, "reading_store") == 1; }) == 1;
+        });
+    }
+
+    std::vector<std::unique_ptr<RunningGateway>> gateways;
+};
+
+const OutageCase outageCases[] = {
+    { "silent store, the relay has no data", StoreMode::Silent, RelayAnswer::NoRelay, std::chrono::milliseconds(7000) },
+    { "silent store, the relay has old data", StoreMode::Silent, RelayAnswer::Outdated, std::chrono::milliseconds(7000) },
+    { "busy store, the relay has no data", StoreMode::Busy, RelayAnswer::NoRelay, std::chrono::milliseconds(7000) },
+};
+
+}
+
+// Guards against a pause between two reads of the store that outlives the outage.
+TEST_CASE("A follower of a relay without recent data applies a change within 3 s of the end of an outage of the store")
+{
+    for (const auto& row : outageCases) {
+        CAPTURE(row.name);
+        GatewayFixture fixture(1);
+        auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, 3); });
+        auto gateway = fixture.gateway({ relay->address() });
+        REQUIRE(gateway->waitReady());
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        fixture.thread.call([&] {
+            fixture.store->setMode(row.outage);
+            relay->setAnswer(row.relay);
+        });
+        std::this_thread::sleep_for(row.length);
+        // The worst moment for the outage to end is just after it has swallowed a call.
+        auto calls = fixture.store->calls();
+        REQUIRE(eventually([&] { return fixture.store->calls() > calls; }));
+        fixture.thread.call([&] {
+            fixture.store->setMode(StoreMode::Serving);
+            fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(2, "service", addedRoute));
+        });
+        auto ended = std::chrono::steady_clock::now();
+        REQUIRE(eventually([&] { return serves(*gateway, "/added/x"); }));
+        CHECK(std::chrono::steady_clock::now() - ended < recoveryBound);
+        gateway.reset();
+        fixture.thread.call([&] { relay.reset(); });
+    }
+}
+
+// Guards against gateways that replace working relays as soon as the store answers them, and followers that get their data from
+// none of them.
+TEST_CASE("After an outage of the store a large fleet keeps its relays, and all apply a change within 3 s of its end")
+{
+    GatewayFixture fixture(1);
+    LargeFleet fleet(fixture);
+    for (auto& gateway : fleet.gateways)
+        REQUIRE(gateway->waitReady());
+    REQUIRE(fleet.waitSettled());
+    std::this_thread::sleep_for(std::chrono::milliseconds(4000)); // the time in which a standby is appointed
+    REQUIRE(fleet.waitSettled());
+    auto relays = fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); });
+    CAPTURE(relays);
+    fixture.thread.call([&] { fixture.store->setMode(StoreMode::Silent); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(2800));
+    fixture.thread.call([&] {
+        fixture.store->setMode(StoreMode::Serving);
+        fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(2, "service", addedRoute));
+    });
+    auto ended = std::chrono::steady_clock::now();
+    for (auto& gateway : fleet.gateways)
+        CHECK(eventually([&] { return gauge(*gateway, "configuration_version") == 2; }));
+    CHECK(std::chrono::steady_clock::now() - ended < recoveryBound);
+    std::this_thread::sleep_until(ended + std::chrono::seconds(4));
+    CHECK(fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); }) == relays);
+}
+
+// Guards against gateways of a large fleet that all read the store in an outage, since they take a relay that holds their request
+// open for one that does not answer.
+TEST_CASE("A relay without recent data counts as answering while it holds a request open")
+{
+    GatewayFixture fixture(1);
+    constexpr int members = 300;
+    auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, members); });
+    auto hooks = Common::systemHooks();
+    hooks.random = [] { return ~std::uint64_t(0); }; // the last in every random order
+    RunningGateway gateway(RunningGateway::settings(fixture.storeAddress(), { relay->address() }, "127.0.0.1:0", Common::LogFormat::Off), -1, hooks);
+    REQUIRE(gateway.waitReady());
+    REQUIRE(eventually([&] { return gauge(gateway, "relayed") == 1 && gauge(gateway, "reading_store") == 0; }));
+    fixture.thread.call([&] { relay->setAnswer(RelayAnswer::Outdated); });
+    for (auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5); std::chrono::steady_clock::now() < end;) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        REQUIRE(gauge(gateway, "reading_store") == 0);
+    }
+    fixture.thread.call([&] { relay.reset(); });
+}
+
+// Guards against two gateways that take the lead from each other again and again, so that no relay is followed.
+TEST_CASE("A leader that another gateway has replaced leaves it time to answer before it takes the lead again")
+{
+    GatewayFixture fixture(1);
+    auto control = std::string("127.0.0.1:18391");
+    auto gateway = fixture.gateway({ control }, control);
+    REQUIRE(gateway->waitReady());
+    REQUIRE(eventually([&] { return !fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); }).empty(); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, 2); });
+    fixture.thread.call([&] { relay->setDelay(std::chrono::milliseconds(450)); });
+    auto list = fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); });
+    fixture.thread.call([&] { relay->announceTo(control); });
+    REQUIRE(eventually([&] { return gauge(*gateway, "relayed") == 1; }));
+    CHECK(fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); }) == list);
+    fixture.thread.call([&] { relay.reset(); });
+}
+
+// Guards against a follower that stays with a relay that answers, has no recent data and does not learn of its successor.
+TEST_CASE("A follower in a large fleet gets changes from a preferred candidate while its relays have no recent data")
+{
+    GatewayFixture fixture(1);
+    constexpr int members = 300;
+    auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, members); });
+    std::vector<std::string> seeds { relay->address() };
+    auto settings = RunningGateway::settings(fixture.storeAddress(), seeds, "127.0.0.1:18393", Common::LogFormat::Off);
+    RunningGateway candidate(settings);
+    settings.control = "127.0.0.1:18394";
+    settings.callers = "127.0.0.1:18414";
+    settings.capacity = 0.07;
+    auto hooks = Common::systemHooks();
+    hooks.random = [] { return ~std::uint64_t(0); }; // the last in every random order
+    fixture.thread.call([&] {
+        relay->setKnownMembers({ { .control = "127.0.0.1:18393", .callers = "127.0.0.1:18413", .failureDomain = "a", .capacity = 1 },
+            { .control = "127.0.0.1:1", .callers = "127.0.0.1:2", .failureDomain = "a", .capacity = 0.9 } });
+    });
+    RunningGateway follower(settings, -1, hooks);
+    REQUIRE(candidate.waitReady());
+    REQUIRE(follower.waitReady());
+    REQUIRE(eventually([&] { return gauge(follower, "relayed") == 1 && gauge(follower, "reading_store") == 0; }));
+    fixture.thread.call([&] { relay->setAnswer(RelayAnswer::NoRelay); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(2, "service", addedRoute)); });
+    auto confirmed = std::chrono::steady_clock::now();
+    CHECK(eventually([&] { return gauge(follower, "configuration_version") == 2; }));
+    CHECK(std::chrono::steady_clock::now() - confirmed < std::chrono::milliseconds(settings.applyMs));
+    fixture.thread.call([&] { relay.reset(); });
+}
