Store reads: no pause between two reads outlives the time limit for changes

Callers were served by an old configuration up to 4 s after the store had acknowledged a newer one. Followers whose relay answered paused 2 and then 4 s between two reads of a store that had not answered, and a call swallowed by the outage takes 1.2 s more: 5.2 s without a read around its end, where the operators allow 3. Now a pause and a lost call together are at most 0.8 of the time limit for changes.

Ruled out: shorter calls, since a degraded store takes up to 60 times as long.

--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -45,12 +45,9 @@
     constexpr auto bootstrapRetryInterval = std::chrono::milliseconds(400);
 
     constexpr std::size_t relaysWanted = 2;
-    // Backoff between reads of an unreachable store. It starts at firstBackoff, or at outageBackoff for followers whose relay
-    // answers, and grows up to relayBackoff or followerBackoff. Relays retry often, since all other gateways depend on them.
+    // Backoff between reads of an unreachable store. Relays retry often, since all other gateways depend on them.
     constexpr auto firstBackoff = std::chrono::milliseconds(200);
-    constexpr auto outageBackoff = std::chrono::milliseconds(2000);
     constexpr auto relayBackoff = std::chrono::milliseconds(500);
-    constexpr auto followerBackoff = std::chrono::milliseconds(4000);
     // In a fleet with more members, the leading relay hands over to a standby that has more than handoverCapacityRatio times its
     // processor share, once the relay list has been unchanged for handoverDelay.
     constexpr std::size_t maxFleetWithoutHandover = 60;
@@ -67,6 +64,7 @@
     , m_members(members)
     , m_relayListTable(std::move(relayListTable))
     , m_options(std::move(options))
+    , m_storeCallTimeout(readTable.callTimeout)
     , m_reader(loop, log, catalog, std::move(readTable), m_options.reader)
     , m_server(loop, catalog, members,
           { .isRelay = [this] { return isRelay(); },
@@ -161,6 +159,14 @@
     m_loop.after(m_catalog.isComplete() ? Common::Duration(tickInterval) : Common::Duration(startTickInterval), [this] { tick(); });
 }
 
+// The longest pause between two reads. The call before it may have been lost in an outage that ends at once; with both, data still
+// get no older than followers allow.
+Common::Duration CatalogSync::followerBackoff() const
+{
+    auto maxAge = Common::fromMilliseconds(shareOfApplyTime * Common::toMilliseconds(m_options.applyTime));
+    return std::max<Common::Duration>(maxAge - m_storeCallTimeout, firstBackoff);
+}
+
 // Starts or stops reading the store and takes the lead or appoints a standby, as the election rules say.
 void CatalogSync::applyElection()
 {
@@ -168,10 +174,8 @@
         return;
     auto inputs = electionInputs();
     // If the store does not answer although a relay does, it is probably down for all gateways, and the relays watch for its return.
-    if (inputs.role == RelayRole::Follower && inputs.relayAnswers)
-        m_reader.setBackoff(outageBackoff, followerBackoff);
-    else
-        m_reader.setBackoff(firstBackoff, inputs.role == RelayRole::Follower ? followerBackoff : relayBackoff);
+    auto longestBackoff = inputs.role == RelayRole::Follower ? followerBackoff() : Common::Duration(relayBackoff);
+    m_reader.setBackoff(inputs.role == RelayRole::Follower && inputs.relayAnswers ? longestBackoff : firstBackoff, longestBackoff);
     if (Decisions::shouldReadStore(inputs, m_options.election))
         m_reader.start();
     else
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -52,6 +52,7 @@
 private:
     void tick();
     void applyElection();
+    Common::Duration followerBackoff() const;
     void stopReading();
     void updateRelayState();
     void updateGatewayCount();
@@ -76,6 +77,7 @@
     Members& m_members;
     Platform::AsyncTable m_relayListTable;
     CatalogSyncOptions m_options;
+    Common::Duration m_storeCallTimeout;
     StoreReader m_reader;
     RelayServer m_server;
     RelayClient m_client;
--- a/Source/Core/Platform/AsyncTable.h
+++ b/Source/Core/Platform/AsyncTable.h
@@ -61,6 +61,8 @@
     std::function<void(const ConditionalWrite&, std::function<void(CommitResult)>)> write;
     // Drops all pending calls; their callbacks are not invoked.
     std::function<void()> cancel;
+    // After which a call without an answer fails, not counting the wait of readChanges().
+    Common::Duration callTimeout = std::chrono::milliseconds(1200);
 };
 
 }
