Relay election: a gateway that first reads the store after an outage leaves the relays time to recover

Relays get 2 s to reach a recovered store, but only if the gateway had seen the store fail; this one had not. Now data that were long out of date when it started to read count as an outage too.

RelayElectionTest "a gateway whose first read follows a long outage ..." failed before. The row on preferred candidates is still red. Ruled out: the delay for all elections, since then a leader that alone is cut from the store is replaced two seconds later.

--- a/Source/Core/Decisions/RelayElection.cpp
+++ b/Source/Core/Decisions/RelayElection.cpp
@@ -54,10 +54,14 @@
     if (inputs.relayed || !inputs.reading || !inputs.storeAnswers)
         return false;
     auto timeWithoutRelay = inputs.now - inputs.relayStatusSince;
-    // A store that was unreachable for all gateways becomes reachable for the relays too, which then need no replacement.
+    // A store that was unreachable for all gateways becomes reachable for the relays too, which then need no replacement. This
+    // gateway may not have seen it fail, if its first read came after the outage.
     auto recoveryTimeout = options.storeRecoveryTimeout + (inputs.role == RelayRole::Standby ? Common::Duration::zero() : delay);
     if (inputs.storeRecoveredFor && *inputs.storeRecoveredFor < recoveryTimeout)
         return false;
+    auto startedAfterOutage = inputs.ageWhenReadingStarted > options.followerMaxAge + options.outageMargin;
+    if (startedAfterOutage && inputs.storeReadsFreshFor < recoveryTimeout)
+        return false;
     if (inputs.role == RelayRole::Standby)
         return timeWithoutRelay > options.standbyElectionTimeout;
     // Relays that answer without fresh updates have lost the store, which this gateway reaches: there is no reason to wait for
--- a/Source/Core/Decisions/RelayElection.h
+++ b/Source/Core/Decisions/RelayElection.h
@@ -36,6 +36,9 @@
     Common::Duration candidateTimeout = std::chrono::milliseconds(1500);
     // Time that relays have to reach a store again that was unreachable for all gateways.
     Common::Duration storeRecoveryTimeout = std::chrono::milliseconds(2000);
+    // If the data are older than followerMaxAge plus this when a gateway starts to read the store, the store is taken to have been
+    // unreachable for all.
+    Common::Duration outageMargin = std::chrono::milliseconds(700);
     // Factor for the random delay where it is certain that the present relays cannot reach the store.
     double relayOutageJitterFactor = 0.25;
     // Time that a starting gateway waits for others to send the data that it lacks before it reads the store.
@@ -73,6 +76,7 @@
     int gatewayCount = 1; // in the fleet
     bool largerMemberKnown = false; // another gateway has far more processor share
     bool preferredCandidate = false; // see isPreferredCandidate()
+    Common::Duration ageWhenReadingStarted {}; // age of the store data when the current run of direct reads started; zero if there were none
     Common::Duration storeReadsFreshFor {}; // time since the current run of direct reads first brought both tables
 };
 
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -144,6 +144,7 @@
         .largerMemberKnown = std::any_of(members.begin(), members.end(),
             [&](const auto& member) { return member.capacity > handoverCapacityRatio * m_members.self().capacity; }),
         .preferredCandidate = m_isPreferredCandidate,
+        .ageWhenReadingStarted = m_reader.ageAtStart(),
         .storeReadsFreshFor = m_freshSince == Common::TimePoint() ? Common::Duration::zero() : m_loop.now() - m_freshSince,
     };
 }
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -24,6 +24,7 @@
     m_running = true;
     m_backoff = m_options.firstBackoff;
     m_lastAnswer = m_loop.now();
+    m_ageAtStart = m_catalog.isComplete() ? m_catalog.age() : Common::Duration::zero();
     m_operatorsRead = false;
     m_registryAsOf = {};
     m_log.log(Common::EventId::RelayStarted,
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -35,6 +35,8 @@
     // The first and the longest pause between reads while the store does not answer.
     void setBackoff(Common::Duration first, Common::Duration longest);
     bool isRunning() const { return m_running; }
+    // Age of the catalog when start() was called; zero if it was not complete.
+    Common::Duration ageAtStart() const { return m_ageAtStart; }
     // Whether the last read of the registry was answered; true before the first.
     bool storeAnswers() const { return m_storeAnswers; }
     // When the store last answered again after a failure; the epoch if it never failed.
@@ -74,6 +76,7 @@
     Net::EventLoop::TimerId m_registryTimer = 0;
     Net::EventLoop::TimerId m_operatorTimer = 0;
     Common::Duration m_backoff;
+    Common::Duration m_ageAtStart {};
     Common::TimePoint m_lastAnswer;
     Common::TimePoint m_reachableSince;
     Common::TimePoint m_registryAsOf; // start of the last successful read of the registry; the epoch: none since start()
