Relay election: in a large fleet preferred candidates go first also when no relay answers

The gateway that took the lead with 0.07 processors was no preferred candidate, but these only went first while relays answered, and it took its relays for silent. A leader that can't serve the fleet is worse than none: 29 gateways lost it within two seconds, and two others as small took the lead after it.

--- a/Source/Core/Decisions/RelayElection.cpp
+++ b/Source/Core/Decisions/RelayElection.cpp
@@ -64,10 +64,11 @@
         return false;
     if (inputs.role == RelayRole::Standby)
         return timeWithoutRelay > options.standbyElectionTimeout;
-    // Relays that answer without fresh updates have lost the store, which this gateway reaches: there is no reason to wait for
-    // them. In a large fleet, preferred candidates go first.
-    if (inputs.relayAnswers && inputs.gatewayCount >= options.largeFleetSize && !inputs.preferredCandidate)
+    // In a large fleet, preferred candidates go first, whatever became of the relays: others could not serve it.
+    if (inputs.gatewayCount >= options.largeFleetSize && !inputs.preferredCandidate)
         return inputs.storeReadsFreshFor > options.candidateTimeout + delay;
+    // Relays that answer without fresh updates have lost the store, which this gateway reaches: there is no reason to wait for
+    // them.
     if (inputs.relayAnswers)
         return timeWithoutRelay > options.standbyElectionTimeout + scaled(delay, options.relayOutageJitterFactor);
     // All gateways know the seeds, so after a restart of the whole fleet a seed is found first.
