Relays: a newly adopted relay list starts the time that relays have to answer

Followers then went from one relay to the next without data from either.

StoreRecoveryTest "A leader that another gateway has replaced ..." failed before.

--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -264,6 +264,9 @@
     m_relayList = list;
     m_relayListChangedAt = m_loop.now();
     m_relayListWasRead = false;
+    // The new relays get as much time to answer as those before them had.
+    if (!m_relayed)
+        m_relayedSince = m_loop.now();
     // Gateways whose requests are held open here have to turn to the new relay.
     if (wasRelay && role() == RelayRole::Follower)
         m_server.answerAll();
