Relays: followers in a large fleet also ask the preferred candidates of their failure domain

A follower whose relays had no recent data had nobody else to ask: it learned of their successor only from them, and read the store itself only after a random delay of up to 10 s. Preferred candidates, two a failure domain, reach the store first in that case; now they pass on what they read to the others of their domain until a relay has recent data again. They do not ask each other, or neither would take the lead.

StoreRecoveryTest "A follower in a large fleet gets changes from a preferred candidate ...": more than 10 s late before though the store answered, within the 2 s of the time limit now. Ruled out: a shorter random delay for all, some 500 calls of the store for each outage.

--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -112,8 +112,12 @@
 
 bool CatalogSync::isRelay() const
 {
-    if (m_leaving || !m_catalog.isComplete() || !m_catalog.isReadInEra() || role() == RelayRole::Follower)
+    if (m_leaving || !m_catalog.isComplete() || !m_catalog.isReadInEra())
         return false;
+    if (role() == RelayRole::Follower) {
+        return m_isPreferredCandidate && isLargeFleet() && m_freshSince != Common::TimePoint() && m_reader.storeAnswers()
+            && m_catalog.age() <= m_options.election.candidateMaxAge;
+    }
     // A leading relay that cannot reach the store gets its updates from the standby. Relaying them back would hide from the
     // standby that it has to take the lead.
     return role() == RelayRole::Standby || m_reader.storeAnswers();
@@ -201,14 +205,8 @@
 void CatalogSync::updateRelayState()
 {
     auto wait = std::min<Common::Duration>(baseLongPollWait + longPollWaitPerGateway * static_cast<int>(m_members.size()), maxLongPollWait);
-    auto members = m_members.all();
-    const auto& self = m_members.self();
-    auto ranksHigher = [&](const Member& member) {
-        return member.failureDomain == self.failureDomain && member.control != self.control
-            && std::pair(member.capacity, member.control) > std::pair(self.capacity, self.control);
-    };
-    m_isPreferredCandidate = Decisions::isPreferredCandidate(static_cast<int>(std::count_if(members.begin(), members.end(), ranksHigher)));
-    if (role() != RelayRole::Follower || (m_isPreferredCandidate && m_gatewayCount >= m_options.election.largeFleetSize))
+    updatePreferredCandidates();
+    if (role() != RelayRole::Follower || (m_isPreferredCandidate && isLargeFleet()))
         wait = standbyLongPollWait;
     m_client.setWait(wait);
     auto usualAge = m_options.reader.registryInterval + wait + ageMargin;
@@ -225,6 +223,22 @@
     m_relayListWasRead = false;
 }
 
+void CatalogSync::updatePreferredCandidates()
+{
+    auto members = m_members.all();
+    const auto& self = m_members.self();
+    std::erase_if(members, [&](const auto& member) { return member.failureDomain != self.failureDomain; });
+    std::sort(members.begin(), members.end(), [](const auto& a, const auto& b) { return std::pair(a.capacity, a.control) > std::pair(b.capacity, b.control); });
+    m_isPreferredCandidate = false;
+    m_otherPreferredCandidates.clear();
+    for (std::size_t i = 0; i < members.size() && Decisions::isPreferredCandidate(static_cast<int>(i)); ++i) {
+        if (members[i].control == self.control)
+            m_isPreferredCandidate = true;
+        else
+            m_otherPreferredCandidates.push_back(members[i].control);
+    }
+}
+
 void CatalogSync::updateGatewayCount()
 {
     auto now = m_loop.now();
@@ -245,6 +259,14 @@
     // another gateway has taken the lead.
     if (role() == RelayRole::Leader && m_reader.storeAnswers())
         candidates.clear();
+    // Preferred candidates reach the store first when the relays have lost it. They don't ask each other, or neither would become
+    // the leader.
+    if (role() == RelayRole::Follower && !m_isPreferredCandidate && isLargeFleet()) {
+        for (const auto& control : m_otherPreferredCandidates) {
+            if (std::find(candidates.begin(), candidates.end(), control) == candidates.end())
+                candidates.push_back(control);
+        }
+    }
     m_client.setCandidates(std::move(candidates));
 }
 
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -57,7 +57,10 @@
     void updateRelayState();
     void updateGatewayCount();
     Decisions::RelayRole role() const;
+    // Whether this gateway has current data for others: as a relay or, while relays have none, as a preferred candidate.
     bool isRelay() const;
+    bool isLargeFleet() const { return m_gatewayCount >= m_options.election.largeFleetSize; }
+    void updatePreferredCandidates();
     Decisions::RelayElectionInputs electionInputs() const;
     void updateCandidates();
     void adoptRelayList(RelayList);
@@ -89,6 +92,7 @@
     Common::TimePoint m_gatewayCountAt;
     Common::Duration m_relayTimeout {}; // without a response for this long, the relay counts as silent
     Common::TimePoint m_freshSince; // when this gateway's reader first had both tables; the epoch while it has not
+    std::vector<std::string> m_otherPreferredCandidates; // control addresses of those in the own failure domain
     bool m_isPreferredCandidate = false;
     double m_jitter = 0; // uniform in [0, 1)
     int m_gatewayCount = 0;
--- a/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -212,6 +212,7 @@
     RunningGateway follower(settings, -1, lastInRandomOrders());
     REQUIRE(candidate.waitReady());
     REQUIRE(follower.waitReady());
+    std::this_thread::sleep_for(std::chrono::seconds(5)); // starting gateways read by rules of their own
     REQUIRE(eventually([&] { return gauge(follower, "relayed") == 1 && gauge(follower, "reading_store") == 0; }));
     fixture.thread.call([&] { relay->setAnswer(RelayAnswer::NoRelay); });
     std::this_thread::sleep_for(std::chrono::milliseconds(1000));
