--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -32,6 +32,8 @@
     // find out, by all gateways together, to one in four seconds.
     constexpr auto minLimitMemory = std::chrono::seconds(30);
     constexpr auto limitMemoryPerGateway = std::chrono::seconds(4);
+    // Of the answer to a load probe: many may be under way at once.
+    constexpr std::size_t maxProbeBodyBytes = 64 * 1024;
     // Decay time of load reports: an older one says little about the current load.
     constexpr auto reportDecayTime = std::chrono::milliseconds(300);
 
@@ -227,7 +229,8 @@
             .continued = std::move(handlers.continued),
             .completed = [releaseWhenDone, completed = std::move(handlers.completed)] {
                 releaseWhenDone();
-                completed(); } });
+                completed(); },
+            .maxBodyBytes = handlers.maxBodyBytes });
     return connection;
 }
 
@@ -287,7 +290,8 @@
                 }
                 self->recordProbeFailure();
                 done({}); },
-            .matchesRequest = matchesRequest });
+            .matchesRequest = matchesRequest,
+            .maxBodyBytes = maxProbeBodyBytes });
 }
 
 void Backend::recordProbeFailure()
--- a/Source/Core/Net/BodyDecoder.cpp
+++ b/Source/Core/Net/BodyDecoder.cpp
@@ -9,6 +9,8 @@
 
     // Maximum length of a chunk size line including its extensions, or of one trailer line.
     constexpr std::size_t maxLineBytes = 4096;
+    // Maximum length of all trailer lines together.
+    constexpr std::size_t maxTrailerBytes = 16 * 1024;
 
 }
 
@@ -93,6 +95,10 @@
         m_step = ChunkStep::Size;
     } else if (line.empty()) {
         m_state = State::Complete;
+    } else {
+        m_trailerBytes += line.size();
+        if (m_trailerBytes > maxTrailerBytes)
+            m_state = State::Malformed;
     }
     return true;
 }
--- a/Source/Core/Net/BodyDecoder.h
+++ b/Source/Core/Net/BodyDecoder.h
@@ -47,6 +47,7 @@
     Framing m_framing;
     std::size_t m_remaining = 0; // bytes still expected of the body or of the current chunk
     std::size_t m_maxBytes;
+    std::size_t m_trailerBytes = 0;
     ChunkStep m_step = ChunkStep::Size;
     State m_state = State::NeedsMore;
     std::string m_body;
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -20,6 +20,8 @@
 
     constexpr std::size_t readBufferBytes = 16 * 1024;
     constexpr std::size_t maxHeadBytes = 64 * 1024;
+    // Before one final response.
+    constexpr int maxInterimResponses = 16;
     // Reads of one connection before others get their turn.
     constexpr int maxReadsPerEvent = 4;
 
@@ -226,9 +228,11 @@
         auto state = m_body->feed(m_in);
         if (state != BodyDecoder::State::NeedsMore && state != BodyDecoder::State::Complete)
             return fail(state == BodyDecoder::State::TooLarge ? FailureKind::TooLarge : FailureKind::Malformed);
-        if (m_discarding)
-            m_body->takeBody();
-        else if (m_started || (state == BodyDecoder::State::NeedsMore && m_body->heldBytes() > m_options.maxHeldBytes))
+        if (m_discarding) {
+            m_discardedBytes += m_body->takeBody().size();
+            if (m_discardedBytes > maxBodyBytes())
+                return fail(FailureKind::TooLarge);
+        } else if (m_started || (state == BodyDecoder::State::NeedsMore && m_body->heldBytes() > m_options.maxHeldBytes))
             passOnBody();
         if (m_closed || state == BodyDecoder::State::NeedsMore)
             return;
@@ -257,6 +261,10 @@
     constexpr int firstFinalStatus = 200;
     Parsed<ResponseHead> parsed;
     do { // interim responses (1xx) are skipped
+        if (m_interimResponses > maxInterimResponses) {
+            fail(FailureKind::Malformed);
+            return false;
+        }
         auto size = headSize(m_in);
         if (!size) {
             if (m_in.size() > maxHeadBytes)
@@ -269,9 +277,12 @@
             return false;
         }
         m_in.erase(0, *size);
+        ++m_interimResponses;
     } while (parsed.head->response.status < firstFinalStatus);
     m_head = std::move(parsed.head);
-    m_body.emplace(m_head->framing, m_head->length, m_handlers.started ? std::numeric_limits<std::size_t>::max() : m_options.maxResponseBytes);
+    m_interimResponses = 0;
+    m_body.emplace(m_head->framing, m_head->length, m_handlers.started ? std::numeric_limits<std::size_t>::max() : maxBodyBytes());
+    m_discardedBytes = 0;
     m_discarding = m_handlers.matchesRequest && !m_handlers.matchesRequest(*m_head);
     return true;
 }
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -41,6 +41,7 @@
     std::function<void(ResponseHead&&)> started = {};
     std::function<void(std::string&&)> continued = {};
     std::function<void()> completed = {};
+    std::size_t maxBodyBytes = 0; // of a body that is not passed on in parts; 0: ClientOptions::maxResponseBytes
 };
 
 struct ClientOptions {
@@ -88,6 +89,7 @@
     void readIn();
     void consume();
     bool consumeHead();
+    std::size_t maxBodyBytes() const { return m_handlers.maxBodyBytes != 0 ? m_handlers.maxBodyBytes : m_options.maxResponseBytes; }
     void passOnBody();
     void finish();
     void fail(FailureKind);
@@ -114,6 +116,8 @@
     bool m_started = false; // the response being read is passed on in parts
     bool m_paused = false; // nothing is read
     bool m_discarding = false; // the response being read does not match the pending request
+    std::size_t m_discardedBytes = 0; // of the response being read
+    int m_interimResponses = 0; // since the last final response
     std::uint64_t m_responses = 0; // that completed
     bool m_hasStaleResponse = false; // such a response was received: the connection must not be reused
 };
