--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -15,9 +15,9 @@
     // Interval between reads of the registry. It is polled: a long poll would end at once, since every heartbeat of a server
     // changes the table.
     Common::Duration registryInterval = std::chrono::milliseconds(600);
-    // How long one call waits for a change of the configuration. Bounds the time for which a connection that has gone silent
-    // delays a change.
-    Common::Duration operatorPollTimeout = std::chrono::seconds(2);
+    // How long one call waits for a change of the configuration. With the time limit of a call, it bounds the time for which a
+    // connection that has gone silent delays a change.
+    Common::Duration operatorPollTimeout = std::chrono::seconds(1);
     // Pause between reads while the store does not answer; it doubles from the first to the longest.
     Common::Duration firstBackoff = std::chrono::milliseconds(200);
     Common::Duration maxBackoff = std::chrono::milliseconds(1500);
--- a/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -127,6 +127,29 @@
     }
 }
 
+// Guards against a call that waits for the next configuration and is lost alone, while other reads of the store are answered.
+TEST_CASE("A change is applied within 3 s of the loss of the call that waits for it")
+{
+    GatewayFixture fixture(1);
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    auto putVersion = [&](int version) {
+        fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(version, "service", addedRoute)); });
+    };
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500)); // the gateway has become the leader
+    putVersion(2);
+    REQUIRE(eventually([&] { return gauge(*gateway, "configuration_version") == 2; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50)); // the next call has begun
+    fixture.thread.call([&] {
+        fixture.store->setMode(StoreMode::Silent);
+        fixture.store->setMode(StoreMode::Serving);
+    });
+    putVersion(3);
+    auto lost = std::chrono::steady_clock::now();
+    REQUIRE(eventually([&] { return gauge(*gateway, "configuration_version") == 3; }));
+    CHECK(std::chrono::steady_clock::now() - lost < recoveryBound);
+}
+
 // Guards against gateways that replace working relays as soon as the store answers them, and followers that get their data from
 // none of them.
 TEST_CASE("After an outage of the store a large fleet keeps its relays, and all apply a change within 3 s of its end")
