--- a/Source/Core/Decisions/ServerLimit.cpp
+++ b/Source/Core/Decisions/ServerLimit.cpp
@@ -36,7 +36,8 @@
 double limitShare(std::string_view server, double perSecond, const LimitSharers& sharers)
 {
     auto members = sharers.domainMembers.size();
-    if (members == 0)
+    // One that starts or leaves has no share, as the others don't count it.
+    if (std::find(sharers.domainMembers.begin(), sharers.domainMembers.end(), sharers.self) == sharers.domainMembers.end())
         return 0;
     auto ofDomain = usedShare * perSecond * static_cast<double>(members) / static_cast<double>(std::max(sharers.total, members));
     // Each gateway with a share may hold one request's worth, so their number is bounded by the limit.
--- a/Source/Core/Decisions/ServerLimit.h
+++ b/Source/Core/Decisions/ServerLimit.h
@@ -16,7 +16,7 @@
 // The gateways that share the limits of servers.
 struct LimitSharers {
     std::string self;
-    std::span<const std::string> domainMembers; // gateways of the own failure domain, this one included
+    std::span<const std::string> domainMembers; // serving gateways of the own failure domain
     std::size_t total = 1; // gateways of all failure domains
 };
 
--- a/Source/UnitTests/Decisions/ServerLimitTest.cpp
+++ b/Source/UnitTests/Decisions/ServerLimitTest.cpp
@@ -129,6 +129,14 @@
     }
 }
 
+TEST_CASE("A gateway that the others do not count has no share of a limit")
+{
+    const std::vector<std::string> members { "10.0.0.1:80", "10.0.0.2:80" };
+    CHECK(Decisions::limitShare("server", 100, { .self = "10.0.0.3:80", .domainMembers = members, .total = 2 }) == 0);
+    CHECK(Decisions::limitShare("server", 100, { .self = "10.0.0.1:80", .domainMembers = {}, .total = 1 }) == 0);
+    CHECK(Decisions::limitShare("server", 100, { .self = "10.0.0.1:80", .domainMembers = members, .total = 2 }) > 0);
+}
+
 TEST_CASE("A server's limit named again and again gives no further requests")
 {
     auto now = Common::TimePoint(std::chrono::hours(1));
--- a/Source/UnitTests/Gateway/ServerLimitTest.cpp
+++ b/Source/UnitTests/Gateway/ServerLimitTest.cpp
@@ -130,12 +130,14 @@
 TEST_CASE("A server that names no limit any more gets requests as before")
 {
     GatewayFixture fixture(2);
-    LoadedFleet fleet(fixture, 3, 18900);
+    constexpr std::size_t gateways = 3;
+    LoadedFleet fleet(fixture, gateways, 18900);
     fleet.startLoad();
     fixture.thread.call([&] { fixture.servers[0]->setLimit("1", true); });
     std::this_thread::sleep_for(limitSettleTime);
     fixture.thread.call([&] { fixture.servers[0]->setLimit({}, true); });
-    std::this_thread::sleep_for(limitSettleTime);
+    for (std::size_t i = 0; i < gateways; ++i)
+        REQUIRE(eventually([&] { return RunningGateway::get(fleet.gateway(i).daemon().metricsAddress(), "/metrics").body.find("cowslipledge_limited_servers 0\n") != std::string::npos; }));
     auto before = std::pair(arrivals(fixture, 0), arrivals(fixture, 1));
     std::this_thread::sleep_for(std::chrono::seconds(2));
     CHECK(arrivals(fixture, 0) - before.first > 0.25 * (arrivals(fixture, 1) - before.second));
