Relays: one whose newest answer has no recent data is no longer followed

The store turned a third of the gateways away, the leading relay among them. The standby read the store once and stopped at once, since it had heard from the leader 0.5 s before; its data then grew older than followers accept. Now an answer without recent data ends the time for which a relay counts as working.

A relay of the tests is destroyed on its own thread: a failed check ended the process before.

--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -215,7 +215,8 @@
         Common::fromMilliseconds(shareOfApplyTime * Common::toMilliseconds(m_options.applyTime)));
     m_relayTimeout = wait + relayTimeoutMargin;
     auto last = m_client.lastFreshResponse();
-    auto relayed = last != Common::TimePoint() && m_loop.now() - last < m_relayTimeout;
+    // An answer without recent data ends it at once, unless another relay has given them since.
+    auto relayed = last != Common::TimePoint() && m_loop.now() - last < m_relayTimeout && !m_client.isLastAnswerOutdated();
     if (relayed == m_relayed)
         return;
     m_relayed = relayed;
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -47,6 +47,8 @@
     Common::TimePoint lastFreshResponse() const { return m_lastFreshResponse; }
     // When any gateway last responded, be it no relay or out of date; the epoch before the first.
     Common::TimePoint lastResponse() const { return m_lastResponse; }
+    // Whether the last response came from a gateway that is no relay or out of date.
+    bool isLastAnswerOutdated() const { return m_lastAnswerOutdated; }
     // The relay that is followed; empty before the first response and after a failure.
     const std::string& currentRelay() const { return m_currentRelay; }
 
--- a/Source/UnitTests/Gateway/FakeRelay.h
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -15,6 +15,7 @@
 // What a relay answers to requests for updates.
 enum class RelayAnswer {
     Fresh, // nothing new, as of now
+    AlmostOutdated, // nothing new, as of 950 ms ago
     Outdated, // nothing new, as of a minute ago
     NoRelay, // that it relays no data
 };
@@ -65,7 +66,9 @@
         auto isRelay = m_answer != RelayAnswer::NoRelay;
         Gateway::UpdateResponse response { .isRelay = isRelay, .relayList = request.value().relayList, .catalog = {}, .members = {} };
         response.catalog.position = request.value().position;
-        response.catalog.age = m_answer == RelayAnswer::Fresh ? std::chrono::seconds(0) : std::chrono::seconds(60);
+        response.catalog.age = m_answer == RelayAnswer::Fresh ? std::chrono::milliseconds(0)
+            : m_answer == RelayAnswer::AlmostOutdated         ? std::chrono::milliseconds(950)
+                                                              : std::chrono::seconds(60);
         response.members = { .isFull = true, .revision = 1, .total = m_members, .members = m_knownMembers, .departed = {} };
         auto hold = isRelay ? request.value().wait : Common::Duration::zero();
         m_loop.after(std::max(hold, m_delay), [exchange, response] {
--- a/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -32,6 +32,14 @@
     std::chrono::milliseconds length {}; // then until the next call of the store
 };
 
+// A relay that is destroyed on the loop's thread.
+auto makeRelay(GatewayFixture& fixture, int members)
+{
+    auto destroy = [&fixture](FakeRelay* relay) { fixture.thread.call([&] { delete relay; }); };
+    auto* relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, members).release(); });
+    return std::unique_ptr<FakeRelay, decltype(destroy)>(relay, destroy);
+}
+
 std::string metrics(RunningGateway& gateway)
 {
     return RunningGateway::get(gateway.daemon().metricsAddress(), "/metrics").body;
@@ -103,7 +111,7 @@
     for (const auto& row : outageCases) {
         CAPTURE(row.name);
         GatewayFixture fixture(1);
-        auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, 3); });
+        auto relay = makeRelay(fixture, 3);
         auto gateway = fixture.gateway({ relay->address() });
         REQUIRE(gateway->waitReady());
         std::this_thread::sleep_for(std::chrono::milliseconds(1500));
@@ -123,7 +131,6 @@
         REQUIRE(eventually([&] { return serves(*gateway, "/added/x"); }));
         CHECK(std::chrono::steady_clock::now() - ended < recoveryBound);
         gateway.reset();
-        fixture.thread.call([&] { relay.reset(); });
     }
 }
 
@@ -183,7 +190,7 @@
 {
     GatewayFixture fixture(1);
     constexpr int members = 300;
-    auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, members); });
+    auto relay = makeRelay(fixture, members);
     fixture.thread.call([&] { relay->setKnownMembers(unreachableCandidates()); });
     auto settings = RunningGateway::settings(fixture.storeAddress(), { relay->address() }, "127.0.0.1:0", Common::LogFormat::Off);
     settings.capacity = 0.07;
@@ -194,7 +201,6 @@
     auto before = fixture.store->calls();
     std::this_thread::sleep_for(std::chrono::seconds(5));
     CHECK(fixture.store->calls() == before);
-    fixture.thread.call([&] { relay.reset(); });
 }
 
 // Guards against two gateways that take the lead from each other again and again, so that no relay is followed.
@@ -206,13 +212,12 @@
     REQUIRE(gateway->waitReady());
     REQUIRE(eventually([&] { return !fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); }).empty(); }));
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
-    auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, 2); });
+    auto relay = makeRelay(fixture, 2);
     fixture.thread.call([&] { relay->setDelay(std::chrono::milliseconds(450)); });
     auto list = fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); });
     fixture.thread.call([&] { relay->announceTo(control); });
     REQUIRE(eventually([&] { return gauge(*gateway, "relayed") == 1; }));
     CHECK(fixture.thread.call([&] { return fixture.store->value("gateway", "relays"); }) == list);
-    fixture.thread.call([&] { relay.reset(); });
 }
 
 // Guards against a follower that stays with a relay that answers, has no recent data and does not learn of its successor.
@@ -220,7 +225,7 @@
 {
     GatewayFixture fixture(1);
     constexpr int members = 300;
-    auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, members); });
+    auto relay = makeRelay(fixture, members);
     std::vector<std::string> seeds { relay->address() };
     auto settings = RunningGateway::settings(fixture.storeAddress(), seeds, "127.0.0.1:18393", Common::LogFormat::Off);
     RunningGateway candidate(settings);
@@ -243,5 +248,26 @@
     auto confirmed = std::chrono::steady_clock::now();
     CHECK(eventually([&] { return gauge(follower, "configuration_version") == 2; }));
     CHECK(std::chrono::steady_clock::now() - confirmed < std::chrono::milliseconds(settings.applyMs));
-    fixture.thread.call([&] { relay.reset(); });
+}
+
+// Guards against a standby that stops reading the store since it takes a leader that has just lost the store for a working one.
+TEST_CASE("A gateway goes on reading the store while its relay has no recent data")
+{
+    GatewayFixture fixture(1);
+    auto relay = makeRelay(fixture, 3);
+    auto gateway = fixture.gateway({ relay->address() });
+    REQUIRE(gateway->waitReady());
+    std::this_thread::sleep_for(std::chrono::seconds(5)); // starting gateways read by rules of their own
+    REQUIRE(eventually([&] { return gauge(*gateway, "relayed") == 1 && gauge(*gateway, "reading_store") == 0; }));
+    fixture.thread.call([&] { relay->setAnswer(RelayAnswer::AlmostOutdated); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    fixture.thread.call([&] { relay->setAnswer(RelayAnswer::NoRelay); });
+    auto calls = fixture.store->calls();
+    REQUIRE(eventually([&] { return fixture.store->calls() > calls; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50)); // the read is answered
+    for (auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2); std::chrono::steady_clock::now() < end;) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        REQUIRE(gauge(*gateway, "catalog_age_ms") < 1000); // the store is read every 600 ms
+    }
+    gateway.reset();
 }
