Servers' limits: a limited server that has asked for a pause is not asked about its limit before its end

Found on reading the diff: the load probes that ask whether a limit still holds took no notice of a pause.

--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -145,7 +145,7 @@
 
 void Backend::checkLimit(Common::TimePoint now, int gatewayCount)
 {
-    if (!m_limit.isSet() || !isUsable())
+    if (!m_limit.isSet() || !isUsable() || m_pause.isActive(now))
         return;
     auto age = now - m_limit.namedAt();
     if (m_probesNameLimit && age > std::max<Common::Duration>(minLimitCheckInterval, limitCheckIntervalPerGateway * gatewayCount))
--- a/Source/UnitTests/Gateway/ServerLimitTest.cpp
+++ b/Source/UnitTests/Gateway/ServerLimitTest.cpp
@@ -174,3 +174,23 @@
     }
     CHECK(refused > 40);
 }
+
+TEST_CASE("A limited server that asks for a pause is not asked about its limit before its end")
+{
+    GatewayFixture fixture(2);
+    auto contacts = [&] { return fixture.thread.call([&] { return fixture.servers[0]->arrivals() + fixture.servers[0]->loadProbes(); }); };
+    fixture.thread.call([&] {
+        fixture.servers[0]->setRetryAfter("6");
+        fixture.servers[0]->setLimit("1", true);
+    });
+    fixture.setMode(0, PlatformStandIn::ServerMode::Pauses);
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    REQUIRE(eventually([&] {
+        call(*gateway);
+        return arrivals(fixture, 0) > 0;
+    }));
+    auto before = contacts();
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    CHECK(contacts() == before);
+}
