Tests: fixed ports of concurrent test cases do not overlap

The ports of the fleet of 218 gateways overlapped with those of other cases, which ctest may run at the same time. Seen on reading, no run failed for it.

--- a/Source/UnitTests/Gateway/ServerLimitTest.cpp
+++ b/Source/UnitTests/Gateway/ServerLimitTest.cpp
@@ -108,7 +108,7 @@
 
 TEST_CASE("A server that names a limit gets at most that from all gateways together, and callers are served by others")
 {
-    int firstPort = 18700;
+    int firstPort = 18950;
     for (const auto& row : limitCases) {
         CAPTURE(row.name);
         GatewayFixture fixture(6);
@@ -137,7 +137,7 @@
 {
     GatewayFixture fixture(2);
     constexpr std::size_t gateways = 3;
-    LoadedFleet fleet(fixture, gateways, 18900);
+    LoadedFleet fleet(fixture, gateways, 19150);
     fleet.startLoad();
     fixture.thread.call([&] { fixture.servers[0]->setLimit("1", true); });
     std::this_thread::sleep_for(limitSettleTime);
--- a/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -69,7 +69,7 @@
 // A fleet that counts as large: two gateways with much processor share, all others with little.
 class LargeFleet {
 public:
-    explicit LargeFleet(GatewayFixture& fixture, int size = 218, int firstPort = 18400)
+    explicit LargeFleet(GatewayFixture& fixture, int size = 218, int firstPort = 18500)
     {
         constexpr int largeGateways = 2;
         std::vector<std::string> seeds;
