--- a/Source/UnitTests/Gateway/MembersTest.cpp
+++ b/Source/UnitTests/Gateway/MembersTest.cpp
@@ -85,3 +85,46 @@
     });
     CHECK(held);
 }
+
+// Guards against directory answers with gateways that were removed long ago: followers' lists shrink to their own failure domain
+// while the fleet grows.
+TEST_CASE("A follower keeps no member that its relay has dropped, whichever failure domains the relay's updates cover")
+{
+    auto held = rc::check("two failure domains, lists around the filtered size", [] {
+        Members relay(member(1));
+        Members follower(member(200));
+        std::uint64_t revision = 0;
+        auto now = start;
+        for (int step = 0; step < 12; ++step) {
+            now += std::chrono::milliseconds(1500);
+            auto aliveInA = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 70));
+            auto aliveInB = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 70));
+            for (int i = 0; i < aliveInA; ++i)
+                relay.recordContact(member(2 + i, "a"), now);
+            for (int i = 0; i < aliveInB; ++i)
+                relay.recordContact(member(100 + i, "b"), now);
+            relay.expire(now);
+            auto update = relay.changesSince(revision, "a");
+            follower.apply(update, now);
+            revision = update.revision;
+            auto known = controls(relay.all());
+            for (const auto& control : controls(follower.all()))
+                RC_ASSERT(control.starts_with(member(200).control) || std::find(known.begin(), known.end(), control) != known.end());
+        }
+    });
+    CHECK(held);
+}
+
+// Guards against members that only asked this gateway for updates, while it was a relay, and that it names to callers for good.
+TEST_CASE("A member that is in no relay's list is dropped when it makes no more contact")
+{
+    Members relay(member(1));
+    relay.recordContact(member(2), start);
+    Members candidate(member(2));
+    auto update = relay.changesSince(0, "a");
+    candidate.apply(update, start);
+    candidate.recordContact(member(3), start);
+    CHECK(candidate.all().size() == 3);
+    candidate.apply(relay.changesSince(update.revision, "a"), start + std::chrono::seconds(3));
+    CHECK(controls(candidate.all()) == std::vector { member(1).control + "+", member(2).control + "+" });
+}
--- a/Source/UnitTests/Gateway/ServerSignalsTest.cpp
+++ b/Source/UnitTests/Gateway/ServerSignalsTest.cpp
@@ -139,3 +139,50 @@
         CHECK(failed);
     }
 }
+
+// Guards against requests to a server that said it is leaving, or asked for a pause, after its registry row lapsed and returned.
+TEST_CASE("What a server said of itself holds although its row lapses and returns")
+{
+    struct LapseCase {
+        std::string name;
+        bool leaves; // else it asks for a pause
+        std::chrono::milliseconds work; // for the request that it answers so; the row lapses meanwhile, or after the answer
+    };
+    const LapseCase lapses[] = {
+        { "it says that it is leaving after the row has returned", true, std::chrono::milliseconds(900) },
+        { "it said that it is leaving before the row lapsed", true, std::chrono::milliseconds(10) },
+        { "it asked for a pause before the row lapsed", false, std::chrono::milliseconds(10) },
+    };
+    for (const auto& row : lapses) {
+        CAPTURE(row.name);
+        GatewayFixture fixture(1);
+        auto gateway = fixture.gateway();
+        REQUIRE(gateway->waitReady());
+        auto registered = [&](int servers) {
+            return eventually([&] { return RunningGateway::get(gateway->daemon().metricsAddress(), "/metrics").body.find("cowslipledge_backend_servers " + std::to_string(servers) + "\n") != std::string::npos; });
+        };
+        fixture.thread.call([&] {
+            fixture.servers[0]->setWork(row.work);
+            fixture.servers[0]->setRetryAfter("5");
+        });
+        if (!row.leaves)
+            fixture.setMode(0, ServerMode::Pauses);
+        std::thread caller([&] { call(*gateway, "POST", "/once/x"); });
+        REQUIRE(eventually([&] { return fixture.thread.call([&] { return fixture.servers[0]->arrivals() > 0; }); }));
+        fixture.thread.call([&] { fixture.servers[0]->setLeaving(row.leaves); });
+        auto isLateAnswer = row.work > std::chrono::milliseconds(100);
+        if (!isLateAnswer)
+            caller.join();
+        fixture.thread.call([&] { fixture.store->remove(Names::registryTable, "server-1"); });
+        CHECK(registered(0));
+        fixture.thread.call([&] { fixture.store->put(Names::registryTable, "server-1", fixture.servers[0]->registryValue()); });
+        CHECK(registered(1));
+        if (isLateAnswer)
+            caller.join();
+        fixture.setMode(0, ServerMode::Serving);
+        auto before = contacts(fixture, 0);
+        for (int i = 0; i < 5; ++i)
+            CHECK(call(*gateway) == 503);
+        CHECK(contacts(fixture, 0) == before);
+    }
+}
--- a/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -250,6 +250,40 @@
     CHECK(std::chrono::steady_clock::now() - confirmed < std::chrono::milliseconds(settings.applyMs));
 }
 
+// Guards against a failure domain that gets no changes for seconds because the few gateways that watch the store for it have lost
+// it, while the store serves others.
+TEST_CASE("A follower in a large fleet gets changes in time though its relays and both preferred candidates have lost the store")
+{
+    GatewayFixture fixture(1);
+    constexpr int members = 300;
+    auto relay = makeRelay(fixture, members);
+    std::vector<std::string> seeds { relay->address() };
+    auto settings = RunningGateway::settings(fixture.storeAddress(), seeds, "127.0.0.1:18395", Common::LogFormat::Off);
+    settings.capacity = 0.5;
+    fixture.thread.call([&] {
+        auto known = unreachableCandidates();
+        known.push_back({ .control = "127.0.0.1:18395", .callers = "127.0.0.1:18415", .failureDomain = "a", .capacity = 0.5 });
+        relay->setKnownMembers(known);
+    });
+    RunningGateway next(settings, -1, lastInRandomOrders());
+    settings.control = "127.0.0.1:18396";
+    settings.callers = "127.0.0.1:18416";
+    settings.capacity = 0.07;
+    RunningGateway follower(settings, -1, lastInRandomOrders());
+    REQUIRE(next.waitReady());
+    REQUIRE(follower.waitReady());
+    std::this_thread::sleep_for(std::chrono::seconds(5)); // starting gateways read by rules of their own
+    REQUIRE(eventually([&] { return gauge(follower, "relayed") == 1 && gauge(follower, "reading_store") == 0; }));
+    REQUIRE(eventually([&] { return gauge(next, "relayed") == 1 && gauge(next, "reading_store") == 0; }));
+    fixture.thread.call([&] {
+        relay->setAnswer(RelayAnswer::NoRelay);
+        fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(2, "service", addedRoute));
+    });
+    auto confirmed = std::chrono::steady_clock::now();
+    CHECK(eventually([&] { return gauge(follower, "configuration_version") == 2; }));
+    CHECK(std::chrono::steady_clock::now() - confirmed < std::chrono::milliseconds(settings.applyMs));
+}
+
 // Guards against a standby that stops reading the store since it takes a leader that has just lost the store for a working one.
 TEST_CASE("A gateway goes on reading the store while its relay has no recent data")
 {
