Relays: revisions of a member list count from the start of the relay's process

Callers were named gateways that had gone: a relay that restarts at its address counts revisions from 1 again. A follower that saw no connection fail meanwhile (it had been told that this was no relay) asked it for changes since the number of the earlier process, and was told nothing of joining and departed members until the new process had as many changes behind it. Requests for updates now name the start of the process whose list they hold (members_start); a relay of another start sends its whole list. A gateway of a version that names none is served as before.

--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -115,6 +115,7 @@
     MemberUpdate update {
         .isFull = revision == 0 || revision < m_tombstoneFloor,
         .revision = m_revision,
+        .startedMs = m_self.startedMs,
         .total = static_cast<int>(m_others.size() + 1),
         .members = {},
         .departed = {},
--- a/Source/Core/Gateway/Members.h
+++ b/Source/Core/Gateway/Members.h
@@ -27,6 +27,7 @@
 struct MemberUpdate {
     bool isFull = false; // members not in it do not exist
     std::uint64_t revision = 0; // of the sender's list
+    std::int64_t startedMs = 0; // start of the sender's process, from which revisions count; 0: not told
     int total = 0; // members known to the sender, in all failure domains
     std::vector<Member> members; // new or changed
     std::vector<std::string> departed; // control addresses
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -96,6 +96,7 @@
         .position = m_catalog.isComplete() ? m_catalog.position() : CatalogPosition(),
         .membersFrom = m_membersFrom,
         .membersRevision = m_membersRevision,
+        .membersStartedMs = m_membersStartedMs,
         .wait = wait,
         .relayList = m_options.relayList(),
     };
@@ -179,6 +180,7 @@
         m_members.apply(update.members, now);
         m_membersFrom = relay;
         m_membersRevision = update.members.revision;
+        m_membersStartedMs = update.members.startedMs;
     }
     if (m_relayListHook)
         m_relayListHook(update.relayList);
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -82,6 +82,7 @@
     std::string m_currentRelay;
     std::string m_membersFrom; // the relay whose member list this gateway holds
     std::uint64_t m_membersRevision = 0; // of that list; 0: none
+    std::int64_t m_membersStartedMs = 0; // start of that relay's process
     Common::Duration m_wait = std::chrono::milliseconds(400);
     Common::TimePoint m_lastFreshResponse;
     Common::TimePoint m_lastResponse;
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -110,6 +110,7 @@
     json["operators"] = Json::UInt64(request.position.operators);
     json["listed_by"] = request.membersFrom;
     json["members_revision"] = Json::UInt64(request.membersRevision);
+    json["members_start"] = Json::Int64(request.membersStartedMs);
     json["wait_ms"] = Common::toMilliseconds(request.wait);
     json["roster"] = toJson(request.relayList.relays);
     json["roster_version"] = Json::UInt64(request.relayList.version);
@@ -144,6 +145,7 @@
         json["rows_deflated"] = rows.isDeflated;
         json["members_whole"] = response.members.isFull;
         json["members_revision"] = Json::UInt64(response.members.revision);
+        json["members_start"] = Json::Int64(response.members.startedMs);
         json["members_total"] = response.members.total;
         json["members"] = Json::Value(Json::arrayValue);
         for (const auto& member : response.members.members)
@@ -162,6 +164,7 @@
             .position = { .era = json["era"].asUInt64(), .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() },
             .membersFrom = json["listed_by"].asString(),
             .membersRevision = json["members_revision"].asUInt64(),
+            .membersStartedMs = json["members_start"].asInt64(),
             .wait = Common::fromMilliseconds(json["wait_ms"].asDouble()),
             .relayList = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64(), .era = json["roster_era"].asUInt64() },
         };
@@ -182,6 +185,7 @@
         response.members = {
             .isFull = json["members_whole"].asBool(),
             .revision = json["members_revision"].asUInt64(),
+            .startedMs = json["members_start"].asInt64(),
             .total = json["members_total"].asInt(),
             .members = {},
             .departed = toStrings(json["gone"]),
--- a/Source/Core/Gateway/RelayMessages.h
+++ b/Source/Core/Gateway/RelayMessages.h
@@ -25,6 +25,7 @@
     CatalogPosition position; // of the sender's catalog
     std::string membersFrom; // the relay whose member list the sender holds; any other relay answers at once, with its full list
     std::uint64_t membersRevision = 0; // of that list; 0: none
+    std::int64_t membersStartedMs = 0; // start of the relay's process when it sent the list; 0: not told
     Common::Duration wait {}; // how long the relay may hold the request open
     RelayList relayList; // as the sender knows it
 };
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -56,8 +56,14 @@
 
 bool RelayServer::hasUpdateFor(const UpdateRequest& request) const
 {
-    auto hasOurList = request.membersFrom == m_members.self().control;
-    return !hasOurList || m_catalog.hasChangedSince(request.position);
+    return !hasOurList(request) || m_catalog.hasChangedSince(request.position);
+}
+
+bool RelayServer::hasOurList(const UpdateRequest& request) const
+{
+    // Revisions of an earlier process at this address mean nothing here. Senders of older versions don't tell which one they mean.
+    return request.membersFrom == m_members.self().control
+        && (request.membersStartedMs == 0 || request.membersStartedMs == m_members.self().startedMs);
 }
 
 void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const UpdateRequest& request)
@@ -73,8 +79,7 @@
     static const EncodedRows noRows {};
     const auto* rows = &noRows;
     if (response.isRelay) {
-        auto hasOurList = request.membersFrom == m_members.self().control;
-        response.members = m_members.changesSince(hasOurList ? request.membersRevision : 0, request.member.failureDomain);
+        response.members = m_members.changesSince(hasOurList(request) ? request.membersRevision : 0, request.member.failureDomain);
         rows = &rowsSince(request.position, response.catalog);
     }
     exchange->respond({
--- a/Source/Core/Gateway/RelayServer.h
+++ b/Source/Core/Gateway/RelayServer.h
@@ -52,6 +52,8 @@
     void answerOutdated();
     const EncodedRows& rowsSince(const CatalogPosition& from, const CatalogUpdate&);
     bool hasUpdateFor(const UpdateRequest&) const;
+    // Whether the sender holds a member list of this process.
+    bool hasOurList(const UpdateRequest&) const;
     void scheduleAnswers(Common::Duration);
 
     Net::EventLoop& m_loop;
