Member lists: a follower gets a full list when its relay begins or ends to filter by failure domain

Callers were named gateways that had gone, most often in another failure domain than that of the gateway asked: lists of fewer than 48 members are sent whole, longer ones only for the follower's own failure domain. While a fleet starts, the first followers learn members of all domains; once the list is filtered, nobody tells them that those have left. The revision at which the filter changed is kept, and a follower that is behind it gets a full list, which drops the others. Filtering ends below 32 members, so that a fleet at the bound does not send full lists again and again. MembersTest "A follower keeps no member that its relay has dropped ..." (property) failed before and passes.

--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -10,8 +10,9 @@
     constexpr auto memberTimeout = std::chrono::milliseconds(2500);
     // With fewer addresses of the caller's own domain, those of other domains are added: one of the few may be gone already.
     constexpr std::size_t minOwnDomainAddresses = 3;
-    // Smaller lists are sent to all members unfiltered.
+    // Lists of this size are filtered by failure domain, until they are smaller than unfilteredListSize.
     constexpr std::size_t filteredListSize = 48;
+    constexpr std::size_t unfilteredListSize = 32;
     constexpr std::size_t maxTombstones = 512;
 
 }
@@ -41,6 +42,7 @@
     other.changedAt = ++m_revision;
     m_tombstones.erase(member.control);
     m_total = m_others.size() + 1;
+    updateFilter();
     return true;
 }
 
@@ -72,6 +74,7 @@
             drop(current);
     }
     m_total = m_others.size() + 1;
+    updateFilter();
     return m_others.size() != before;
 }
 
@@ -95,11 +98,22 @@
     for (auto& [control, other] : m_others)
         other.expiresAt = now + memberTimeout;
     m_total = static_cast<std::size_t>(std::max(1, update.total));
+    updateFilter();
+}
+
+// Followers that hold a list of the other kind get a full one, or they would never hear that members left which the new kind omits.
+void Members::updateFilter()
+{
+    auto isFiltered = m_others.size() >= (m_isFiltered ? unfilteredListSize : filteredListSize);
+    if (isFiltered == m_isFiltered)
+        return;
+    m_isFiltered = isFiltered;
+    m_filterChangedAt = ++m_revision;
 }
 
 bool Members::isVisibleTo(const std::string& failureDomain, const std::string& ofMember) const
 {
-    return m_others.size() < filteredListSize || failureDomain == ofMember;
+    return !m_isFiltered || failureDomain == ofMember;
 }
 
 bool Members::hasChanged(std::uint64_t revision, const std::string& failureDomain) const
@@ -113,7 +127,7 @@
 MemberUpdate Members::changesSince(std::uint64_t revision, const std::string& failureDomain) const
 {
     MemberUpdate update {
-        .isFull = revision == 0 || revision < m_tombstoneFloor,
+        .isFull = revision == 0 || revision < m_tombstoneFloor || revision < m_filterChangedAt,
         .revision = m_revision,
         .startedMs = m_self.startedMs,
         .total = static_cast<int>(m_others.size() + 1),
--- a/Source/Core/Gateway/Members.h
+++ b/Source/Core/Gateway/Members.h
@@ -82,6 +82,7 @@
 
     bool isVisibleTo(const std::string& failureDomain, const std::string& ofMember) const;
     void drop(std::map<std::string, Other>::iterator);
+    void updateFilter();
 
     Member m_self;
     std::uint64_t m_selfChangedAt = 1; // revision
@@ -90,6 +91,8 @@
     std::uint64_t m_tombstoneFloor = 0; // tombstones up to this revision may have been discarded
     std::uint64_t m_revision = 1;
     std::size_t m_total = 1;
+    bool m_isFiltered = false; // members are only told of those in their own failure domain
+    std::uint64_t m_filterChangedAt = 0; // revision
 };
 
 }
