Member lists: a member that is not heard of any more is not named to callers

Callers were named gateways that had gone. Members of a list older than 5 s are now left out of directory answers, but stay in the list, since budgets and limits are shared by its size; - standbys and preferred candidates kept each member that had asked them for updates. What they heard themselves and what their relay lists are now two things: a member that is in no list is dropped 2.5 s after its last contact. The number of members that a standby passes on is that of its relay, not what it holds itself. A gateway that is cut off from its peers but not from the store becomes its own leader and drops them after 2.5 s, as before. Gauge member_list_age_ms. A test of addressesFor uses a clock that agrees with the moments of its contacts.

--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -223,6 +223,7 @@
     page.gauge("backend_servers", static_cast<double>(m_backends.size()));
     page.gauge("limited_servers", static_cast<double>(m_backends.limitedCount()));
     page.gauge("members", static_cast<double>(m_members.size()));
+    page.gauge("member_list_age_ms", Common::toMilliseconds(m_members.listAge(m_loop.now()).value_or(Common::Duration::zero())));
     page.gauge("catalog_age_ms", Common::toMilliseconds(m_catalog.age()));
     page.gauge("configuration_version", m_router.configuration() ? static_cast<double>(m_router.configuration()->version) : 0);
     page.gauge("relayed", m_catalogSync.isRelayed() ? 1 : 0);
--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -13,6 +13,8 @@
     // Lists of this size are filtered by failure domain, until they are smaller than unfilteredListSize.
     constexpr std::size_t filteredListSize = 48;
     constexpr std::size_t unfilteredListSize = 32;
+    // Age of a relay's list above which members are not named to callers any more: callers keep an answer for up to as long.
+    constexpr auto maxListAge = std::chrono::seconds(5);
     constexpr std::size_t maxTombstones = 512;
 
 }
@@ -30,27 +32,32 @@
     m_selfChangedAt = ++m_revision;
 }
 
-bool Members::recordContact(const Member& member, Common::TimePoint now)
+Members::Other& Members::update(const Member& member)
 {
-    if (member.control == m_self.control)
-        return false;
     auto& other = m_others[member.control];
-    other.expiresAt = now + memberTimeout;
     if (other.member == member)
-        return false;
+        return other;
     other.member = member;
     other.changedAt = ++m_revision;
     m_tombstones.erase(member.control);
-    m_total = m_others.size() + 1;
     updateFilter();
-    return true;
+    return other;
+}
+
+bool Members::recordContact(const Member& member, Common::TimePoint now)
+{
+    if (member.control == m_self.control)
+        return false;
+    auto before = m_revision;
+    update(member).contactUntil = now + memberTimeout;
+    return m_revision != before;
 }
 
 void Members::suspect(const std::string& control, Common::TimePoint until)
 {
     auto it = m_others.find(control);
     if (it != m_others.end())
-        it->second.expiresAt = std::min(it->second.expiresAt, until);
+        it->second.contactUntil = std::min(it->second.contactUntil, until);
 }
 
 void Members::drop(std::map<std::string, Other>::iterator it)
@@ -65,40 +72,44 @@
     }
 }
 
-bool Members::expire(Common::TimePoint now)
+template <typename Condition>
+bool Members::dropIf(Condition condition)
 {
     auto before = m_others.size();
     for (auto it = m_others.begin(); it != m_others.end();) {
         auto current = it++;
-        if (current->second.expiresAt < now)
+        if (condition(current->second))
             drop(current);
     }
-    m_total = m_others.size() + 1;
     updateFilter();
     return m_others.size() != before;
 }
 
+bool Members::expire(Common::TimePoint now)
+{
+    auto hasList = now - m_listedAt < memberTimeout;
+    if (!hasList)
+        m_listedTotal = 0;
+    return dropIf([&](const Other& other) { return other.contactUntil < now && !(hasList && other.isListed); });
+}
+
 void Members::apply(const MemberUpdate& update, Common::TimePoint now)
 {
     if (update.isFull) {
-        for (auto it = m_others.begin(); it != m_others.end();) {
-            auto current = it++;
-            auto isListed = std::any_of(update.members.begin(), update.members.end(),
-                [&](const auto& member) { return member.control == current->first; });
-            if (!isListed)
-                drop(current);
-        }
+        for (auto& [control, other] : m_others)
+            other.isListed = false;
+    }
+    for (const auto& member : update.members) {
+        if (member.control != m_self.control)
+            this->update(member).isListed = true;
     }
-    for (const auto& member : update.members)
-        recordContact(member, now);
     for (const auto& control : update.departed) {
         if (auto it = m_others.find(control); it != m_others.end())
-            drop(it);
+            it->second.isListed = false;
     }
-    for (auto& [control, other] : m_others)
-        other.expiresAt = now + memberTimeout;
-    m_total = static_cast<std::size_t>(std::max(1, update.total));
-    updateFilter();
+    m_listedAt = now;
+    m_listedTotal = static_cast<std::size_t>(std::max(1, update.total));
+    dropIf([&](const Other& other) { return other.contactUntil < now && !other.isListed; });
 }
 
 // Followers that hold a list of the other kind get a full one, or they would never hear that members left which the new kind omits.
@@ -130,7 +141,7 @@
         .isFull = revision == 0 || revision < m_tombstoneFloor || revision < m_filterChangedAt,
         .revision = m_revision,
         .startedMs = m_self.startedMs,
-        .total = static_cast<int>(m_others.size() + 1),
+        .total = static_cast<int>(size()),
         .members = {},
         .departed = {},
     };
@@ -148,6 +159,16 @@
     return update;
 }
 
+bool Members::isCurrent(const Other& other, Common::TimePoint now) const
+{
+    return now <= other.contactUntil || (other.isListed && now - m_listedAt <= maxListAge);
+}
+
+std::optional<Common::Duration> Members::listAge(Common::TimePoint now) const
+{
+    return m_listedAt == Common::TimePoint() ? std::nullopt : std::optional(now - m_listedAt);
+}
+
 std::vector<std::string> Members::servingInOwnDomain() const
 {
     std::vector<std::string> controls;
@@ -170,9 +191,14 @@
 {
     std::vector<std::string> own;
     std::vector<std::string> others;
-    for (const auto& member : all()) {
+    auto add = [&](const Member& member) {
         if (member.serving)
             (member.failureDomain == failureDomain ? own : others).push_back(member.callers);
+    };
+    add(m_self);
+    for (const auto& [control, other] : m_others) {
+        if (isCurrent(other, hooks.now()))
+            add(other.member);
     }
     auto shuffle = [&](std::vector<std::string>& list) {
         for (std::size_t i = list.size(); i > 1; --i)
--- a/Source/Core/Gateway/Members.h
+++ b/Source/Core/Gateway/Members.h
@@ -33,7 +33,7 @@
     std::vector<std::string> departed; // control addresses
 };
 
-// The gateways known to be alive. A relay hears from all of them; the others take over its list.
+// The gateways known to be alive: those that made contact with this one lately, and those in the list of the relay that it follows.
 class Members {
 public:
     explicit Members(Member self);
@@ -45,10 +45,11 @@
     bool recordContact(const Member&, Common::TimePoint now);
     // The member's connection ended: it expires unless it makes contact again by `until`.
     void suspect(const std::string& control, Common::TimePoint until);
-    // Drops members without contact within their timeout; returns whether the list changed.
+    // For the leading relay: drops members without contact within their timeout, those of an earlier relay's list too once they have
+    // had time to make contact. Returns whether the list changed.
     bool expire(Common::TimePoint now);
-    // Applies a relay's update. The timeouts of all members start again: if this gateway becomes a relay, it keeps its list until
-    // they have had time to contact it.
+    // Applies an update of the relay that is followed. Members that are not in its list stay until their last contact with this
+    // gateway is too long ago.
     void apply(const MemberUpdate&, Common::TimePoint now);
     // The update for a member that holds `revision` of this list (0: none). In large lists it covers only the member's own
     // failure domain.
@@ -56,23 +57,26 @@
     // Whether changesSince() would contain any change.
     bool hasChanged(std::uint64_t revision, const std::string& failureDomain) const;
 
+    // Time since the last update of the relay that is followed; nullopt before the first.
+    std::optional<Common::Duration> listAge(Common::TimePoint now) const;
     // Control addresses of the serving gateways of the own failure domain.
     std::vector<std::string> servingInOwnDomain() const;
     // This gateway first.
     std::vector<Member> all() const;
     // Members known here or, where that is more, to the relay in all failure domains; at least 1.
-    std::size_t size() const { return std::max(m_total, m_others.size() + 1); }
+    std::size_t size() const { return std::max(m_listedTotal, m_others.size() + 1); }
     // Grows with each change.
     std::uint64_t revision() const { return m_revision; }
 
     // Up to `limit` addresses, in random order, for a caller in a failure domain: serving gateways of its own domain, followed
-    // by those of other domains if there are few.
+    // by those of other domains if there are few. Leaves out members that nothing has been heard of lately.
     std::vector<std::string> addressesFor(const std::string& failureDomain, std::size_t limit, const Common::Hooks&) const;
 
 private:
     struct Other {
         Member member;
-        Common::TimePoint expiresAt;
+        Common::TimePoint contactUntil; // end of the timeout that its last contact with this gateway started
+        bool isListed = false; // in the list of the relay followed last
         std::uint64_t changedAt = 0; // revision
     };
     struct Tombstone {
@@ -81,7 +85,13 @@
     };
 
     bool isVisibleTo(const std::string& failureDomain, const std::string& ofMember) const;
+    // Whether the member was heard of lately enough to name it to callers.
+    bool isCurrent(const Other&, Common::TimePoint now) const;
+    Other& update(const Member&);
     void drop(std::map<std::string, Other>::iterator);
+    // Drops the members for which the condition holds; returns whether there was any.
+    template <typename Condition>
+    bool dropIf(Condition);
     void updateFilter();
 
     Member m_self;
@@ -90,7 +100,8 @@
     std::map<std::string, Tombstone> m_tombstones; // by control address
     std::uint64_t m_tombstoneFloor = 0; // tombstones up to this revision may have been discarded
     std::uint64_t m_revision = 1;
-    std::size_t m_total = 1;
+    Common::TimePoint m_listedAt; // last update of the relay that is followed
+    std::size_t m_listedTotal = 0; // members known to that relay, in all failure domains
     bool m_isFiltered = false; // members are only told of those in their own failure domain
     std::uint64_t m_filterChangedAt = 0; // revision
 };
--- a/Source/UnitTests/Gateway/MembersTest.cpp
+++ b/Source/UnitTests/Gateway/MembersTest.cpp
@@ -48,7 +48,9 @@
         Members members(member(1));
         for (const auto& other : row.others)
             members.recordContact(other, start);
-        CHECK(members.addressesFor(row.domain, 64, Common::systemHooks()).size() == row.addresses);
+        auto hooks = Common::systemHooks();
+        hooks.now = [] { return start; };
+        CHECK(members.addressesFor(row.domain, 64, hooks).size() == row.addresses);
     }
 }
 
