Backend servers: what one said of itself outlives its registry row

Requests reached a server that had said it was leaving: its row lapsed and returned while its answer was on the way, and the answer reached the object of the removed row, not the new one. A pause that it had asked for was lost with the row, so requests and load probes went to it within the pause. One that said it was leaving stays so also if a row with another start time comes between. ServerSignalsTest "What a server said of itself holds ..." failed in two of its three cases before and passes.

--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -51,6 +51,8 @@
 
     // Called when the registry no longer lists the server: it takes no more requests.
     void retire();
+    // Called when the registry lists the same incarnation again.
+    void revive() { m_retired = false; }
     // Whether it may take requests: not retired, not draining or leaving, and no other server answers at its address.
     bool isUsable() const { return !m_retired && !m_record.draining && !m_leaving && !m_misdirected; }
     // Whether it may get requests and load probes now: it is usable, has not asked for a pause, and this gateway's share of its limit
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -13,6 +13,9 @@
     // After which callers come back that this gateway can't serve since it has no share of any server's limit. They may reach
     // another one then.
     constexpr Common::Duration timeWithoutShare = std::chrono::milliseconds(300);
+    // For which a removed server is remembered: no pause that it asked for lasts longer.
+    constexpr auto removedMemory = Decisions::maxServerPause;
+    constexpr std::size_t maxRemovedServers = 1024;
     // Leaving servers that are remembered after the registry has dropped them.
     constexpr std::size_t maxLeftServers = 4096;
 
@@ -93,6 +96,29 @@
     return it != m_left.end() && it->second.startedMs == record.startedMs && it->second.address == record.address;
 }
 
+std::shared_ptr<Backend> Backends::takeRemoved(const ServerRecord& record)
+{
+    auto it = m_removed.find(record.id);
+    if (it == m_removed.end())
+        return nullptr;
+    auto backend = it->second.backend;
+    m_removed.erase(it);
+    const auto& known = backend->record();
+    if (known.startedMs != record.startedMs || known.address != record.address || known.service != record.service)
+        return nullptr;
+    m_connectionsOpenedByRemoved -= backend->connectionsOpened();
+    backend->setOptions(optionsFor(record.service));
+    backend->revive();
+    return backend;
+}
+
+void Backends::forgetRemoved()
+{
+    std::erase_if(m_removed, [&](const auto& it) { return m_loop.now() - it.second.at > removedMemory; });
+    if (m_removed.size() > maxRemovedServers)
+        m_removed.erase(std::min_element(m_removed.begin(), m_removed.end(), [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+}
+
 void Backends::put(const ServerRecord& record, std::uint64_t version)
 {
     auto& backend = m_backends[record.id];
@@ -100,21 +126,21 @@
         remove(record.id, version);
     auto& entry = m_backends[record.id];
     if (!entry) {
-        entry = std::make_shared<Backend>(m_loop, record, optionsFor(record.service));
+        entry = takeRemoved(record);
+        if (!entry)
+            entry = std::make_shared<Backend>(m_loop, record, optionsFor(record.service));
         m_byService[record.service].push_back(entry);
-        if (hasLeft(record))
-            entry->setLeaving();
         m_log.log(Common::EventId::ServerAdded,
             { { "server", record.id },
                 { "service", record.service },
                 { "address", record.address },
                 { "domain", record.failureDomain },
                 { "version", std::to_string(version) } });
-        if (!record.draining)
-            return;
     }
     auto wasDraining = entry->record().draining;
     entry->update(record);
+    if (!entry->isLeaving() && hasLeft(record))
+        entry->setLeaving();
     if (record.draining && !wasDraining)
         m_log.log(Common::EventId::ServerDraining, { { "server", record.id }, { "version", std::to_string(version) } });
 }
@@ -131,6 +157,8 @@
     std::erase(m_byService[backend->record().service], backend);
     m_connectionsOpenedByRemoved += backend->connectionsOpened();
     backend->retire();
+    m_removed.insert_or_assign(id, Removed { .backend = backend, .at = m_loop.now() });
+    forgetRemoved();
     m_log.log(Common::EventId::ServerRemoved,
         { { "server", id }, { "service", backend->record().service }, { "version", std::to_string(version) } });
 }
@@ -225,6 +253,7 @@
 
 void Backends::closeIdleConnections()
 {
+    forgetRemoved();
     for (const auto& [id, backend] : m_backends) {
         backend->closeIdleConnections(m_loop.now());
         backend->checkLimit(m_loop.now(), m_gatewayCount);
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -57,6 +57,9 @@
 
 private:
     BackendOptions optionsFor(const std::string& service);
+    // The removed backend of this incarnation, if it is still remembered.
+    std::shared_ptr<Backend> takeRemoved(const ServerRecord&);
+    void forgetRemoved();
     void onServerLeaving(const ServerRecord&);
     double limitShare(const ServerRecord&, double perSecond) const;
     void onLimitChanged(const ServerRecord&, std::optional<double> perSecond, double share);
@@ -73,6 +76,12 @@
     std::unordered_map<std::string, std::shared_ptr<Backend>> m_backends; // by id
     std::unordered_map<std::string, std::vector<std::shared_ptr<Backend>>> m_byService;
     std::uint64_t m_connectionsOpenedByRemoved = 0;
+    // Servers that the registry has dropped. It may list the same incarnation again, and then what it said of itself still holds.
+    struct Removed {
+        std::shared_ptr<Backend> backend;
+        Common::TimePoint at;
+    };
+    std::unordered_map<std::string, Removed> m_removed; // by id
     // Incarnations that said that they are leaving, by server id, oldest first in m_leftOrder. The registry may drop and list
     // them again meanwhile.
     std::map<std::string, ServerRecord, std::less<>> m_left;
