Relay election: in a large fleet a gateway that has long read the store leaves a new relay time to answer

Followers went from one to the next and were told by each that it was no relay any more (4,108 relay-outdated); two applied version 7, acknowledged at .42 s, at 3.7 and 5.0 s. Cause: a gateway that is no preferred candidate took the lead once its own reads of the store had been good for 1.5 to 3.7 s, however shortly it was without a relay. Hundreds of gateways read the store after the start, and each change of the leader leaves all followers without a relay for a moment, so each change caused the next one. Now it also has to be without a relay for that time, which starts anew with each list that it adopts. RelayElectionTest, row "a gateway that has been reading for long leaves a new relay time to answer", failed before and passes.

--- a/Source/Core/Decisions/RelayElection.cpp
+++ b/Source/Core/Decisions/RelayElection.cpp
@@ -66,7 +66,7 @@
         return timeWithoutRelay > options.standbyElectionTimeout;
     // In a large fleet, preferred candidates go first, whatever became of the relays: others could not serve it.
     if (inputs.gatewayCount >= options.largeFleetSize && !inputs.preferredCandidate)
-        return inputs.storeReadsFreshFor > options.candidateTimeout + delay;
+        return std::min(inputs.storeReadsFreshFor, timeWithoutRelay) > options.candidateTimeout + delay;
     // Relays that answer without fresh updates have lost the store, which this gateway reaches: there is no reason to wait for
     // them.
     if (inputs.relayAnswers)
