Relay election: a gateway that no relay has told the fleet's size waits as in a large fleet

While the large fleet starts, the first relay has no capacity for most gateways for some seconds, and those it refuses don't learn how many there are. A fleet of unknown size now counts as large for the election, and a gateway without a member list as no preferred candidate. RelayElectionTest, row "a starting gateway that no relay has had capacity for leaves the relays time ..." failed before and passes.

--- a/Source/Core/Decisions/RelayElection.cpp
+++ b/Source/Core/Decisions/RelayElection.cpp
@@ -64,8 +64,10 @@
         return false;
     if (inputs.role == RelayRole::Standby)
         return timeWithoutRelay > options.standbyElectionTimeout;
-    // In a large fleet, preferred candidates go first, whatever became of the relays: others could not serve it.
-    if (inputs.gatewayCount >= options.largeFleetSize && !inputs.preferredCandidate)
+    // In a large fleet, preferred candidates go first, whatever became of the relays: others could not serve it. Relays that have
+    // no capacity for a starting gateway don't tell it how large the fleet is, and then it is likely to be large.
+    auto mayBeLarge = inputs.gatewayCount >= options.largeFleetSize || !inputs.fleetSizeKnown;
+    if (mayBeLarge && !inputs.preferredCandidate)
         return std::min(inputs.storeReadsFreshFor, timeWithoutRelay) > options.candidateTimeout + delay;
     // Relays that answer without fresh updates have lost the store, which this gateway reaches: there is no reason to wait for
     // them.
--- a/Source/Core/Decisions/RelayElection.h
+++ b/Source/Core/Decisions/RelayElection.h
@@ -74,6 +74,7 @@
     std::optional<Common::Duration> storeRecoveredFor {}; // time since the store answered this gateway again; empty: it never failed
     bool relayAnswers = false; // some relay answers requests for updates, even with old data
     int gatewayCount = 1; // in the fleet
+    bool fleetSizeKnown = true; // some relay has told it; if not, `gatewayCount` counts only those that made contact here
     bool largerMemberKnown = false; // another gateway has far more processor share
     bool preferredCandidate = false; // see isPreferredCandidate()
     Common::Duration ageWhenReadingStarted {}; // age of the store data when the current run of direct reads started; zero if there were none
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -123,6 +123,11 @@
     return role() == RelayRole::Standby || m_reader.storeAnswers();
 }
 
+bool CatalogSync::isFleetSizeKnown() const
+{
+    return m_members.listAge(m_loop.now()).has_value() || m_members.size() > 1;
+}
+
 Decisions::RelayElectionInputs CatalogSync::electionInputs() const
 {
     auto it = std::find(m_options.seeds.begin(), m_options.seeds.end(), m_members.self().control);
@@ -145,9 +150,10 @@
             : std::optional(m_loop.now() - m_reader.reachableSince()),
         .relayAnswers = m_client.lastResponse() != Common::TimePoint() && m_loop.now() - m_client.lastResponse() < m_relayTimeout,
         .gatewayCount = m_gatewayCount,
+        .fleetSizeKnown = isFleetSizeKnown(),
         .largerMemberKnown = std::any_of(members.begin(), members.end(),
             [&](const auto& member) { return member.capacity > handoverCapacityRatio * m_members.self().capacity; }),
-        .preferredCandidate = m_isPreferredCandidate,
+        .preferredCandidate = m_isPreferredCandidate && isFleetSizeKnown(),
         .ageWhenReadingStarted = m_reader.ageAtStart(),
         .storeReadsFreshFor = m_freshSince == Common::TimePoint() ? Common::Duration::zero() : m_loop.now() - m_freshSince,
     };
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -59,6 +59,8 @@
     Decisions::RelayRole role() const;
     // Whether this gateway has current data for others: as a relay or, while relays have none, as a preferred candidate.
     bool isRelay() const;
+    // Whether this gateway has a relay's member list, or was a relay itself.
+    bool isFleetSizeKnown() const;
     bool isLargeFleet() const { return m_gatewayCount >= m_options.election.largeFleetSize; }
     void updatePreferredCandidates();
     Decisions::RelayElectionInputs electionInputs() const;
