Relays: reserve candidates watch the store when the preferred candidates have lost it too

A change reached a whole failure domain late: only the two relays and the two preferred candidates of the domain read the store before the operators' bound. If the store turns all four away, as it may when it serves a third of the fleet no more, the others wait a random time of up to 10 s, or until a relay's answer is late by chance. The next four of each domain by processor share read the store once their data is 1.35 s old, and the other gateways ask them, but only once their own data is 1.6 s old, so that they are not asked before they have read. A new candidate ends the pause between two rounds of requests. In an outage for all that is at most four more readers for each failure domain.

--- a/Source/Core/Decisions/RelayElection.cpp
+++ b/Source/Core/Decisions/RelayElection.cpp
@@ -26,6 +26,8 @@
         maxAge = options.standbyMaxAge;
     else if (isLargeFleet && inputs.preferredCandidate)
         maxAge = options.candidateMaxAge;
+    else if (isLargeFleet && inputs.reserveCandidate)
+        maxAge = std::min(maxAge, options.reserveMaxAge);
     else if (isLargeFleet && inputs.complete && inputs.relayAnswers && !inputs.reading)
         maxAge += scaled(std::min<Common::Duration>(options.outageReadInterval * inputs.gatewayCount, options.maxOutageReadSpread), inputs.jitter);
     if (inputs.age > maxAge)
--- a/Source/Core/Decisions/RelayElection.h
+++ b/Source/Core/Decisions/RelayElection.h
@@ -22,6 +22,10 @@
     Common::Duration electionJitter = std::chrono::milliseconds(1200);
     // Age above which preferred candidates of a large fleet read the store directly.
     Common::Duration candidateMaxAge = std::chrono::milliseconds(1200);
+    // The same for reserve candidates.
+    Common::Duration reserveMaxAge = std::chrono::milliseconds(1350);
+    // Age above which other gateways of a large fleet ask reserve candidates for updates; they have read the store by then.
+    Common::Duration askReserveAge = std::chrono::milliseconds(1600);
     // While relays cannot reach the store, followers of a large fleet spread their first reads over a period that has this
     // length for each gateway.
     Common::Duration outageReadInterval = std::chrono::milliseconds(50);
@@ -77,6 +81,7 @@
     bool fleetSizeKnown = true; // some relay has told it; if not, `gatewayCount` counts only those that made contact here
     bool largerMemberKnown = false; // another gateway has far more processor share
     bool preferredCandidate = false; // see isPreferredCandidate()
+    bool reserveCandidate = false; // see isReserveCandidate()
     Common::Duration ageWhenReadingStarted {}; // age of the store data when the current run of direct reads started; zero if there were none
     Common::Duration storeReadsFreshFor {}; // time since the current run of direct reads first brought both tables
 };
@@ -88,6 +93,13 @@
     return larger < 2;
 }
 
+// The same for those that follow: they stand in if the relays and the preferred candidates have all lost the store, while it
+// serves others.
+inline bool isReserveCandidate(int larger)
+{
+    return !isPreferredCandidate(larger) && larger < 6;
+}
+
 // Whether to read the store directly now. While the store answers, data never gets older than followerMaxAge, unless a relay
 // answers without newer data: then the relay cannot reach the store, and a few gateways check whether that holds for all.
 bool shouldReadStore(const RelayElectionInputs&, const RelayElectionOptions&);
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -115,7 +115,7 @@
     if (m_leaving || !m_catalog.isComplete() || !m_catalog.isReadInEra())
         return false;
     if (role() == RelayRole::Follower) {
-        return m_isPreferredCandidate && isLargeFleet() && m_freshSince != Common::TimePoint() && m_reader.storeAnswers()
+        return (m_isPreferredCandidate || m_isReserveCandidate) && isLargeFleet() && m_freshSince != Common::TimePoint() && m_reader.storeAnswers()
             && m_catalog.age() <= m_options.election.candidateMaxAge;
     }
     // A leading relay that cannot reach the store gets its updates from the standby. Relaying them back would hide from the
@@ -154,6 +154,7 @@
         .largerMemberKnown = std::any_of(members.begin(), members.end(),
             [&](const auto& member) { return member.capacity > handoverCapacityRatio * m_members.self().capacity; }),
         .preferredCandidate = m_isPreferredCandidate && isFleetSizeKnown(),
+        .reserveCandidate = m_isReserveCandidate,
         .ageWhenReadingStarted = m_reader.ageAtStart(),
         .storeReadsFreshFor = m_freshSince == Common::TimePoint() ? Common::Duration::zero() : m_loop.now() - m_freshSince,
     };
@@ -236,13 +237,18 @@
     const auto& self = m_members.self();
     std::erase_if(members, [&](const auto& member) { return member.failureDomain != self.failureDomain; });
     std::sort(members.begin(), members.end(), [](const auto& a, const auto& b) { return std::pair(a.capacity, a.control) > std::pair(b.capacity, b.control); });
-    m_isPreferredCandidate = false;
+    m_isPreferredCandidate = m_isReserveCandidate = false;
     m_otherPreferredCandidates.clear();
-    for (std::size_t i = 0; i < members.size() && Decisions::isPreferredCandidate(static_cast<int>(i)); ++i) {
-        if (members[i].control == self.control)
-            m_isPreferredCandidate = true;
+    m_otherReserveCandidates.clear();
+    for (int i = 0; i < static_cast<int>(members.size()); ++i) {
+        auto isPreferred = Decisions::isPreferredCandidate(i);
+        if (!isPreferred && !Decisions::isReserveCandidate(i))
+            break;
+        const auto& control = members[static_cast<std::size_t>(i)].control;
+        if (control == self.control)
+            (isPreferred ? m_isPreferredCandidate : m_isReserveCandidate) = true;
         else
-            m_otherPreferredCandidates.push_back(members[i].control);
+            (isPreferred ? m_otherPreferredCandidates : m_otherReserveCandidates).push_back(control);
     }
 }
 
@@ -269,7 +275,10 @@
     // Preferred candidates reach the store first when the relays have lost it. They don't ask each other, or neither would become
     // the leader.
     if (role() == RelayRole::Follower && !m_isPreferredCandidate && isLargeFleet()) {
-        for (const auto& control : m_otherPreferredCandidates) {
+        auto others = m_otherPreferredCandidates;
+        if (!m_isReserveCandidate && m_catalog.age() > m_options.election.askReserveAge)
+            others.insert(others.end(), m_otherReserveCandidates.begin(), m_otherReserveCandidates.end());
+        for (const auto& control : others) {
             if (std::find(candidates.begin(), candidates.end(), control) == candidates.end())
                 candidates.push_back(control);
         }
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -57,7 +57,7 @@
     void updateRelayState();
     void updateGatewayCount();
     Decisions::RelayRole role() const;
-    // Whether this gateway has current data for others: as a relay or, while relays have none, as a preferred candidate.
+    // Whether this gateway has current data for others: as a relay or, while relays have none, as a preferred or reserve candidate.
     bool isRelay() const;
     // Whether this gateway has a relay's member list, or was a relay itself.
     bool isFleetSizeKnown() const;
@@ -95,7 +95,9 @@
     Common::Duration m_relayTimeout {}; // without a response for this long, the relay counts as silent
     Common::TimePoint m_freshSince; // when this gateway's reader first had both tables; the epoch while it has not
     std::vector<std::string> m_otherPreferredCandidates; // control addresses of those in the own failure domain
+    std::vector<std::string> m_otherReserveCandidates; // the same for reserve candidates
     bool m_isPreferredCandidate = false;
+    bool m_isReserveCandidate = false;
     double m_jitter = 0; // uniform in [0, 1)
     int m_gatewayCount = 0;
     bool m_relayed = false; // a relay with a recent catalog answers
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -23,9 +23,15 @@
 
 void RelayClient::setCandidates(std::vector<std::string> candidates)
 {
-    m_candidates = std::move(candidates);
-    if (m_running && !m_requestPending && m_timer == 0)
+    auto before = std::exchange(m_candidates, std::move(candidates));
+    auto isNew = [&](const std::string& candidate) { return !isAvoided(candidate) && std::find(before.begin(), before.end(), candidate) == before.end(); };
+    if (!m_running || m_requestPending)
+        return;
+    // A pause after all others have failed does not apply to a new candidate.
+    if (m_timer == 0 || std::any_of(m_candidates.begin(), m_candidates.end(), isNew)) {
+        m_loop.cancel(m_timer);
         sendRequest();
+    }
 }
 
 void RelayClient::start()
--- a/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -263,6 +263,8 @@
     fixture.thread.call([&] {
         auto known = unreachableCandidates();
         known.push_back({ .control = "127.0.0.1:18395", .callers = "127.0.0.1:18415", .failureDomain = "a", .capacity = 0.5 });
+        for (const auto* control : { "127.0.0.1:5", "127.0.0.1:7", "127.0.0.1:9" })
+            known.push_back({ .control = control, .callers = control, .failureDomain = "a", .capacity = 0.3 });
         relay->setKnownMembers(known);
     });
     RunningGateway next(settings, -1, lastInRandomOrders());
@@ -275,13 +277,13 @@
     std::this_thread::sleep_for(std::chrono::seconds(5)); // starting gateways read by rules of their own
     REQUIRE(eventually([&] { return gauge(follower, "relayed") == 1 && gauge(follower, "reading_store") == 0; }));
     REQUIRE(eventually([&] { return gauge(next, "relayed") == 1 && gauge(next, "reading_store") == 0; }));
-    fixture.thread.call([&] {
-        relay->setAnswer(RelayAnswer::NoRelay);
-        fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(2, "service", addedRoute));
-    });
+    fixture.thread.call([&] { relay->setAnswer(RelayAnswer::NoRelay); });
+    REQUIRE(eventually([&] { return gauge(follower, "relayed") == 0 && gauge(next, "relayed") == 0; }));
+    fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(2, "service", addedRoute)); });
     auto confirmed = std::chrono::steady_clock::now();
     CHECK(eventually([&] { return gauge(follower, "configuration_version") == 2; }));
     CHECK(std::chrono::steady_clock::now() - confirmed < std::chrono::milliseconds(settings.applyMs));
+    CHECK(gauge(follower, "reading_store") == 0); // the change came from the next candidate
 }
 
 // Guards against a standby that stops reading the store since it takes a leader that has just lost the store for a working one.
