Observability: failures of servers name the identity of the request

An arrival's id can't show that two arrivals are the same request. server-unreachable has the field identity, a digest of host, target and body.

--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include "Gateway/RequestIdentity.h"
+
 namespace Gateway {
 
 namespace {
@@ -55,6 +57,7 @@
     , m_route(std::move(route))
     , m_service(std::move(service))
     , m_id(Net::findHeader(m_exchange->request().headers, router.options().headers.requestId).value_or(""))
+    , m_identity(requestIdentity(m_exchange->request()))
     , m_deadline(deadline)
 {
 }
@@ -429,7 +432,7 @@
     auto attempt = finishAttempt(index);
     attempt.backend->recordFailure();
     m_router.log().log(EventId::ServerUnreachable,
-        { { "request", m_id }, { "server", attempt.backend->record().id }, { "fault", std::string(Net::failureName(failure.kind)) }, { "sent", failure.bytesSent ? "true" : "false" } });
+        { { "request", m_id }, { "server", attempt.backend->record().id }, { "fault", std::string(Net::failureName(failure.kind)) }, { "sent", failure.bytesSent ? "true" : "false" }, { "identity", fmt::format("{:016x}", m_identity) } });
     if (m_passedOn)
         return cutResponse("the server ended the connection in the middle of the response");
     if (failure.bytesSent)
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -81,6 +81,7 @@
     Route m_route;
     std::string m_service;
     std::string m_id;
+    std::uint64_t m_identity; // see requestIdentity()
     Common::TimePoint m_deadline;
     CandidateScope m_scope = CandidateScope::OwnDomain;
     std::size_t m_probeRound = 0; // each attempt begins a new one; late results of earlier rounds are ignored
