--- /dev/null
+++ b/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
@@ -0,0 +1,76 @@
+#include "GatewayFixture.h"
+
+#include <doctest/doctest.h>
+
+// Requests that end each server that begins to run them.
+
+namespace {
+
+using UnitTests::eventually;
+using UnitTests::GatewayFixture;
+using UnitTests::requestBytes;
+using UnitTests::RunningGateway;
+
+// The operators' bound: three servers may end, and then three more sends of the request are allowed.
+constexpr int mostEndedServers = 6;
+
+struct DeadlyCase {
+    std::string name;
+    std::string method;
+    std::string target;
+    int gateways;
+};
+
+const DeadlyCase cases[] = {
+    { "safe to repeat, one gateway", "GET", "/safe/deadly", 1 },
+    { "not safe to repeat, one gateway", "POST", "/once/deadly", 1 },
+    { "safe to repeat, at three gateways by turns", "GET", "/safe/deadly", 3 },
+    { "not safe to repeat, at three gateways by turns", "POST", "/once/deadly", 3 },
+};
+
+int endedServers(GatewayFixture& fixture)
+{
+    return fixture.thread.call([&] {
+        return static_cast<int>(std::count_if(fixture.servers.begin(), fixture.servers.end(), [](const auto& it) { return it->hasCrashed(); }));
+    });
+}
+
+}
+
+// Guards against a request that ends server after server, since its failures at different servers and gateways are not related.
+TEST_CASE("A request that ends the servers that run it is refused after few, and other requests are served")
+{
+    constexpr int servers = 16;
+    constexpr int arrivals = 24;
+    for (const auto& row : cases) {
+        CAPTURE(row.name);
+        GatewayFixture fixture(servers);
+        fixture.thread.call([&] {
+            for (auto& server : fixture.servers)
+                server->setDeadlyTarget(row.target);
+        });
+        std::vector<std::string> seeds { "127.0.0.1:18441" };
+        std::vector<std::unique_ptr<RunningGateway>> gateways;
+        for (int i = 0; i < row.gateways; ++i)
+            gateways.push_back(fixture.gateway(seeds, "127.0.0.1:" + std::to_string(18441 + i)));
+        for (auto& gateway : gateways)
+            REQUIRE(gateway->waitReady());
+        REQUIRE(eventually([&] {
+            return std::all_of(gateways.begin(), gateways.end(), [&](auto& it) {
+                return RunningGateway::get(it->daemon().metricsAddress(), "/metrics").body.find("cowslipledge_members " + std::to_string(row.gateways) + "\n") != std::string::npos;
+            });
+        }));
+        int lastStatus = 0;
+        for (int i = 0; i < arrivals; ++i) {
+            auto& gateway = gateways[static_cast<std::size_t>(i) % gateways.size()];
+            lastStatus = gateway->call(requestBytes(row.method, row.target, "deadly" + std::to_string(i))).status;
+            if (lastStatus != 503)
+                std::this_thread::sleep_for(std::chrono::milliseconds(300)); // arrivals of one caller follow each other
+        }
+        CHECK(lastStatus == 503);
+        CHECK(endedServers(fixture) <= mostEndedServers);
+        for (int i = 0; i < 10; ++i)
+            CHECK(gateways.front()->call(requestBytes("GET", "/safe/x" + std::to_string(i), "sound" + std::to_string(i))).status == 200);
+        gateways.clear();
+    }
+}
