A request that ends the servers that run it is refused by all gateways

Callers were refused for lack of servers, others lost what ran beside it. Cause: nothing related the failures of one request at several servers, arrivals and gateways. - Decisions/CrashSuspects: a request, known by a digest of host, target and body, under which three different servers ended is refused at once; after two it is sent to no further server in the same arrival. One that any server has answered is never refused: servers also end for other reasons, and take all requests with them that they run. Bounded to 1024 suspects and 4,096 to 8,192 answered ones. - A server counts as ended if it closes the connection without an answer and then answers no load probe, so lost answers and closed connections don't count. A safe request is sent again only after that; others are answered 502 at once, as before. - Gateways tell their relay within 30 ms and a random 2 ms for each gateway, which tells all others of requests under which two servers have ended. Reports merge in any order. A gateway of a version without them is served as before, and not told. - 503 with a Retry-After of 60 s, events server-crashed and call-blocked, metrics. Ruled out: the caller's address as part of the identity (the same request comes from 20 and more); blocking after two servers (a safe request that is hit twice in one arrival would be refused for minutes); trying a suspect alone on an idle server: all gateways together would have at most three such trials, and would have to agree on who has them.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -35,6 +35,7 @@
         EventRow { CallRetried, "call-retried", Severity::Info, "A request is sent to another server, or a second time while the first is late." },
         EventRow { CallRefused, "call-refused", Severity::Warning, "A call was refused as not run." },
         EventRow { CallAbandoned, "call-abandoned", Severity::Info, "The caller closed the connection before the answer; the call was cancelled." },
+        EventRow { CallBlocked, "call-blocked", Severity::Error, "Several backend servers ended under the same request; it is refused from now on." },
         EventRow { RecordApplied, "record-applied", Severity::Info, "A record of a newer revision is in force." },
         EventRow { RecordNotUnderstood, "record-not-understood", Severity::Warning, "A record holds no form that this entry supports; the old one stays in force." },
         EventRow { RecordRejected, "record-rejected", Severity::Error, "A stored record could not be read; the old one stays in force." },
@@ -70,6 +71,7 @@
         EventRow { ServerPaused, "server-paused", Severity::Info, "A backend server rejected a request and asked for a pause; it gets no requests and no load probes until its end." },
         EventRow { ServerLimited, "server-limited", Severity::Info, "A backend server named the requests a second that it takes from all entries together, or another number than before." },
         EventRow { ServerLimitEnded, "server-limit-ended", Severity::Info, "A backend server names no limit any more." },
+        EventRow { ServerCrashed, "server-crashed", Severity::Warning, "A backend server ended while it ran a request." },
     };
 
     constexpr std::array severityNames {
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -34,6 +34,7 @@
     CallRetried = 2005,
     CallRefused = 2006,
     CallAbandoned = 2007,
+    CallBlocked = 2008,
     RecordApplied = 3000,
     RecordNotUnderstood = 3001,
     RecordRejected = 3002,
@@ -69,6 +70,7 @@
     ServerPaused = 5009,
     ServerLimited = 5010,
     ServerLimitEnded = 5011,
+    ServerCrashed = 5012,
 };
 
 enum class Severity {
--- a/Source/Core/Decisions/Refusal.cpp
+++ b/Source/Core/Decisions/Refusal.cpp
@@ -12,6 +12,8 @@
     constexpr double startupRetryAfterMs = 300;
     // By then, a server that did not answer has been replaced or has recovered.
     constexpr double outageRetryAfterMs = 100;
+    // A request that ends servers stays blocked for minutes.
+    constexpr double blockedRetryAfterMs = 60000;
     // Retries after a pause are spread over this share of its remaining time.
     constexpr double pauseSpread = 0.25;
     // Callers honour at most this share of the time until their deadline.
@@ -27,6 +29,8 @@
     // A server whose limit is used up takes one request then, and further ones later.
     if (inputs.reason == RefusalReason::Limited)
         return Common::fromMilliseconds(std::max(minRetryAfterMs, inputs.pauseLeftMs) * (1 + inputs.jitter));
+    if (inputs.reason == RefusalReason::Blocked)
+        return Common::fromMilliseconds(blockedRetryAfterMs);
     auto base = inputs.excessMs;
     if (inputs.reason == RefusalReason::NotConfigured)
         base = startupRetryAfterMs;
--- a/Source/Core/Decisions/Refusal.h
+++ b/Source/Core/Decisions/Refusal.h
@@ -13,6 +13,7 @@
     Paused, // every server of the service has asked for a pause
     Limited, // the limits of all servers of the service are used up, or they pause
     Shed, // servers shed the request and no further attempt is allowed
+    Blocked, // the request ends the servers that run it
 };
 
 struct RefusalInputs {
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -69,6 +69,7 @@
     // Called when the server said that it is leaving. Holds for this incarnation, whatever the registry says.
     void setLeaving();
     bool isLeaving() const { return m_leaving; }
+    bool isMisdirected() const { return m_misdirected; }
     // Called when another server answered at the address; holds until the registry gives a new incarnation or address.
     void setMisdirected();
 
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -44,6 +44,10 @@
     constexpr auto bootstrapStartDelay = std::chrono::milliseconds(2500);
     constexpr auto bootstrapRetryInterval = std::chrono::milliseconds(400);
 
+    // Delay of crash reports to the relay: the minimum, and a random part that grows with the number of gateways.
+    constexpr Common::Duration minCrashReportDelay = std::chrono::milliseconds(30);
+    constexpr Common::Duration crashReportDelayPerGateway = std::chrono::milliseconds(2);
+
     constexpr std::size_t relaysWanted = 2;
     // Backoff between reads of an unreachable store. Relays retry often, since all other gateways depend on them.
     constexpr auto firstBackoff = std::chrono::milliseconds(200);
@@ -56,7 +60,7 @@
 
 }
 
-CatalogSync::CatalogSync(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members,
+CatalogSync::CatalogSync(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects,
     Platform::AsyncTable readTable, Platform::AsyncTable relayListTable, CatalogSyncOptions options)
     : m_loop(loop)
     , m_log(log)
@@ -66,17 +70,18 @@
     , m_options(std::move(options))
     , m_storeCallTimeout(readTable.callTimeout)
     , m_reader(loop, log, catalog, std::move(readTable), m_options.reader)
-    , m_server(loop, catalog, members,
+    , m_server(loop, catalog, members, crashSuspects,
           { .isRelay = [this] { return isRelay(); },
               .relayList = [this] { return m_relayList; },
               .onRelayList = [this](const RelayList& list) { adoptRelayList(list); },
               .capacity = members.self().capacity })
-    , m_client(loop, log, catalog, members,
+    , m_client(loop, log, catalog, members, crashSuspects,
           { .target = m_options.updateTarget,
               .relayList = [this] { return m_relayList; } })
     , m_jitter(Common::randomUnit(loop.hooks()))
 {
     m_client.onRelayList([this](const RelayList& list) { adoptRelayList(list); });
+    m_client.onCrashes([this] { m_server.onCrashesChanged(); });
     m_catalog.setChangeHandler([this] { m_server.onCatalogChanged(); });
     // Deferred, since applyElection() may stop the reader, which is still inside its own call here.
     m_reader.onTablesRead([this] {
@@ -442,6 +447,20 @@
         m_client.restart();
 }
 
+void CatalogSync::onCrashRecorded()
+{
+    m_server.onCrashesChanged();
+    if (m_crashReportTimer != 0)
+        return;
+    // When many servers end at once, all gateways have something to report, of which most is settled by the next answer.
+    auto delay = minCrashReportDelay + Common::fromMilliseconds(m_jitter * Common::toMilliseconds(crashReportDelayPerGateway) * static_cast<double>(m_members.size()));
+    m_crashReportTimer = m_loop.after(delay, [this] {
+        m_crashReportTimer = 0;
+        if (role() != RelayRole::Leader && m_client.hasCrashReports())
+            m_client.restart();
+    });
+}
+
 void CatalogSync::leave()
 {
     if (m_leaving)
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -30,13 +30,15 @@
 // has a recent catalog; takes part in relay election.
 class CatalogSync {
 public:
-    CatalogSync(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, Platform::AsyncTable readTable, Platform::AsyncTable relayListTable, CatalogSyncOptions);
+    CatalogSync(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, Decisions::CrashSuspects&, Platform::AsyncTable readTable, Platform::AsyncTable relayListTable, CatalogSyncOptions);
 
     void start();
     // Called before this gateway stops: hands the lead over and makes followers turn to another relay.
     void leave();
     // Called when this gateway's own member record has changed.
     void onSelfChanged();
+    // Called when this gateway has learned that a server ended under a request: tells the relay, or the followers.
+    void onCrashRecorded();
     // Answers a request of another gateway for updates.
     void serve(const std::shared_ptr<Net::Exchange>& exchange) { m_server.serve(exchange); }
 
@@ -92,6 +94,7 @@
     Common::TimePoint m_relayedSince; // when m_relayed last changed, or when the relay list was last found to be changing
     Common::TimePoint m_relayListChangedAt; // when a relay list was last adopted or written
     Common::TimePoint m_gatewayCountAt;
+    Net::EventLoop::TimerId m_crashReportTimer = 0;
     Common::Duration m_relayTimeout {}; // without a response for this long, the relay counts as silent
     Common::TimePoint m_freshSince; // when this gateway's reader first had both tables; the epoch while it has not
     std::vector<std::string> m_otherPreferredCandidates; // control addresses of those in the own failure domain
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -86,6 +86,7 @@
                   .slack = m_options.settings.retrySlack,
                   .window = std::chrono::milliseconds(m_options.settings.retryWindowMs) },
               .probesPerServer = m_options.settings.probesPerServer,
+              .crashRecorded = [this] { m_catalogSync.onCrashRecorded(); },
           })
     , m_catalog(m_loop, m_log, m_backends, m_router,
           {
@@ -93,7 +94,7 @@
               .serverHeartbeat = std::chrono::milliseconds(m_options.settings.serverHeartbeatMs),
           })
     , m_members(selfMember(m_options.settings))
-    , m_catalogSync(m_loop, m_log, m_catalog, m_members,
+    , m_catalogSync(m_loop, m_log, m_catalog, m_members, m_router.crashSuspects(),
           m_options.platform.openStore(m_loop, m_options.settings.store),
           m_options.platform.openStore(m_loop, m_options.settings.store),
           {
@@ -154,6 +155,7 @@
 void Daemon::doHousekeeping()
 {
     m_backends.closeIdleConnections();
+    m_router.crashSuspects().expire(m_loop.now());
     m_router.setGatewayCount(m_catalogSync.gatewayCount());
     m_backends.setGateways(m_members.self().control, m_members.servingInOwnDomain(), m_members.size());
     m_catalogComplete = m_catalog.isComplete();
@@ -206,6 +208,7 @@
     page.counter("requests_total", static_cast<double>(counters.requests));
     page.counter("answered_total", static_cast<double>(counters.answered));
     page.counter("refused_total", static_cast<double>(counters.refused));
+    page.counter("refused_blocked_total", static_cast<double>(counters.blocked));
     page.counter("failed_total", static_cast<double>(counters.failed));
     page.counter("cut_responses_total", static_cast<double>(counters.cut));
     page.counter("unknown_route_total", static_cast<double>(counters.unknownRoute));
@@ -222,6 +225,8 @@
     page.gauge("caller_connections", static_cast<double>(m_callers.connections()));
     page.gauge("backend_servers", static_cast<double>(m_backends.size()));
     page.gauge("limited_servers", static_cast<double>(m_backends.limitedCount()));
+    page.gauge("crash_suspects", static_cast<double>(m_router.crashSuspects().size()));
+    page.gauge("blocked_requests", static_cast<double>(m_router.crashSuspects().blocked()));
     page.gauge("members", static_cast<double>(m_members.size()));
     page.gauge("member_list_age_ms", Common::toMilliseconds(m_members.listAge(m_loop.now()).value_or(Common::Duration::zero())));
     page.gauge("catalog_age_ms", Common::toMilliseconds(m_catalog.age()));
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -12,11 +12,12 @@
 
 }
 
-RelayClient::RelayClient(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, RelayClientOptions options)
+RelayClient::RelayClient(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects, RelayClientOptions options)
     : m_loop(loop)
     , m_log(log)
     , m_catalog(catalog)
     , m_members(members)
+    , m_crashSuspects(crashSuspects)
     , m_options(std::move(options))
 {
 }
@@ -105,6 +106,8 @@
         .membersStartedMs = m_membersStartedMs,
         .wait = wait,
         .relayList = m_options.relayList(),
+        .crashes = m_crashSuspects.learnedSince(relay == m_membersFrom ? m_crashesReported : 0),
+        .crashesRevision = m_crashesRevision,
     };
     return {
         .method = "POST",
@@ -143,11 +146,11 @@
     auto request = updateRequest(relay, wait);
     m_requestPending = true;
     m_connection->send(Net::toBytes(request), true, wait + timeoutMargin(),
-        { .answered = [this, relay](Net::ResponseHead&& head) { onResponse(relay, std::move(head)); },
+        { .answered = [this, relay, reported = m_crashSuspects.revision()](Net::ResponseHead&& head) { onResponse(relay, std::move(head), reported); },
             .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureName(failure.kind)); } });
 }
 
-void RelayClient::onResponse(const std::string& relay, Net::ResponseHead&& head)
+void RelayClient::onResponse(const std::string& relay, Net::ResponseHead&& head, std::uint64_t crashesReported)
 {
     m_requestPending = false;
     auto now = m_loop.now();
@@ -184,9 +187,15 @@
             m_currentRelayOutdated = false;
         }
         m_members.apply(update.members, now);
+        // A relay that has started anew knows nothing of earlier reports.
+        auto hasReports = m_membersFrom == relay && m_membersStartedMs == update.members.startedMs;
         m_membersFrom = relay;
         m_membersRevision = update.members.revision;
         m_membersStartedMs = update.members.startedMs;
+        m_crashesRevision = update.crashesRevision;
+        m_crashesReported = hasReports ? crashesReported : 0;
+        if (m_crashSuspects.merge(update.crashes, now) && m_crashHook)
+            m_crashHook();
     }
     if (m_relayListHook)
         m_relayListHook(update.relayList);
@@ -204,6 +213,7 @@
         m_currentRelayOutdated = false;
         m_membersFrom.clear();
         m_membersRevision = 0;
+        m_crashesRevision = m_crashesReported = 0;
     }
     if (m_running)
         scheduleRequest(allAvoided() ? retryInterval() : Common::Duration::zero());
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -27,7 +27,7 @@
 // Follows one relay at a time: keeps a long-poll request for updates open and applies the responses.
 class RelayClient {
 public:
-    RelayClient(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, RelayClientOptions);
+    RelayClient(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, Decisions::CrashSuspects&, RelayClientOptions);
 
     // Control addresses of relays to follow, in order of preference. While there are none, no request is sent.
     void setCandidates(std::vector<std::string>);
@@ -36,12 +36,16 @@
     void setRetryInterval(Common::Duration interval) { m_options.retryInterval = interval; }
     // Called with the relay list of every response.
     void onRelayList(std::function<void(const RelayList&)> hook) { m_relayListHook = std::move(hook); }
+    // Called when a response contained crash reports that other gateways have to be told.
+    void onCrashes(std::function<void()> hook) { m_crashHook = std::move(hook); }
     void start();
     void stop();
     // Sends the relay list to a gateway once, without following it.
     void sendRelayList(const std::string& control);
-    // Replaces the open request, so that the relay learns of this gateway's changed member record at once.
+    // Replaces the open request, so that the relay learns of this gateway's changed member record or crash reports at once.
     void restart();
+    // Whether there are crash reports that the relay has not got.
+    bool hasCrashReports() const { return m_crashesReported < m_crashSuspects.revision(); }
 
     // When a relay with a recent catalog last responded; the epoch before the first.
     Common::TimePoint lastFreshResponse() const { return m_lastFreshResponse; }
@@ -65,17 +69,20 @@
     bool isAvoided(const std::string& relay) const;
     bool allAvoided() const;
     std::string chooseRelay() const;
-    void onResponse(const std::string& relay, Net::ResponseHead&&);
+    // `crashesReported`: revision of the own crash reports when the request was sent.
+    void onResponse(const std::string& relay, Net::ResponseHead&&, std::uint64_t crashesReported);
     void onFailure(const std::string& relay, std::string_view cause);
 
     Net::EventLoop& m_loop;
     Common::EventLog& m_log;
     Catalog& m_catalog;
     Members& m_members;
+    Decisions::CrashSuspects& m_crashSuspects;
     RelayClientOptions m_options;
     std::vector<std::string> m_candidates;
     std::map<std::string, RelayState> m_relayStates; // by control address
     std::function<void(const RelayList&)> m_relayListHook;
+    std::function<void()> m_crashHook;
     std::shared_ptr<Net::ClientConnection> m_connection;
     std::string m_connectedTo;
     std::map<std::string, std::shared_ptr<Net::ClientConnection>> m_oneTimeConnections; // of sendRelayList(), by control address
@@ -83,6 +90,8 @@
     std::string m_membersFrom; // the relay whose member list this gateway holds
     std::uint64_t m_membersRevision = 0; // of that list; 0: none
     std::int64_t m_membersStartedMs = 0; // start of that relay's process
+    std::uint64_t m_crashesRevision = 0; // of that relay's crash reports
+    std::uint64_t m_crashesReported = 0; // revision of the own reports up to which that relay has them
     Common::Duration m_wait = std::chrono::milliseconds(400);
     Common::TimePoint m_lastFreshResponse;
     Common::TimePoint m_lastResponse;
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/RelayMessages.h"
 
+#include <limits>
+
 #include <json/json.h>
 
 #include "Common/JsonText.h"
@@ -85,6 +87,44 @@
         return row;
     }
 
+    // [identity, answered, server...]: reports are few, but may be sent to all gateways.
+    Json::Value toJson(const Decisions::CrashReport& report)
+    {
+        Json::Value json(Json::arrayValue);
+        json.append(Json::UInt64(report.identity));
+        json.append(report.answered ? 1 : 0);
+        for (auto server : report.servers)
+            json.append(Json::UInt64(server));
+        return json;
+    }
+
+    Decisions::CrashReport toCrashReport(const Json::Value& json)
+    {
+        Json::ArrayIndex i = 0;
+        Decisions::CrashReport report;
+        report.identity = json[i++].asUInt64();
+        report.answered = json[i++].asInt() != 0;
+        while (i < json.size())
+            report.servers.push_back(json[i++].asUInt64());
+        return report;
+    }
+
+    Json::Value toJson(const std::vector<Decisions::CrashReport>& reports)
+    {
+        Json::Value json(Json::arrayValue);
+        for (const auto& report : reports)
+            json.append(toJson(report));
+        return json;
+    }
+
+    std::vector<Decisions::CrashReport> toCrashReports(const Json::Value& json)
+    {
+        std::vector<Decisions::CrashReport> reports;
+        for (const auto& report : json)
+            reports.push_back(toCrashReport(report));
+        return reports;
+    }
+
     // jsoncpp throws if a value is not of the type asked for.
     template <typename Read>
     auto readTyped(const std::string& text, Read read) -> Common::Result<decltype(read(Json::Value()))>
@@ -112,6 +152,8 @@
     json["members_revision"] = Json::UInt64(request.membersRevision);
     json["members_start"] = Json::Int64(request.membersStartedMs);
     json["wait_ms"] = Common::toMilliseconds(request.wait);
+    json["crashes"] = toJson(request.crashes);
+    json["crashes_revision"] = Json::UInt64(request.crashesRevision);
     json["roster"] = toJson(request.relayList.relays);
     json["roster_version"] = Json::UInt64(request.relayList.version);
     json["roster_era"] = Json::UInt64(request.relayList.era);
@@ -151,6 +193,8 @@
         for (const auto& member : response.members.members)
             json["members"].append(toJson(member));
         json["gone"] = toJson(response.members.departed);
+        json["crashes"] = toJson(response.crashes);
+        json["crashes_revision"] = Json::UInt64(response.crashesRevision);
     }
     // The JSON text contains no line break itself.
     return Common::jsonText(json) + "\n" + (response.isRelay ? rows.bytes : std::string());
@@ -167,6 +211,9 @@
             .membersStartedMs = json["members_start"].asInt64(),
             .wait = Common::fromMilliseconds(json["wait_ms"].asDouble()),
             .relayList = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64(), .era = json["roster_era"].asUInt64() },
+            .crashes = toCrashReports(json["crashes"]),
+            // A gateway of a version that knows no crash reports can't be told of them.
+            .crashesRevision = json.isMember("crashes_revision") ? json["crashes_revision"].asUInt64() : std::numeric_limits<std::uint64_t>::max(),
         };
     });
 }
@@ -192,6 +239,8 @@
         };
         for (const auto& member : json["members"])
             response.members.members.push_back(toMember(member));
+        response.crashes = toCrashReports(json["crashes"]);
+        response.crashesRevision = json["crashes_revision"].asUInt64();
         return std::pair(response, json["rows_deflated"].asBool());
     });
     if (!head)
--- a/Source/Core/Gateway/RelayMessages.h
+++ b/Source/Core/Gateway/RelayMessages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Common/Result.h"
+#include "Decisions/CrashSuspects.h"
 #include "Gateway/Catalog.h"
 #include "Gateway/Members.h"
 
@@ -28,6 +29,8 @@
     std::int64_t membersStartedMs = 0; // start of the relay's process when it sent the list; 0: not told
     Common::Duration wait {}; // how long the relay may hold the request open
     RelayList relayList; // as the sender knows it
+    std::vector<Decisions::CrashReport> crashes; // that the sender has learned of since its last request to this relay
+    std::uint64_t crashesRevision = 0; // up to which the sender knows what the relay whose member list it holds shares; 0: nothing
 };
 
 struct UpdateResponse {
@@ -35,6 +38,8 @@
     RelayList relayList; // as the responder knows it
     CatalogUpdate catalog;
     MemberUpdate members;
+    std::vector<Decisions::CrashReport> crashes; // that the relay shares, beyond the revision in the request
+    std::uint64_t crashesRevision = 0; // of the responder's crash reports
 };
 
 // Rows in wire form: a JSON array, deflated from 1024 bytes on. All responses from one position share it.
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -22,10 +22,11 @@
 
 }
 
-RelayServer::RelayServer(Net::EventLoop& loop, Catalog& catalog, Members& members, RelayServerOptions options)
+RelayServer::RelayServer(Net::EventLoop& loop, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects, RelayServerOptions options)
     : m_loop(loop)
     , m_catalog(catalog)
     , m_members(members)
+    , m_crashSuspects(crashSuspects)
     , m_options(std::move(options))
     , m_fullUpdates(fullUpdatesPerSecond * m_options.capacity, fullUpdateBurst)
 {
@@ -37,6 +38,8 @@
     if (!request)
         return exchange->respond({ .status = Net::HttpStatus::BadRequest, .reason = {}, .headers = {}, .body = request.error().text });
     m_options.onRelayList(request.value().relayList);
+    if (m_crashSuspects.merge(request.value().crashes, m_loop.now()))
+        onCrashesChanged();
     if (!m_options.isRelay())
         return answer(exchange, request.value());
     if (m_members.recordContact(request.value().member, m_loop.now()))
@@ -56,7 +59,7 @@
 
 bool RelayServer::hasUpdateFor(const UpdateRequest& request) const
 {
-    return !hasOurList(request) || m_catalog.hasChangedSince(request.position);
+    return !hasOurList(request) || m_catalog.hasChangedSince(request.position) || request.crashesRevision < m_crashSuspects.sharedRevision();
 }
 
 bool RelayServer::hasOurList(const UpdateRequest& request) const
@@ -69,7 +72,7 @@
 void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const UpdateRequest& request)
 {
     // A gateway that names no era, of a version before eras, has to read the store once the era has changed.
-    UpdateResponse response { .isRelay = m_options.isRelay() && m_catalog.canServe(request.position), .relayList = m_options.relayList(), .catalog = {}, .members = {} };
+    UpdateResponse response { .isRelay = m_options.isRelay() && m_catalog.canServe(request.position), .relayList = m_options.relayList(), .catalog = {}, .members = {}, .crashes = {} };
     if (response.isRelay)
         response.catalog = m_catalog.changesSince(request.position);
     // Many gateways that start together would take up all processor time of this one. Beyond the limit they are told that this
@@ -80,6 +83,8 @@
     const auto* rows = &noRows;
     if (response.isRelay) {
         response.members = m_members.changesSince(hasOurList(request) ? request.membersRevision : 0, request.member.failureDomain);
+        response.crashes = m_crashSuspects.sharedSince(hasOurList(request) ? request.crashesRevision : 0);
+        response.crashesRevision = m_crashSuspects.revision();
         rows = &rowsSince(request.position, response.catalog);
     }
     exchange->respond({
@@ -135,6 +140,11 @@
         scheduleAnswers(membersBatchDelay + batchDelayPerRequest * static_cast<int>(m_pending.size()));
 }
 
+void RelayServer::onCrashesChanged()
+{
+    onCatalogChanged();
+}
+
 void RelayServer::answerOutdated()
 {
     for (auto it = m_pending.begin(); it != m_pending.end();) {
--- a/Source/Core/Gateway/RelayServer.h
+++ b/Source/Core/Gateway/RelayServer.h
@@ -24,12 +24,13 @@
 // Answers other gateways' long-poll requests for updates: at once if there is an update, else when one arrives or the wait ends.
 class RelayServer {
 public:
-    RelayServer(Net::EventLoop&, Catalog&, Members&, RelayServerOptions);
+    RelayServer(Net::EventLoop&, Catalog&, Members&, Decisions::CrashSuspects&, RelayServerOptions);
 
     void serve(const std::shared_ptr<Net::Exchange>&);
     // Schedule responses to the requests held open.
     void onCatalogChanged();
     void onMembersChanged();
+    void onCrashesChanged();
     // Answers all requests held open at once, so that their senders can turn to another relay.
     void answerAll();
 
@@ -59,6 +60,7 @@
     Net::EventLoop& m_loop;
     Catalog& m_catalog;
     Members& m_members;
+    Decisions::CrashSuspects& m_crashSuspects;
     RelayServerOptions m_options;
     std::list<PendingRequest> m_pending;
     std::deque<CachedRows> m_cachedRows; // newest first
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -74,6 +74,10 @@
         if (auto self = weak.lock())
             self->abandon();
     });
+    if (m_router.crashSuspects().refuses(m_identity, m_router.loop().now())) {
+        ++m_router.counters().blocked;
+        return refuse(RefusalReason::Blocked, 0);
+    }
     m_router.retryBudget(m_service).onRequest(m_router.loop().now());
     m_deadlineTimer = m_router.loop().after(m_deadline - m_router.loop().now(), [weak] {
         if (auto self = weak.lock())
@@ -334,6 +338,7 @@
     if (Net::findHeader(response.headers, m_router.options().headers.notExecuted)) {
         return retryOrGiveUp("the server rejected the request without executing it");
     }
+    m_router.crashSuspects().recordAnswer(m_identity);
     learnFromResponse(attempt, response);
     if (isServerFailure(response.status) && isSafeToRepeat()) {
         m_mayHaveExecuted = true;
@@ -369,6 +374,7 @@
         if (i != index && m_attempts[i].connection)
             closeAttempt(m_attempts[i]);
     }
+    m_router.crashSuspects().recordAnswer(m_identity);
     m_attempts[index].backend->learnFrom(head.response);
     learnFromResponse(m_attempts[index], head.response);
     auto length = head.framing == Net::Framing::Length ? std::optional(head.length) : std::nullopt;
@@ -437,9 +443,30 @@
         return cutResponse("the server ended the connection in the middle of the response");
     if (failure.bytesSent)
         m_mayHaveExecuted = true;
-    if (failure.bytesSent && !isSafeToRepeat())
-        return fail(BadGateway, "the connection ended before a complete response");
-    retryOrGiveUp("the connection ended before a complete response");
+    auto wasClosed = failure.kind == Net::FailureKind::Closed || failure.kind == Net::FailureKind::Reset;
+    if (!failure.bytesSent || !wasClosed)
+        return retryOrGiveUpAfterFailure();
+    if (!isSafeToRepeat()) {
+        m_router.checkCrash(m_identity, m_id, attempt.backend, [] {});
+        return retryOrGiveUpAfterFailure();
+    }
+    // Another server is only tried once it is known whether this one has ended.
+    std::weak_ptr<RequestForwarder> weak = weak_from_this();
+    m_router.checkCrash(m_identity, m_id, attempt.backend, [weak] {
+        if (auto self = weak.lock())
+            self->retryOrGiveUpAfterFailure();
+    });
+}
+
+void RequestForwarder::retryOrGiveUpAfterFailure()
+{
+    if (m_ended)
+        return;
+    auto keepAlive = shared_from_this();
+    const auto* cause = "the connection ended before a complete response";
+    if (m_mayHaveExecuted && !isSafeToRepeat())
+        return fail(BadGateway, cause);
+    retryOrGiveUp(cause);
 }
 
 void RequestForwarder::retryOrGiveUp(const char* cause)
@@ -448,7 +475,7 @@
         return; // another attempt may still be answered
     m_router.loop().cancel(m_hedgeTimer);
     auto& router = m_router;
-    auto isRetryAllowed = m_attemptCount < m_route.maxAttempts && timeLeftMs() > minTimeLeftMs;
+    auto isRetryAllowed = m_attemptCount < m_route.maxAttempts && timeLeftMs() > minTimeLeftMs && router.crashSuspects().mayRetry(m_identity);
     if (isRetryAllowed && router.retryBudget(m_service).take(router.loop().now())) {
         ++router.counters().retries;
         auto fields = logFields("again");
@@ -489,6 +516,9 @@
 {
     m_hedgeTimer = 0;
     auto& router = m_router;
+    // A request under which a server has ended may end the next one too.
+    if (router.crashSuspects().crashes(m_identity) > 0)
+        return;
     if (m_ended || m_openAttempts != 1 || isProbing() || !router.retryBudget(m_service).take(router.loop().now()))
         return;
     ++router.counters().retries;
@@ -530,10 +560,10 @@
     auto& router = m_router;
     auto pauseLeft = router.backends().pauseLeft(m_service);
     auto limitLeft = router.backends().limitLeft(m_service);
-    if (pauseLeft)
-        reason = RefusalReason::Paused;
-    else if (limitLeft)
-        reason = RefusalReason::Limited;
+    // A blocked request is refused whatever the servers' state.
+    if (reason != RefusalReason::Blocked)
+        reason = pauseLeft ? RefusalReason::Paused : limitLeft ? RefusalReason::Limited
+                                                               : reason;
     auto timeLeft = pauseLeft ? pauseLeft : limitLeft;
     ++router.counters().refused;
     auto wait = Decisions::retryAfter({
@@ -550,6 +580,7 @@
             : reason == RefusalReason::Paused   ? "all servers asked for a pause"
             : reason == RefusalReason::Limited  ? "the limits of all servers are used up"
             : reason == RefusalReason::Shed     ? "shed"
+            : reason == RefusalReason::Blocked  ? "servers ended under it"
             : reason == RefusalReason::NoReport ? "no server answered a load probe"
                                                 : "the service has no usable server" });
     fields.push_back({ "retry_after_s", retryAfter });
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -50,6 +50,7 @@
     void send(const std::shared_ptr<Backend>&, double expectedMs);
     void onAnswer(std::size_t attempt, Net::ResponseHead&&);
     void onFailure(std::size_t attempt, Net::ClientFailure);
+    void retryOrGiveUpAfterFailure();
     // A response too long to be held is passed on while it arrives. No other attempt is possible from then on.
     void onResponseStarted(std::size_t attempt, Net::ResponseHead&&);
     void onResponsePart(std::size_t attempt, std::string&&);
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <charconv>
 
+#include <fmt/format.h>
+
+#include "Common/Hash.h"
 #include "Gateway/RequestForwarder.h"
 
 namespace Gateway {
@@ -14,8 +17,16 @@
     // Weight of the newest response in the moving average of the service time.
     constexpr double serviceTimeGain = 0.05;
 
+    // A server that answers no load probe within this time after it closed a connection has ended.
+    constexpr auto crashCheckTimeout = std::chrono::milliseconds(250);
+
     using enum Net::HttpStatus;
 
+    std::uint64_t incarnationDigest(const ServerRecord& record)
+    {
+        return Common::hash(record.id, static_cast<std::uint64_t>(record.startedMs));
+    }
+
 }
 
 RequestRouter::RequestRouter(Net::EventLoop& loop, Common::EventLog& log, Backends& backends, RequestRouterOptions options)
@@ -80,6 +91,34 @@
     m_forwarders.erase(forwarder);
 }
 
+void RequestRouter::checkCrash(std::uint64_t identity, const std::string& requestId, const std::shared_ptr<Backend>& backend, std::function<void()> done)
+{
+    // One that wants no load probes now is taken to live.
+    if (!backend->isAvailable(m_loop.now()))
+        return done();
+    ++m_counters.probes;
+    auto record = backend->record();
+    std::weak_ptr<Backend> weak = backend;
+    backend->probe(crashCheckTimeout, [this, identity, requestId, record, weak, done = std::move(done)](const ProbeAnswer& answer) {
+        auto server = weak.lock();
+        if (!answer.answered || (server && server->isMisdirected()))
+            recordCrash(identity, requestId, record);
+        done();
+    });
+}
+
+void RequestRouter::recordCrash(std::uint64_t identity, const std::string& requestId, const ServerRecord& server)
+{
+    if (!m_crashSuspects.recordCrash(identity, incarnationDigest(server), m_loop.now()))
+        return;
+    auto crashes = m_crashSuspects.crashes(identity);
+    std::vector<Common::EventField> fields { { "request", requestId }, { "identity", fmt::format("{:016x}", identity) }, { "server", server.id }, { "crashes", std::to_string(crashes) } };
+    m_log.log(Common::EventId::ServerCrashed, fields);
+    if (m_crashSuspects.isBlocked(identity))
+        m_log.log(Common::EventId::CallBlocked, std::move(fields));
+    m_options.crashRecorded();
+}
+
 std::string RequestRouter::chooseService(const Route& route)
 {
     if (route.parts.size() == 1)
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -9,6 +9,7 @@
 
 #include "Common/EventLog.h"
 #include "Common/LatencySummary.h"
+#include "Decisions/CrashSuspects.h"
 #include "Decisions/LoadProbeBudget.h"
 #include "Decisions/Placement.h"
 #include "Decisions/Refusal.h"
@@ -26,12 +27,15 @@
     Decisions::PlacementOptions placement;
     Decisions::WindowedRetryBudgetOptions retries;
     double probesPerServer = 60; // load probes a second to each server, from all gateways together (the operators' bound)
+    // Called when this gateway has learned that a server ended under a request.
+    std::function<void()> crashRecorded = [] {};
 };
 
 struct RequestCounters {
     std::uint64_t requests = 0;
     std::uint64_t answered = 0;
     std::uint64_t refused = 0; // answered with 503, not executed by any server
+    std::uint64_t blocked = 0; // of the refused ones: requests that end the servers that run them
     std::uint64_t failed = 0; // answered with 502 or 504
     std::uint64_t cut = 0; // of the failed ones: broken off in the middle of the response
     std::uint64_t unknownRoute = 0; // answered with 404
@@ -68,6 +72,9 @@
     Common::LatencySummary& placementTimes() { return m_placementTimes; }
     Decisions::WindowedRetryBudget& retryBudget(const std::string& service);
     Decisions::LoadProbeBudget& probeBudget() { return m_probeBudget; }
+    Decisions::CrashSuspects& crashSuspects() { return m_crashSuspects; }
+    // Finds out by a probe whether the server ended under a request whose connection it closed, and records it. Then calls `done`.
+    void checkCrash(std::uint64_t identity, const std::string& requestId, const std::shared_ptr<Backend>&, std::function<void()> done);
     // Moving average of the time that an unloaded server takes for a request of the route.
     double expectedServiceTimeMs(const Route&) const;
     // `factor`: expected response time by expected service time when the request was placed.
@@ -78,6 +85,7 @@
 private:
     std::string chooseService(const Route&);
     void respondNoRoute(const std::shared_ptr<Net::Exchange>&);
+    void recordCrash(std::uint64_t identity, const std::string& requestId, const ServerRecord&);
 
     Net::EventLoop& m_loop;
     Common::EventLog& m_log;
@@ -89,6 +97,7 @@
     std::map<std::string, Decisions::WeightedSplit> m_splits; // by route
     std::map<std::string, Decisions::WindowedRetryBudget> m_retryBudgets; // by service
     Decisions::LoadProbeBudget m_probeBudget;
+    Decisions::CrashSuspects m_crashSuspects;
     std::map<std::string, double> m_serviceTimeMs; // by route
     std::unordered_set<std::shared_ptr<RequestForwarder>> m_forwarders;
     RequestCounters m_counters;
--- a/Source/UnitTests/Gateway/FakeRelay.h
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -51,6 +51,7 @@
             .membersRevision = 0,
             .wait = {},
             .relayList = { .relays = { address() }, .version = m_listVersion, .era = 1 },
+            .crashes = {},
         };
         Net::Request request { .method = "POST", .target = "/v1/news", .headers = { { "Host", control } }, .body = Gateway::toText(update), .keepAlive = true };
         m_announcement = Net::ClientConnection::open(m_loop, control, {});
@@ -64,7 +65,7 @@
         if (!request)
             return exchange->respond({ .status = Net::HttpStatus::BadRequest, .reason = {}, .headers = {}, .body = {} });
         auto isRelay = m_answer != RelayAnswer::NoRelay;
-        Gateway::UpdateResponse response { .isRelay = isRelay, .relayList = request.value().relayList, .catalog = {}, .members = {} };
+        Gateway::UpdateResponse response { .isRelay = isRelay, .relayList = request.value().relayList, .catalog = {}, .members = {}, .crashes = {} };
         response.catalog.position = request.value().position;
         response.catalog.age = m_answer == RelayAnswer::Fresh ? std::chrono::milliseconds(0)
             : m_answer == RelayAnswer::AlmostOutdated         ? std::chrono::milliseconds(950)
--- a/Source/UnitTests/Gateway/RelayMessagesTest.cpp
+++ b/Source/UnitTests/Gateway/RelayMessagesTest.cpp
@@ -11,8 +11,11 @@
         .position = { .registry = 7, .operators = 9 },
         .membersFrom = "r",
         .membersRevision = 3,
+        .membersStartedMs = 6,
         .wait = std::chrono::milliseconds(400),
         .relayList = { .relays = { "x", "y" }, .version = 4 },
+        .crashes = { { .identity = ~std::uint64_t(0), .servers = { 1, ~std::uint64_t(1) }, .answered = false }, { .identity = 5, .servers = {}, .answered = true } },
+        .crashesRevision = 12,
     };
     auto read = parseUpdateRequest(toText(request));
     REQUIRE(read.has_value());
@@ -20,6 +23,11 @@
     CHECK(read.value().position == request.position);
     CHECK(read.value().relayList.relays == request.relayList.relays);
     CHECK(read.value().wait == request.wait);
+    CHECK(read.value().membersStartedMs == 6);
+    CHECK(read.value().crashes == request.crashes);
+    CHECK(read.value().crashesRevision == 12);
+    // A gateway of a version without crash reports can't be told of them.
+    CHECK(parseUpdateRequest(R"({"member":["c","d","a",1,1,1]})").value().crashesRevision == ~std::uint64_t(0));
 
     UpdateResponse response {
         .isRelay = true,
@@ -34,6 +42,8 @@
             },
         },
         .members = { .isFull = false, .revision = 11, .total = 2, .members = { request.member }, .departed = { "z" } },
+        .crashes = request.crashes,
+        .crashesRevision = 13,
     };
     auto back = parseUpdateResponse(toText(response, encodeRows(response.catalog.rows)));
     REQUIRE(back.has_value());
@@ -43,11 +53,13 @@
     CHECK(back.value().members.members == response.members.members);
     CHECK(back.value().members.departed == response.members.departed);
     CHECK(back.value().members.revision == 11);
+    CHECK(back.value().crashes == request.crashes);
+    CHECK(back.value().crashesRevision == 13);
 }
 
 TEST_CASE("Malformed update requests, responses and relay lists are rejected")
 {
-    for (const char* text : { "", "[]", "{", R"({"member":5})", R"({"member":["c","d","a",1,1,1],"registry":"x"})", R"({"member":["c","d","a",1,1,1],"registry":-1})" }) {
+    for (const char* text : { "", "[]", "{", R"({"member":5})", R"({"member":["c","d","a",1,1,1],"registry":"x"})", R"({"member":["c","d","a",1,1,1],"registry":-1})", R"({"member":["c","d","a",1,1,1],"crashes":[["x"]]})", R"({"member":["c","d","a",1,1,1],"crashes":[5]})" }) {
         CAPTURE(text);
         CHECK(!parseUpdateRequest(text));
     }
@@ -66,7 +78,7 @@
     auto encoded = encodeRows(rows);
     CHECK(encoded.isDeflated);
     CHECK(encoded.bytes.size() < 6000);
-    UpdateResponse response { .isRelay = true, .relayList = {}, .catalog = { .isFull = true, .position = {}, .age = {}, .rows = {} }, .members = {} };
+    UpdateResponse response { .isRelay = true, .relayList = {}, .catalog = { .isFull = true, .position = {}, .age = {}, .rows = {} }, .members = {}, .crashes = {} };
     auto text = toText(response, encoded);
     auto back = parseUpdateResponse(text);
     REQUIRE(back.has_value());
