Relays: requests to reserve candidates don't delay those to the relay

StoreRecoveryTest "A relay without recent data counts as answering ..." failed in the first run of all tests after reserve candidates came, for two reasons: its gateway had become a reserve candidate, which is meant to read the store (the test now fills the places of all candidates), and then still, 6 calls of the store in 5 s instead of none. With four more candidates that don't answer, the time between two requests to the relay grew beyond that after which it counts as silent, so that in an outage all gateways would have read the store. The pause between two rounds now counts from the last request to a relay that was avoided, and is at least a quarter of the interval.

--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -9,6 +9,8 @@
 
     constexpr auto connectTimeout = std::chrono::milliseconds(400);
     constexpr auto deadPeerTimeout = std::chrono::seconds(2);
+    // The shortest pause between two rounds of requests is this part of the retry interval.
+    constexpr int minPauseDivisor = 4;
 
 }
 
@@ -81,6 +83,13 @@
     return std::all_of(m_candidates.begin(), m_candidates.end(), [this](const auto& relay) { return isAvoided(relay); });
 }
 
+// Requests to further candidates don't delay the next one to the relay: whether it still answers decides about reading the store.
+Common::Duration RelayClient::pauseLeft() const
+{
+    auto interval = retryInterval();
+    return std::max(m_roundStartedAt + interval - m_loop.now(), interval / minPauseDivisor);
+}
+
 std::string RelayClient::chooseRelay() const
 {
     for (const auto& relay : m_candidates) {
@@ -141,6 +150,8 @@
         m_connection = Net::ClientConnection::open(m_loop, relay, { .connectTimeout = connectTimeout, .deadPeerTimeout = deadPeerTimeout });
         m_connectedTo = relay;
     }
+    if (isAvoided(relay))
+        m_roundStartedAt = m_loop.now();
     // A relay that had no recent data is asked what it has now: while it held the request open, it would not tell.
     auto wait = m_lastAnswerOutdated ? Common::Duration::zero() : m_wait;
     auto request = updateRequest(relay, wait);
@@ -200,7 +211,7 @@
     if (m_relayListHook)
         m_relayListHook(update.relayList);
     if (m_running)
-        scheduleRequest(isFresh || !allAvoided() ? Common::Duration::zero() : retryInterval());
+        scheduleRequest(isFresh || !allAvoided() ? Common::Duration::zero() : pauseLeft());
 }
 
 void RelayClient::onFailure(const std::string& relay, std::string_view cause)
@@ -216,7 +227,7 @@
         m_crashesRevision = m_crashesReported = 0;
     }
     if (m_running)
-        scheduleRequest(allAvoided() ? retryInterval() : Common::Duration::zero());
+        scheduleRequest(allAvoided() ? pauseLeft() : Common::Duration::zero());
 }
 
 }
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -63,6 +63,8 @@
 
     void sendRequest();
     void scheduleRequest(Common::Duration);
+    // Delay of the next request when all relays are avoided.
+    Common::Duration pauseLeft() const;
     Common::Duration retryInterval() const { return m_options.retryInterval + m_options.marginPerGateway * static_cast<int>(m_members.size()); }
     Common::Duration timeoutMargin() const { return m_options.timeoutMargin + m_options.marginPerGateway * static_cast<int>(m_members.size()); }
     Net::Request updateRequest(const std::string& relay, Common::Duration wait) const;
@@ -95,6 +97,7 @@
     Common::Duration m_wait = std::chrono::milliseconds(400);
     Common::TimePoint m_lastFreshResponse;
     Common::TimePoint m_lastResponse;
+    Common::TimePoint m_roundStartedAt; // last request to a relay that was avoided, since all were
     Net::EventLoop::TimerId m_timer = 0;
     bool m_running = false;
     bool m_requestPending = false;
--- a/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
+++ b/Source/UnitTests/Gateway/StoreRecoveryTest.cpp
@@ -66,6 +66,15 @@
         { .control = "127.0.0.1:3", .callers = "127.0.0.1:4", .failureDomain = "a", .capacity = 1 } };
 }
 
+// The same with the reserve candidates behind them, so that a small gateway is no candidate of either kind.
+std::vector<Gateway::Member> allCandidatesUnreachable()
+{
+    auto members = unreachableCandidates();
+    for (const auto* control : { "127.0.0.1:5", "127.0.0.1:7", "127.0.0.1:9", "127.0.0.1:11" })
+        members.push_back({ .control = control, .callers = control, .failureDomain = "a", .capacity = 0.5 });
+    return members;
+}
+
 // A fleet that counts as large: two gateways with much processor share, all others with little.
 class LargeFleet {
 public:
@@ -191,7 +200,7 @@
     GatewayFixture fixture(1);
     constexpr int members = 300;
     auto relay = makeRelay(fixture, members);
-    fixture.thread.call([&] { relay->setKnownMembers(unreachableCandidates()); });
+    fixture.thread.call([&] { relay->setKnownMembers(allCandidatesUnreachable()); });
     auto settings = RunningGateway::settings(fixture.storeAddress(), { relay->address() }, "127.0.0.1:0", Common::LogFormat::Off);
     settings.capacity = 0.07;
     RunningGateway gateway(settings, -1, lastInRandomOrders());
