Blocked requests are kept in the store for gateways that start when all others have gone

After a loss of all gateways, a request that had ended servers would end three more and be sent several times more before all gateways knew again. The leading relay writes the blocked requests into one row beside the relay list, at most once a second and only when they have changed; whoever reads the relay list reads the row with it.

--- a/Source/Core/Decisions/CrashSuspects.cpp
+++ b/Source/Core/Decisions/CrashSuspects.cpp
@@ -110,6 +110,14 @@
     return reports;
 }
 
+std::vector<CrashReport> CrashSuspects::blockedReports() const
+{
+    auto reports = learnedSince(0);
+    std::erase_if(reports, [&](const auto& report) { return !isBlocked(report.identity); });
+    std::sort(reports.begin(), reports.end(), [](const auto& a, const auto& b) { return a.identity < b.identity; });
+    return reports;
+}
+
 void CrashSuspects::expire(Common::TimePoint now)
 {
     std::erase_if(m_suspects, [&](const auto& it) {
--- a/Source/Core/Decisions/CrashSuspects.h
+++ b/Source/Core/Decisions/CrashSuspects.h
@@ -57,6 +57,8 @@
     std::vector<CrashReport> learnedSince(std::uint64_t revision) const;
     // For other gateways: the same, without requests under which fewer than serversToShare servers ended.
     std::vector<CrashReport> sharedSince(std::uint64_t revision) const;
+    // The blocked requests, in the order of their identities.
+    std::vector<CrashReport> blockedReports() const;
     // Grows with each change.
     std::uint64_t revision() const { return m_revision; }
     // Revision of the last change that sharedSince() tells of.
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -48,6 +48,9 @@
     constexpr Common::Duration minCrashReportDelay = std::chrono::milliseconds(30);
     constexpr Common::Duration crashReportDelayPerGateway = std::chrono::milliseconds(2);
 
+    // Minimum interval between two writes of the blocked requests to the store.
+    constexpr auto crashReportsWriteInterval = std::chrono::seconds(1);
+
     constexpr std::size_t relaysWanted = 2;
     // Backoff between reads of an unreachable store. Relays retry often, since all other gateways depend on them.
     constexpr auto firstBackoff = std::chrono::milliseconds(200);
@@ -66,6 +69,7 @@
     , m_log(log)
     , m_catalog(catalog)
     , m_members(members)
+    , m_crashSuspects(crashSuspects)
     , m_relayListTable(std::move(relayListTable))
     , m_options(std::move(options))
     , m_storeCallTimeout(readTable.callTimeout)
@@ -204,8 +208,11 @@
     else if (inputs.role == RelayRole::Leader && isRelayListOutdated()) {
         if (m_loop.now() - m_relayListReadAt > relayListRenewInterval)
             renewRelayList();
-    } else if (inputs.role == RelayRole::Leader)
+    } else if (inputs.role == RelayRole::Leader) {
         appointStandby();
+        if (!m_relayListCallPending && m_reader.storeAnswers())
+            storeCrashReports();
+    }
 }
 
 void CatalogSync::stopReading()
@@ -341,6 +348,8 @@
             return;
         auto before = std::pair(m_relayList.era, m_relayList.version);
         for (const auto& row : read.rows) {
+            if (row.key == m_options.crashReportsKey)
+                applyStoredCrashReports(row);
             auto list = row.key == m_options.relayListKey && row.value
                 ? parseRelayList(*row.value, row.version, read.era)
                 : Common::Result<RelayList>(Common::Error {});
@@ -447,6 +456,46 @@
         m_client.restart();
 }
 
+void CatalogSync::applyStoredCrashReports(const Platform::TableRow& row)
+{
+    m_crashReportsVersion = row.value ? row.version : 0;
+    auto reports = row.value ? parseCrashReports(*row.value) : Common::Result<std::vector<Decisions::CrashReport>>(std::vector<Decisions::CrashReport>());
+    if (!reports)
+        return m_log.log(Common::EventId::PeerMessageRefused, { { "row", row.key }, { "cause", reports.error().text } });
+    m_storedCrashReports = reports.value();
+    if (m_crashSuspects.merge(reports.value(), m_loop.now()))
+        m_server.onCrashesChanged();
+}
+
+void CatalogSync::storeCrashReports()
+{
+    if (m_loop.now() - m_crashReportsWrittenAt < crashReportsWriteInterval)
+        return;
+    auto reports = m_crashSuspects.blockedReports();
+    if (reports == m_storedCrashReports)
+        return;
+    m_relayListCallPending = true;
+    m_crashReportsWrittenAt = m_loop.now();
+    ++m_relayListCalls;
+    Platform::ConditionalWrite write {
+        .row = { .table = m_options.relayListTable, .key = m_options.crashReportsKey, .value = toText(reports), .version = 0 },
+        .expected = m_crashReportsVersion,
+    };
+    m_relayListTable.write(write, [this, reports](const Platform::CommitResult& result) {
+        m_relayListCallPending = false;
+        if (result.state == Platform::CommitState::Committed) {
+            m_storedCrashReports = reports;
+            m_crashReportsVersion = result.version;
+        }
+        if (result.state == Platform::CommitState::ConditionFailed)
+            m_crashReportsVersion = 0;
+        for (const auto& row : result.rows) {
+            if (row.key == m_options.crashReportsKey)
+                applyStoredCrashReports(row);
+        }
+    });
+}
+
 void CatalogSync::onCrashRecorded()
 {
     m_server.onCrashesChanged();
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -17,6 +17,7 @@
 struct CatalogSyncOptions {
     std::string relayListTable = "gateway"; // table of the store that only gateways write
     std::string relayListKey = "relays";
+    std::string crashReportsKey = "crash-reports"; // row of the same table: the requests that are blocked
     std::vector<std::string> seeds; // control addresses (ip:port), possibly out of date
     std::string updateTarget = "/v1/news";
     StoreReaderOptions reader;
@@ -74,6 +75,9 @@
     void readRelayList();
     void takeLead();
     void appointStandby();
+    // Keeps the blocked requests in the store, for gateways that start when all others have gone.
+    void storeCrashReports();
+    void applyStoredCrashReports(const Platform::TableRow&);
     // `expected`: version of the stored list, 0 if there is none.
     void writeRelayList(const std::vector<std::string>& relays, std::uint64_t expected);
     void onRelayListWritten(const std::vector<std::string>& relays, const Platform::CommitResult&);
@@ -82,6 +86,7 @@
     Common::EventLog& m_log;
     Catalog& m_catalog;
     Members& m_members;
+    Decisions::CrashSuspects& m_crashSuspects;
     Platform::AsyncTable m_relayListTable;
     CatalogSyncOptions m_options;
     Common::Duration m_storeCallTimeout;
@@ -95,6 +100,9 @@
     Common::TimePoint m_relayListChangedAt; // when a relay list was last adopted or written
     Common::TimePoint m_gatewayCountAt;
     Net::EventLoop::TimerId m_crashReportTimer = 0;
+    std::vector<Decisions::CrashReport> m_storedCrashReports; // as far as this gateway has read or written them
+    std::uint64_t m_crashReportsVersion = 0; // of their row; 0: there is none
+    Common::TimePoint m_crashReportsWrittenAt;
     Common::Duration m_relayTimeout {}; // without a response for this long, the relay counts as silent
     Common::TimePoint m_freshSince; // when this gateway's reader first had both tables; the epoch while it has not
     std::vector<std::string> m_otherPreferredCandidates; // control addresses of those in the own failure domain
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -268,6 +268,18 @@
     return Common::jsonText(json);
 }
 
+std::string toText(const std::vector<Decisions::CrashReport>& reports)
+{
+    Json::Value json;
+    json["crashes"] = toJson(reports);
+    return Common::jsonText(json);
+}
+
+Common::Result<std::vector<Decisions::CrashReport>> parseCrashReports(const std::string& text)
+{
+    return readTyped(text, [](const Json::Value& json) { return toCrashReports(json["crashes"]); });
+}
+
 Common::Result<RelayList> parseRelayList(const std::string& text, std::uint64_t version, std::uint64_t era)
 {
     return readTyped(text, [version, era](const Json::Value& json) {
--- a/Source/Core/Gateway/RelayMessages.h
+++ b/Source/Core/Gateway/RelayMessages.h
@@ -56,6 +56,8 @@
 Common::Result<UpdateRequest> parseUpdateRequest(const std::string&);
 Common::Result<UpdateResponse> parseUpdateResponse(const std::string& bytes);
 std::string toText(const RelayList&);
+std::string toText(const std::vector<Decisions::CrashReport>&);
+Common::Result<std::vector<Decisions::CrashReport>> parseCrashReports(const std::string&);
 Common::Result<RelayList> parseRelayList(const std::string&, std::uint64_t version, std::uint64_t era);
 
 }
--- a/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
+++ b/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
@@ -74,3 +74,31 @@
         gateways.clear();
     }
 }
+
+// Guards against a blocked request that ends servers again after all gateways have been restarted.
+TEST_CASE("A request that ended servers stays refused when all gateways have been restarted")
+{
+    constexpr int servers = 16;
+    const std::string target = "/once/deadly";
+    GatewayFixture fixture(servers);
+    fixture.thread.call([&] {
+        for (auto& server : fixture.servers)
+            server->setDeadlyTarget(target);
+    });
+    auto control = std::string("127.0.0.1:18445");
+    auto gateway = fixture.gateway({ control }, control);
+    REQUIRE(gateway->waitReady());
+    auto status = [&](const std::string& id) { return gateway->call(requestBytes("POST", target, id)).status; };
+    int n = 0;
+    CHECK(eventually([&] { return status("before" + std::to_string(++n)) == 503; }));
+    CHECK(eventually([&] { return !fixture.thread.call([&] { return fixture.store->value("gateway", "crash-reports"); }).empty(); }));
+    auto ended = endedServers(fixture);
+    gateway.reset();
+    gateway = fixture.gateway({ control }, control);
+    REQUIRE(gateway->waitReady());
+    CHECK(eventually([&] { return RunningGateway::get(gateway->daemon().metricsAddress(), "/metrics").body.find("cowslipledge_blocked_requests 1\n") != std::string::npos; }));
+    for (int i = 0; i < 5; ++i)
+        CHECK(status("after" + std::to_string(i)) == 503);
+    CHECK(endedServers(fixture) == ended);
+    gateway.reset();
+}
