Settings: the bound for leaving servers is read, and the shorter of both bounds is kept

Both kinds of changes come over the same way, and its time limits were derived from the bound for configurations alone: on a deployment where a server that drains has to be out of use sooner, requests would reach it too late (DRAIN). All deployments seen so far give both the same value. drain_ms is optional and is apply_ms where it is missing. GatewaySettingsTest has the new setting.

--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -22,7 +22,7 @@
     std::string updateTarget = "/v1/news";
     StoreReaderOptions reader;
     Decisions::RelayElectionOptions election;
-    Common::Duration applyTime = std::chrono::seconds(2); // the operators' bound on the time until a change is in force on all gateways
+    Common::Duration applyTime = std::chrono::seconds(2); // the operators' bound on the time until a change of configuration or registry is in force on all gateways
     Common::Duration minFollowerAge = std::chrono::milliseconds(1300); // lower bound of the catalog age at which a follower reads the store
     bool bootstrap = false; // all gateways start for the first time
 };
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/Daemon.h"
 
+#include <algorithm>
+
 #include "Common/MetricsPage.h"
 
 namespace Gateway {
@@ -101,7 +103,7 @@
               .seeds = m_options.settings.seeds,
               .reader = { .registryTable = m_options.platform.decoder.registryTable, .operatorTable = m_options.platform.decoder.operatorTable },
               .election = {},
-              .applyTime = std::chrono::milliseconds(m_options.settings.applyMs),
+              .applyTime = std::chrono::milliseconds(std::min(m_options.settings.applyMs, m_options.settings.drainMs)),
               .bootstrap = m_options.settings.bootstrap,
           })
     , m_callers(m_loop, callerServerOptions())
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -43,6 +43,7 @@
         settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
         settings.graceMs = readMilliseconds(reader, "grace", 100, settings.graceMs);
         settings.applyMs = readMilliseconds(reader, "apply", 100, settings.applyMs);
+        settings.drainMs = readMilliseconds(reader, "drain", 100, settings.applyMs);
         settings.seeds = reader.strings("seeds", std::vector<std::string>());
         for (const auto& seed : settings.seeds) {
             if (!Common::isAddress(seed))
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -25,7 +25,8 @@
     bool bootstrap = false; // all gateways of the deployment start for the first time
     int directoryTtlMs = 3000; // how long callers may cache a directory response
     int graceMs = 6000; // from SIGTERM to SIGKILL
-    int applyMs = 2000; // time limit for a change of configuration or registry to take effect
+    int applyMs = 2000; // time limit for a change of the configuration to take effect
+    int drainMs = 2000; // time limit for the draining or removal of a server to take effect; by default that of configurations
     double retryRatio = 0.2; // attempts beyond the first per request, for each service and over all gateways
     double retrySlack = 75; // attempts beyond the first per window that are allowed in addition, over all gateways
     int retryWindowMs = 10000; // window over which both limits are counted
--- a/Source/UnitTests/Settings/GatewaySettingsTest.cpp
+++ b/Source/UnitTests/Settings/GatewaySettingsTest.cpp
@@ -21,17 +21,18 @@
     std::string bounds;
     int graceMs;
     int applyMs;
+    int drainMs;
     int heartbeatMs;
     double retrySlack;
     int retryWindowMs;
 };
 
 const TimeCase timeCases[] = {
-    { "", "", "", 6000, 2000, 1500, 75, 10000 },
+    { "", "", "", 6000, 2000, 2000, 1500, 75, 10000 },
     { "grace_ms = 3000\napply_ms = 500", "server_heartbeat_ms = 700", "retry_slack = 10\nretry_window_ms = 400",
-        3000, 500, 700, 10, 400 },
-    { "grace_s = 6.5\napply_ms = 2000.4", "server_heartbeat_ms = 1500.0", "retry_slack = 28.4\nretry_window_s = 2.5",
-        6500, 2000, 1500, 28.4, 2500 },
+        3000, 500, 500, 700, 10, 400 },
+    { "grace_s = 6.5\napply_ms = 2000.4\ndrain_s = 1.2", "server_heartbeat_ms = 1500.0", "retry_slack = 28.4\nretry_window_s = 2.5",
+        6500, 2000, 1200, 1500, 28.4, 2500 },
 };
 
 }
@@ -46,6 +47,7 @@
         REQUIRE(settings);
         CHECK(settings->graceMs == row.graceMs);
         CHECK(settings->applyMs == row.applyMs);
+        CHECK(settings->drainMs == row.drainMs);
         CHECK(settings->serverHeartbeatMs == row.heartbeatMs);
         CHECK(settings->retrySlack == row.retrySlack);
         CHECK(settings->retryWindowMs == row.retryWindowMs);
