--- a/Source/UnitTests/Decisions/CrashSuspectsTest.cpp
+++ b/Source/UnitTests/Decisions/CrashSuspectsTest.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-using Decisions::CrashReport;
 using Decisions::CrashSuspects;
 using std::chrono::milliseconds;
 
