Requests that end servers: a 5xx status does not clear them

Seen: a request that ends each server that runs it was never blocked, and ended 10 of 10 servers, if one of six other servers had answered it with 500 (test below, before the change: blocked_requests 0). Callers lose the service.

Cause: any answer marked the request as one that servers survive, for good and at all gateways. A server that fails a request while its load probes are good (it sheds, or is broken) often has not begun to run it.

Change: only a status below 500 counts as evidence. Sound requests that servers always fail lose their protection against being blocked by chance; it still takes three different servers that ended under them.

Ruled out: weighing 5xx by whether the server's other requests failed too; that needs state for each server and tells no more.

--- a/Source/Core/Decisions/CrashSuspects.h
+++ b/Source/Core/Decisions/CrashSuspects.h
@@ -41,7 +41,7 @@
 
     // A server ended while it ran the request. Returns whether that was news.
     bool recordCrash(std::uint64_t identity, std::uint64_t server, Common::TimePoint now);
-    // A server answered the request after running it.
+    // A server ran the request to its end.
     void recordAnswer(std::uint64_t identity);
     // Whether an arriving request has to be refused.
     bool refuses(std::uint64_t identity, Common::TimePoint now);
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -338,7 +338,6 @@
     if (Net::findHeader(response.headers, m_router.options().headers.notExecuted)) {
         return retryOrGiveUp("the server rejected the request without executing it");
     }
-    m_router.crashSuspects().recordAnswer(m_identity);
     learnFromResponse(attempt, response);
     if (isServerFailure(response.status) && isSafeToRepeat()) {
         m_mayHaveExecuted = true;
@@ -352,8 +351,10 @@
 {
     auto took = m_router.loop().now() - attempt.sentAt;
     m_router.serverTimes().add(took);
+    // A server that fails a request may not have begun to run it.
     if (isServerFailure(response.status))
         return attempt.backend->recordFailure();
+    m_router.crashSuspects().recordAnswer(m_identity);
     auto tookMs = Common::toMilliseconds(took);
     attempt.backend->recordAnswer(tookMs, attempt.expectedMs);
     auto factor = attempt.expectedMs / std::max(1.0, m_router.expectedServiceTimeMs(m_route));
@@ -374,7 +375,6 @@
         if (i != index && m_attempts[i].connection)
             closeAttempt(m_attempts[i]);
     }
-    m_router.crashSuspects().recordAnswer(m_identity);
     m_attempts[index].backend->learnFrom(head.response);
     learnFromResponse(m_attempts[index], head.response);
     auto length = head.framing == Net::Framing::Length ? std::optional(head.length) : std::nullopt;
--- a/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
+++ b/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
@@ -28,6 +28,11 @@
     { "not safe to repeat, at three gateways by turns", "POST", "/once/deadly", 3 },
 };
 
+bool isBlockedAt(RunningGateway& gateway)
+{
+    return RunningGateway::get(gateway.daemon().metricsAddress(), "/metrics").body.find("cowslipledge_blocked_requests 1\n") != std::string::npos;
+}
+
 int endedServers(GatewayFixture& fixture)
 {
     return fixture.thread.call([&] {
@@ -75,6 +80,42 @@
     }
 }
 
+struct EvidenceCase {
+    std::string name;
+    std::size_t failingServers; // that answer it with a 5xx status and go on running
+};
+
+const EvidenceCase evidenceCases[] = {
+    { "some servers fail it", 6 },
+};
+
+// Guards against a request that is never blocked since a server that failed it did not end.
+TEST_CASE("A request that ends servers is blocked although others fail it and go on running")
+{
+    constexpr int servers = 16;
+    constexpr int arrivals = 100;
+    const std::string target = "/once/deadly";
+    for (const auto& row : evidenceCases) {
+        CAPTURE(row.name);
+        GatewayFixture fixture(servers);
+        fixture.thread.call([&] {
+            for (auto& server : fixture.servers)
+                server->setDeadlyTarget(target);
+            for (std::size_t i = 0; i < row.failingServers; ++i)
+                fixture.servers[i]->setMode(PlatformStandIn::ServerMode::Fails);
+        });
+        auto gateway = fixture.gateway();
+        REQUIRE(gateway->waitReady());
+        for (int i = 0; i < arrivals && !isBlockedAt(*gateway); ++i) {
+            gateway->call(requestBytes("POST", target, "deadly" + std::to_string(i)));
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+        CHECK(isBlockedAt(*gateway));
+        CHECK(endedServers(fixture) <= mostEndedServers);
+        gateway.reset();
+    }
+}
+
 // Guards against a blocked request that ends servers again after all gateways have been restarted.
 TEST_CASE("A request that ended servers stays refused when all gateways have been restarted")
 {
@@ -96,7 +137,7 @@
     gateway.reset();
     gateway = fixture.gateway({ control }, control);
     REQUIRE(gateway->waitReady());
-    CHECK(eventually([&] { return RunningGateway::get(gateway->daemon().metricsAddress(), "/metrics").body.find("cowslipledge_blocked_requests 1\n") != std::string::npos; }));
+    CHECK(eventually([&] { return isBlockedAt(*gateway); }));
     for (int i = 0; i < 5; ++i)
         CHECK(status("after" + std::to_string(i)) == 503);
     CHECK(endedServers(fixture) == ended);
