Requests that end servers: a server that wants no load probes is checked by a connection

Callers lose the service.

Cause: after a connection ended without an answer, the server was only counted as ended if it answered no load probe, and one that may not be probed now (a limit that is used up, a pause) was taken to live. Right after the request that crashed it, a server's limit is nearly always used up.

Change: Backend::checkAlive opens a connection to such a server instead; it is kept for requests if it stands.

Ruled out: probing limited servers after all. Pauses forbid load probes, and the retry of a probe on a new connection depends on the same state, so a live server with stale connections would have counted as ended.

--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -245,6 +245,29 @@
     sendProbe(timeout, true, done);
 }
 
+void Backend::checkAlive(Common::Duration timeout, std::function<void(bool)> done)
+{
+    if (isAvailable(m_loop.now()))
+        return probe(timeout, [done = std::move(done)](const ProbeAnswer& answer) { done(answer.answered); });
+    auto options = m_options.client;
+    options.connectTimeout = timeout;
+    ++m_connectionsOpened;
+    auto connection = Net::ClientConnection::open(m_loop, m_record.address, options);
+    m_busy.insert(connection);
+    std::weak_ptr<Backend> weak = weak_from_this();
+    std::weak_ptr<Net::ClientConnection> weakConnection = connection;
+    auto finish = [weak, weakConnection, done = std::move(done)](bool isAlive) {
+        auto self = weak.lock();
+        auto opened = weakConnection.lock();
+        if (!self || !opened)
+            return;
+        self->releaseConnection(opened);
+        done(isAlive);
+    };
+    connection->onConnected([finish] { finish(true); });
+    connection->onIdleClose([finish] { finish(false); });
+}
+
 void Backend::sendProbe(Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done)
 {
     auto hadFreeConnection = !m_free.empty();
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -75,6 +75,8 @@
 
     // Requests health and load. `done` is called once, unless the backend is destroyed first.
     void probe(Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done);
+    // Whether the server still runs: asks for its load or, if it wants no load probes now, opens a connection. `done` as above.
+    void checkAlive(Common::Duration timeout, std::function<void(bool isAlive)> done);
     // Sends over the most recently used free connection that was idle for at most `maxIdle`, or over a new one. `timeout` bounds
     // the time to the complete response.
     std::shared_ptr<Net::ClientConnection> send(
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -17,7 +17,7 @@
     // Weight of the newest response in the moving average of the service time.
     constexpr double serviceTimeGain = 0.05;
 
-    // A server that answers no load probe within this time after it closed a connection has ended.
+    // A server that does not answer within this time after it closed a connection has ended.
     constexpr auto crashCheckTimeout = std::chrono::milliseconds(250);
 
     using enum Net::HttpStatus;
@@ -93,15 +93,16 @@
 
 void RequestRouter::checkCrash(std::uint64_t identity, const std::string& requestId, const std::shared_ptr<Backend>& backend, std::function<void()> done)
 {
-    // One that wants no load probes now is taken to live.
-    if (!backend->isAvailable(m_loop.now()))
+    // A server that leaves closes its connections without having crashed.
+    if (!backend->isUsable())
         return done();
-    ++m_counters.probes;
+    if (backend->isAvailable(m_loop.now()))
+        ++m_counters.probes;
     auto record = backend->record();
     std::weak_ptr<Backend> weak = backend;
-    backend->probe(crashCheckTimeout, [this, identity, requestId, record, weak, done = std::move(done)](const ProbeAnswer& answer) {
+    backend->checkAlive(crashCheckTimeout, [this, identity, requestId, record, weak, done = std::move(done)](bool isAlive) {
         auto server = weak.lock();
-        if (!answer.answered || (server && server->isMisdirected()))
+        if (!isAlive || (server && server->isMisdirected()))
             recordCrash(identity, requestId, record);
         done();
     });
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -154,7 +154,9 @@
     m_connected = true;
     m_loop.cancel(m_connectTimer);
     updateInterest();
-    return true;
+    if (auto hook = std::exchange(m_connectedHook, {}))
+        hook();
+    return !m_closed;
 }
 
 void ClientConnection::updateInterest()
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -76,6 +76,8 @@
     Common::TimePoint lastUsed() const { return m_lastUsed; }
     // Idle timeout from the peer's Keep-Alive header, if it sent one.
     std::optional<int> idleTimeoutS() const { return m_idleTimeoutS; }
+    // Sets a hook that is called once when the connection stands.
+    void onConnected(std::function<void()> hook) { m_connectedHook = std::move(hook); }
     // Sets a hook that is called once if the connection fails or the peer closes it while no request is pending. close() does not
     // call it.
     void onIdleClose(std::function<void()> hook) { m_idleCloseHook = std::move(hook); }
@@ -107,6 +109,7 @@
     EventLoop::TimerId m_requestTimer = 0;
     Common::TimePoint m_lastUsed;
     std::optional<int> m_idleTimeoutS;
+    std::function<void()> m_connectedHook;
     std::function<void()> m_idleCloseHook;
     bool m_connected = false;
     bool m_busy = false;
--- a/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
+++ b/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "Backends/ScriptedServer.h"
+
 // Requests that end each server that begins to run them.
 
 namespace {
@@ -28,9 +30,10 @@
     { "not safe to repeat, at three gateways by turns", "POST", "/once/deadly", 3 },
 };
 
-bool isBlockedAt(RunningGateway& gateway)
+// Whether the gateway's metrics page has a line such as "members 3".
+bool shows(RunningGateway& gateway, const std::string& metric)
 {
-    return RunningGateway::get(gateway.daemon().metricsAddress(), "/metrics").body.find("cowslipledge_blocked_requests 1\n") != std::string::npos;
+    return RunningGateway::get(gateway.daemon().metricsAddress(), "/metrics").body.find("cowslipledge_" + metric + "\n") != std::string::npos;
 }
 
 int endedServers(GatewayFixture& fixture)
@@ -61,9 +64,7 @@
         for (auto& gateway : gateways)
             REQUIRE(gateway->waitReady());
         REQUIRE(eventually([&] {
-            return std::all_of(gateways.begin(), gateways.end(), [&](auto& it) {
-                return RunningGateway::get(it->daemon().metricsAddress(), "/metrics").body.find("cowslipledge_members " + std::to_string(row.gateways) + "\n") != std::string::npos;
-            });
+            return std::all_of(gateways.begin(), gateways.end(), [&](auto& it) { return shows(*it, "members " + std::to_string(row.gateways)); });
         }));
         int lastStatus = 0;
         for (int i = 0; i < arrivals; ++i) {
@@ -83,14 +84,16 @@
 struct EvidenceCase {
     std::string name;
     std::size_t failingServers; // that answer it with a 5xx status and go on running
+    std::optional<std::string> limit; // requests a second that each server names
 };
 
 const EvidenceCase evidenceCases[] = {
-    { "some servers fail it", 6 },
+    { "some servers fail it", 6, {} },
+    { "servers name a limit", 0, "4" },
 };
 
-// Guards against a request that is never blocked since a server that failed it did not end.
-TEST_CASE("A request that ends servers is blocked although others fail it and go on running")
+// Guards against a request that is not blocked although it ended several servers: some failed it, or could not be probed afterwards.
+TEST_CASE("A request that ends servers is blocked whatever they had said before, and whatever others answer")
 {
     constexpr int servers = 16;
     constexpr int arrivals = 100;
@@ -99,23 +102,56 @@
         CAPTURE(row.name);
         GatewayFixture fixture(servers);
         fixture.thread.call([&] {
-            for (auto& server : fixture.servers)
+            for (auto& server : fixture.servers) {
                 server->setDeadlyTarget(target);
+                server->setLimit(row.limit, true);
+            }
             for (std::size_t i = 0; i < row.failingServers; ++i)
                 fixture.servers[i]->setMode(PlatformStandIn::ServerMode::Fails);
         });
         auto gateway = fixture.gateway();
         REQUIRE(gateway->waitReady());
-        for (int i = 0; i < arrivals && !isBlockedAt(*gateway); ++i) {
+        // A server's limit is known once it has answered.
+        for (int i = 0; row.limit && i < 4 * servers; ++i)
+            gateway->call(requestBytes("GET", "/safe/x" + std::to_string(i), "limit" + std::to_string(i)));
+        for (int i = 0; i < arrivals && !shows(*gateway, "blocked_requests 1"); ++i) {
             gateway->call(requestBytes("POST", target, "deadly" + std::to_string(i)));
             std::this_thread::sleep_for(std::chrono::milliseconds(100));
         }
-        CHECK(isBlockedAt(*gateway));
+        CHECK(shows(*gateway, "blocked_requests 1"));
         CHECK(endedServers(fixture) <= mostEndedServers);
         gateway.reset();
     }
 }
 
+// Guards against sound requests that are blocked since servers which can't be probed now have ended a connection.
+TEST_CASE("A server that ends a connection and still runs is not taken to have crashed")
+{
+    using namespace UnitTests;
+    for (const std::string limit : { "", "2" }) {
+        CAPTURE(limit);
+        auto health = "HTTP/1.1 200 OK\r\n" + std::string(Names::instanceId) + ": raw\r\n" + Names::load + ": 0,0,4,100\r\n"
+            + (limit.empty() ? "" : std::string(Names::serverLimit) + ": " + limit + "\r\n") + "Content-Length: 0\r\n\r\n";
+        ScriptedServer server({ { ReadRequest {}, SendBytes { health }, ReadRequest {}, CloseConnection {} } });
+        GatewayFixture fixture(1);
+        fixture.thread.call([&] {
+            auto value = fixture.servers[0]->registryValue();
+            auto at = value.find("127.0.0.1:");
+            value.replace(at, value.find('"', at) - at, server.address());
+            fixture.store->remove(Names::registryTable, "server-1");
+            fixture.store->put(Names::registryTable, "raw", value);
+        });
+        auto gateway = fixture.gateway();
+        REQUIRE(gateway->waitReady());
+        int n = 0;
+        REQUIRE(eventually([&] { return gateway->call(requestBytes("POST", "/once/x", "sound" + std::to_string(++n))).status == 502; }));
+        CHECK(server.hasReceived("POST /once/x"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(500)); // until the gateway has found out
+        CHECK(shows(*gateway, "crash_suspects 0"));
+        gateway.reset();
+    }
+}
+
 // Guards against a blocked request that ends servers again after all gateways have been restarted.
 TEST_CASE("A request that ended servers stays refused when all gateways have been restarted")
 {
@@ -137,7 +173,7 @@
     gateway.reset();
     gateway = fixture.gateway({ control }, control);
     REQUIRE(gateway->waitReady());
-    CHECK(eventually([&] { return isBlockedAt(*gateway); }));
+    CHECK(eventually([&] { return shows(*gateway, "blocked_requests 1"); }));
     for (int i = 0; i < 5; ++i)
         CHECK(status("after" + std::to_string(i)) == 503);
     CHECK(endedServers(fixture) == ended);
