Requests that end servers: the stored list is written again in a new era of the store

Seen (test below, before the change): after the store was restored from a copy, the row of blocked requests was missing for good. If all gateways restarted then, a blocked request would have ended servers again.

Cause: the leader remembered what it had written and compared only with that. The relay list is written again in a new era, this row was not.

Change: whenever the leader reads the table of gateways, it takes over what is stored now, also that the row is missing; the next check then writes it.

Measured: DeadlyRequestTest "are stored again after the store was restored" failed before (10 s without the row), 3 runs pass.

--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -347,9 +347,8 @@
         if (read.state != Platform::ReadState::Ok)
             return;
         auto before = std::pair(m_relayList.era, m_relayList.version);
+        applyStoredCrashReports(read.rows);
         for (const auto& row : read.rows) {
-            if (row.key == m_options.crashReportsKey)
-                applyStoredCrashReports(row);
             auto list = row.key == m_options.relayListKey && row.value
                 ? parseRelayList(*row.value, row.version, read.era)
                 : Common::Result<RelayList>(Common::Error {});
@@ -376,6 +375,7 @@
         m_relayListCallPending = false;
         if (read.state != Platform::ReadState::Ok || read.era != m_catalog.position().era || role() != RelayRole::Leader)
             return;
+        applyStoredCrashReports(read.rows);
         auto row = std::find_if(read.rows.begin(), read.rows.end(), [&](const auto& it) { return it.key == m_options.relayListKey; });
         writeRelayList(m_relayList.relays, row == read.rows.end() ? 0 : row->version);
     });
@@ -456,12 +456,17 @@
         m_client.restart();
 }
 
-void CatalogSync::applyStoredCrashReports(const Platform::TableRow& row)
+void CatalogSync::applyStoredCrashReports(const std::vector<Platform::TableRow>& rows)
 {
-    m_crashReportsVersion = row.value ? row.version : 0;
-    auto reports = row.value ? parseCrashReports(*row.value) : Common::Result<std::vector<Decisions::CrashReport>>(std::vector<Decisions::CrashReport>());
+    m_crashReportsVersion = 0;
+    m_storedCrashReports.clear();
+    auto row = std::find_if(rows.begin(), rows.end(), [&](const auto& it) { return it.key == m_options.crashReportsKey && it.value; });
+    if (row == rows.end())
+        return;
+    m_crashReportsVersion = row->version;
+    auto reports = parseCrashReports(*row->value);
     if (!reports)
-        return m_log.log(Common::EventId::PeerMessageRefused, { { "row", row.key }, { "cause", reports.error().text } });
+        return m_log.log(Common::EventId::PeerMessageRefused, { { "row", row->key }, { "cause", reports.error().text } });
     m_storedCrashReports = reports.value();
     if (m_crashSuspects.merge(reports.value(), m_loop.now()))
         m_server.onCrashesChanged();
@@ -488,11 +493,7 @@
             m_crashReportsVersion = result.version;
         }
         if (result.state == Platform::CommitState::ConditionFailed)
-            m_crashReportsVersion = 0;
-        for (const auto& row : result.rows) {
-            if (row.key == m_options.crashReportsKey)
-                applyStoredCrashReports(row);
-        }
+            applyStoredCrashReports(result.rows);
     });
 }
 
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -77,7 +77,8 @@
     void appointStandby();
     // Keeps the blocked requests in the store, for gateways that start when all others have gone.
     void storeCrashReports();
-    void applyStoredCrashReports(const Platform::TableRow&);
+    // `rows`: all of the table that may be theirs; without theirs, none are stored.
+    void applyStoredCrashReports(const std::vector<Platform::TableRow>& rows);
     // `expected`: version of the stored list, 0 if there is none.
     void writeRelayList(const std::vector<std::string>& relays, std::uint64_t expected);
     void onRelayListWritten(const std::vector<std::string>& relays, const Platform::CommitResult&);
--- a/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
+++ b/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
@@ -179,3 +179,27 @@
     CHECK(endedServers(fixture) == ended);
     gateway.reset();
 }
+
+// Guards against a blocked request that ends servers again when all gateways restart after the store has lost what they wrote.
+TEST_CASE("Blocked requests are stored again after the store was restored from a copy")
+{
+    constexpr int servers = 16;
+    const std::string target = "/once/deadly";
+    GatewayFixture fixture(servers);
+    fixture.thread.call([&] {
+        for (auto& server : fixture.servers)
+            server->setDeadlyTarget(target);
+        fixture.store->saveCopy();
+    });
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    int n = 0;
+    REQUIRE(eventually([&] { return gateway->call(requestBytes("POST", target, "deadly" + std::to_string(++n))).status == 503; }));
+    auto stored = [&] { return fixture.thread.call([&] { return fixture.store->value("gateway", "crash-reports"); }); };
+    REQUIRE(eventually([&] { return !stored().empty(); }));
+    auto before = stored();
+    fixture.thread.call([&] { fixture.store->restoreCopy(); });
+    REQUIRE(stored().empty());
+    CHECK(eventually([&] { return stored() == before; }));
+    gateway.reset();
+}
