Member lists: a relay that has lost its source drops members without contact

Seen (test below, before the change): while the store and the leading relay are unreachable, the followers of the standby relay name gateways to callers that ended together with the leader, without end: more than 10 s in the test, until the store is back in general. The users reported directory answers with machines that had long been off; whether this was their cause is not known.

Cause: only the leader dropped members that make no contact. A standby that cannot take the lead, since it does not reach the store, goes on answering followers with the leader's last list, and they take it for a list of that moment. Class of fault: knowledge that is handed on without its age.

Change: every gateway that answers followers drops members: those it neither hears from nor, for 2.5 s, has in a list of a relay that it follows. Followers turn to it within that time, and then it hears from them.

Ruled out: sending the list's age along; followers would have to keep members by age, and the standby itself names them to callers too.

--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -173,7 +173,8 @@
 {
     updateRelayState();
     updateGatewayCount();
-    if (role() == RelayRole::Leader && m_members.expire(m_loop.now()))
+    // Whoever answers followers tells them of members as alive.
+    if ((role() == RelayRole::Leader || isRelay()) && m_members.expire(m_loop.now()))
         m_server.onMembersChanged();
     updateCandidates();
     applyElection();
--- a/Source/Core/Gateway/Members.h
+++ b/Source/Core/Gateway/Members.h
@@ -45,8 +45,8 @@
     bool recordContact(const Member&, Common::TimePoint now);
     // The member's connection ended: it expires unless it makes contact again by `until`.
     void suspect(const std::string& control, Common::TimePoint until);
-    // For the leading relay: drops members without contact within their timeout, those of an earlier relay's list too once they have
-    // had time to make contact. Returns whether the list changed.
+    // For gateways that answer followers: drops members without contact within their timeout; those of the list of a relay that is
+    // followed, or was until lately, stay. Returns whether the list changed.
     bool expire(Common::TimePoint now);
     // Applies an update of the relay that is followed. Members that are not in its list stay until their last contact with this
     // gateway is too long ago.
--- a/Source/UnitTests/Gateway/FakeRelay.h
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -30,8 +30,8 @@
     {
         if (auto opened = m_server.open(); !opened)
             throw std::runtime_error(opened.error().text);
-        store.put("gateway", "relays", Gateway::toText(Gateway::RelayList { .relays = { address() } }));
-        m_listVersion = store.version();
+        m_relays = { address() };
+        writeRelayList(store);
     }
 
     std::string address() const { return m_server.address(); }
@@ -41,6 +41,12 @@
 
     // The members that it tells of.
     void setKnownMembers(std::vector<Gateway::Member> members) { m_knownMembers = std::move(members); }
+    // Names a second relay in the store's relay list.
+    void appointStandby(PlatformStandIn::Store& store, const std::string& control)
+    {
+        m_relays = { address(), control };
+        writeRelayList(store);
+    }
     // Sends a gateway the relay list in the store.
     void announceTo(const std::string& control)
     {
@@ -50,15 +56,20 @@
             .membersFrom = {},
             .membersRevision = 0,
             .wait = {},
-            .relayList = { .relays = { address() }, .version = m_listVersion, .era = 1 },
+            .relayList = { .relays = m_relays, .version = m_listVersion, .era = 1 },
             .crashes = {},
         };
         Net::Request request { .method = "POST", .target = "/v1/news", .headers = { { "Host", control } }, .body = Gateway::toText(update), .keepAlive = true };
-        m_announcement = Net::ClientConnection::open(m_loop, control, {});
-        m_announcement->send(Net::toBytes(request), true, std::chrono::seconds(1), { .answered = [](Net::ResponseHead&&) {}, .failed = [](Net::ClientFailure) {} });
+        m_announcements.push_back(Net::ClientConnection::open(m_loop, control, {}));
+        m_announcements.back()->send(Net::toBytes(request), true, std::chrono::seconds(1), { .answered = [](Net::ResponseHead&&) {}, .failed = [](Net::ClientFailure) {} });
     }
 
 private:
+    void writeRelayList(PlatformStandIn::Store& store)
+    {
+        store.put("gateway", "relays", Gateway::toText(Gateway::RelayList { .relays = m_relays }));
+        m_listVersion = store.version();
+    }
     void serve(const std::shared_ptr<Net::Exchange>& exchange)
     {
         auto request = Gateway::parseUpdateRequest(exchange->request().body);
@@ -82,8 +93,9 @@
     RelayAnswer m_answer = RelayAnswer::Fresh;
     Common::Duration m_delay = std::chrono::milliseconds(5);
     std::vector<Gateway::Member> m_knownMembers;
+    std::vector<std::string> m_relays; // of the list in the store
     std::uint64_t m_listVersion = 0;
-    std::shared_ptr<Net::ClientConnection> m_announcement;
+    std::vector<std::shared_ptr<Net::ClientConnection>> m_announcements;
     Net::HttpServer m_server;
 };
 
--- a/Source/UnitTests/Gateway/MemberListTest.cpp
+++ b/Source/UnitTests/Gateway/MemberListTest.cpp
@@ -63,6 +63,44 @@
     gateway.reset();
 }
 
+// Guards against followers that take the old member list of a standby relay for a new one, for as long as the store is unreachable.
+TEST_CASE("A standby relay drops members that nothing has been heard of since the leading relay and the store were lost")
+{
+    GatewayFixture fixture(1);
+    const std::string standbyControl = "127.0.0.1:18437";
+    const std::string followerControl = "127.0.0.1:18438";
+    auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, 5); });
+    fixture.thread.call([&] {
+        relay->setKnownMembers({ { .control = "127.0.0.1:1", .callers = "127.0.0.1:2", .failureDomain = "a", .serving = true },
+            { .control = "127.0.0.1:3", .callers = "127.0.0.1:4", .failureDomain = "a", .serving = true } });
+        relay->appointStandby(*fixture.store, standbyControl);
+    });
+    auto standby = fixture.gateway({ relay->address() }, standbyControl);
+    auto follower = fixture.gateway({ relay->address() }, followerControl);
+    REQUIRE(standby->waitReady());
+    REQUIRE(follower->waitReady());
+    fixture.thread.call([&] {
+        relay->announceTo(standbyControl);
+        relay->announceTo(followerControl);
+    });
+    REQUIRE(eventually([&] { return directoryAddresses(*follower).size() >= 3 && directoryAddresses(*standby).size() >= 3; }));
+    fixture.thread.call([&] {
+        fixture.store->setMode(PlatformStandIn::StoreMode::Silent);
+        relay.reset();
+    });
+    auto lost = std::chrono::steady_clock::now();
+    for (auto* gateway : { follower.get(), standby.get() }) {
+        CHECK(eventually([&] {
+            auto addresses = directoryAddresses(*gateway);
+            std::sort(addresses.begin(), addresses.end());
+            return addresses == std::vector<std::string> { "127.0.0.1:18457", "127.0.0.1:18458" };
+        }));
+    }
+    CHECK(std::chrono::steady_clock::now() - lost < longestSilence);
+    follower.reset();
+    standby.reset();
+}
+
 // Guards against a follower that is told nothing of the members since a revision that its relay's earlier process had reached.
 TEST_CASE("A relay that has started anew sends its whole member list to a follower that holds an older one of the same address")
 {
