--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -75,7 +75,8 @@
 
     // Requests health and load. `done` is called once, unless the backend is destroyed first.
     void probe(Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done);
-    // Whether the server still runs: asks for its load or, if it wants no load probes now, opens a connection. `done` as above.
+    // Finds out whether the server still runs: by a load probe or, if it may get none now, by opening a connection. `done` is called as
+    // for probe().
     void checkAlive(Common::Duration timeout, std::function<void(bool isAlive)> done);
     // Sends over the most recently used free connection that was idle for at most `maxIdle`, or over a new one. `timeout` bounds
     // the time to the complete response.
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -173,7 +173,7 @@
 {
     updateRelayState();
     updateGatewayCount();
-    // Whoever answers followers tells them of members as alive.
+    // Followers take the list of whoever answers them for current.
     if ((role() == RelayRole::Leader || isRelay()) && m_members.expire(m_loop.now()))
         m_server.onMembersChanged();
     updateCandidates();
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -77,7 +77,7 @@
     void appointStandby();
     // Keeps the blocked requests in the store, for gateways that start when all others have gone.
     void storeCrashReports();
-    // `rows`: all of the table that may be theirs; without theirs, none are stored.
+    // Takes over what the store holds of them. `rows`: the rows read; if none is theirs, none are stored.
     void applyStoredCrashReports(const std::vector<Platform::TableRow>& rows);
     // `expected`: version of the stored list, 0 if there is none.
     void writeRelayList(const std::vector<std::string>& relays, std::uint64_t expected);
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -93,7 +93,7 @@
 
 void RequestRouter::checkCrash(std::uint64_t identity, const std::string& requestId, const std::shared_ptr<Backend>& backend, std::function<void()> done)
 {
-    // A server that leaves closes its connections without having crashed.
+    // A server that is leaving or not registered any more closes its connections without having crashed.
     if (!backend->isUsable())
         return done();
     if (backend->isAvailable(m_loop.now()))
--- a/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
+++ b/Source/UnitTests/Gateway/DeadlyRequestTest.cpp
@@ -30,6 +30,20 @@
     { "not safe to repeat, at three gateways by turns", "POST", "/once/deadly", 3 },
 };
 
+// The servers end when they begin to run a request to `target`.
+void setDeadlyTarget(GatewayFixture& fixture, const std::string& target)
+{
+    fixture.thread.call([&] {
+        for (auto& server : fixture.servers)
+            server->setDeadlyTarget(target);
+    });
+}
+
+std::string storedReports(GatewayFixture& fixture)
+{
+    return fixture.thread.call([&] { return fixture.store->value("gateway", "crash-reports"); });
+}
+
 // Whether the gateway's metrics page has a line such as "members 3".
 bool shows(RunningGateway& gateway, const std::string& metric)
 {
@@ -53,10 +67,7 @@
     for (const auto& row : cases) {
         CAPTURE(row.name);
         GatewayFixture fixture(servers);
-        fixture.thread.call([&] {
-            for (auto& server : fixture.servers)
-                server->setDeadlyTarget(row.target);
-        });
+        setDeadlyTarget(fixture, row.target);
         std::vector<std::string> seeds { "127.0.0.1:18441" };
         std::vector<std::unique_ptr<RunningGateway>> gateways;
         for (int i = 0; i < row.gateways; ++i)
@@ -101,11 +112,10 @@
     for (const auto& row : evidenceCases) {
         CAPTURE(row.name);
         GatewayFixture fixture(servers);
+        setDeadlyTarget(fixture, target);
         fixture.thread.call([&] {
-            for (auto& server : fixture.servers) {
-                server->setDeadlyTarget(target);
+            for (auto& server : fixture.servers)
                 server->setLimit(row.limit, true);
-            }
             for (std::size_t i = 0; i < row.failingServers; ++i)
                 fixture.servers[i]->setMode(PlatformStandIn::ServerMode::Fails);
         });
@@ -158,17 +168,14 @@
     constexpr int servers = 16;
     const std::string target = "/once/deadly";
     GatewayFixture fixture(servers);
-    fixture.thread.call([&] {
-        for (auto& server : fixture.servers)
-            server->setDeadlyTarget(target);
-    });
+    setDeadlyTarget(fixture, target);
     auto control = std::string("127.0.0.1:18445");
     auto gateway = fixture.gateway({ control }, control);
     REQUIRE(gateway->waitReady());
     auto status = [&](const std::string& id) { return gateway->call(requestBytes("POST", target, id)).status; };
     int n = 0;
     CHECK(eventually([&] { return status("before" + std::to_string(++n)) == 503; }));
-    CHECK(eventually([&] { return !fixture.thread.call([&] { return fixture.store->value("gateway", "crash-reports"); }).empty(); }));
+    CHECK(eventually([&] { return !storedReports(fixture).empty(); }));
     auto ended = endedServers(fixture);
     gateway.reset();
     gateway = fixture.gateway({ control }, control);
@@ -186,20 +193,16 @@
     constexpr int servers = 16;
     const std::string target = "/once/deadly";
     GatewayFixture fixture(servers);
-    fixture.thread.call([&] {
-        for (auto& server : fixture.servers)
-            server->setDeadlyTarget(target);
-        fixture.store->saveCopy();
-    });
+    setDeadlyTarget(fixture, target);
+    fixture.thread.call([&] { fixture.store->saveCopy(); });
     auto gateway = fixture.gateway();
     REQUIRE(gateway->waitReady());
     int n = 0;
     REQUIRE(eventually([&] { return gateway->call(requestBytes("POST", target, "deadly" + std::to_string(++n))).status == 503; }));
-    auto stored = [&] { return fixture.thread.call([&] { return fixture.store->value("gateway", "crash-reports"); }); };
-    REQUIRE(eventually([&] { return !stored().empty(); }));
-    auto before = stored();
+    REQUIRE(eventually([&] { return !storedReports(fixture).empty(); }));
+    auto before = storedReports(fixture);
     fixture.thread.call([&] { fixture.store->restoreCopy(); });
-    REQUIRE(stored().empty());
-    CHECK(eventually([&] { return stored() == before; }));
+    REQUIRE(storedReports(fixture).empty());
+    CHECK(eventually([&] { return storedReports(fixture) == before; }));
     gateway.reset();
 }
