Log: a gateway tells when no server of a service answers it

Cause: a refusal as "no server answered a load probe" names no server, and a load probe that fails is not logged. Change: Decisions/ServerReachability judges the outcomes of requests and load probes; events servers-unreachable and servers-reachable, metrics failed_contacts_total and unreachable_services. No decision depends on them yet.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -72,6 +72,8 @@
         EventRow { ServerLimited, "server-limited", Severity::Info, "A backend server named the requests a second that it takes from all entries together, or another number than before." },
         EventRow { ServerLimitEnded, "server-limit-ended", Severity::Info, "A backend server names no limit any more." },
         EventRow { ServerCrashed, "server-crashed", Severity::Warning, "A backend server ended while it ran a request." },
+        EventRow { ServersUnreachable, "servers-unreachable", Severity::Warning, "No backend server of a service answers this entry, or none over a new connection; other entries may still reach them." },
+        EventRow { ServersReachable, "servers-reachable", Severity::Info, "A backend server of a service answers this entry again." },
     };
 
     constexpr std::array severityNames {
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -71,6 +71,8 @@
     ServerLimited = 5010,
     ServerLimitEnded = 5011,
     ServerCrashed = 5012,
+    ServersUnreachable = 5013,
+    ServersReachable = 5014,
 };
 
 enum class Severity {
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -207,10 +207,17 @@
 std::shared_ptr<Net::ClientConnection> Backend::send(
     std::string bytes, bool expectsBody, Common::Duration timeout, Common::Duration maxIdle, Net::ClientHandlers handlers)
 {
-    auto connection = acquireConnection(maxIdle).connection;
+    auto [connection, reused] = acquireConnection(maxIdle);
     m_busy.insert(connection);
     std::weak_ptr<Backend> weak = weak_from_this();
     std::weak_ptr<Net::ClientConnection> weakConnection = connection;
+    ServerContact contact { .failure = {}, .isNewConnection = !reused, .sentAt = m_loop.now() };
+    auto onContact = [weak, contact](std::optional<Net::FailureKind> failure) {
+        auto outcome = contact;
+        outcome.failure = failure;
+        if (auto self = weak.lock())
+            self->reportContact(outcome);
+    };
     auto releaseWhenDone = [weak, weakConnection] {
         auto self = weak.lock();
         auto done = weakConnection.lock();
@@ -218,11 +225,13 @@
             self->releaseConnection(done);
     };
     connection->send(std::move(bytes), expectsBody, timeout,
-        { .answered = [releaseWhenDone, answered = std::move(handlers.answered)](Net::ResponseHead&& head) {
+        { .answered = [onContact, releaseWhenDone, answered = std::move(handlers.answered)](Net::ResponseHead&& head) {
              releaseWhenDone();
+             onContact(std::nullopt);
              answered(std::move(head)); },
-            .failed = [releaseWhenDone, failed = std::move(handlers.failed)](Net::ClientFailure failure) {
+            .failed = [onContact, releaseWhenDone, failed = std::move(handlers.failed)](Net::ClientFailure failure) {
                 releaseWhenDone();
+                onContact(failure.kind);
                 failed(failure); },
             .matchesRequest = std::move(handlers.matchesRequest),
             .started = std::move(handlers.started),
@@ -234,6 +243,11 @@
     return connection;
 }
 
+void Backend::reportContact(const ServerContact& contact)
+{
+    m_options.contacted(m_record, contact);
+}
+
 void Backend::abandon(const std::shared_ptr<Net::ClientConnection>& connection)
 {
     connection->close();
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 
@@ -16,6 +17,13 @@
 
 namespace Gateway {
 
+// Outcome of one request or load probe, as far as it tells of the path to the server.
+struct ServerContact {
+    std::optional<Net::FailureKind> failure; // nullopt: the server answered
+    bool isNewConnection = false;
+    Common::TimePoint sentAt;
+};
+
 struct BackendOptions {
     const WireHeaders* headers = nullptr;
     std::string healthPath;
@@ -27,6 +35,8 @@
     std::function<double(const ServerRecord&, double perSecond)> limitShare = [](const ServerRecord&, double perSecond) { return perSecond; };
     // Called when the limit that the server names has changed; nullopt: it names none any more.
     std::function<void(const ServerRecord&, std::optional<double> perSecond, double share)> limitChanged = [](const ServerRecord&, std::optional<double>, double) {};
+    // Called with the outcome of each request and load probe.
+    std::function<void(const ServerRecord&, const ServerContact&)> contacted = [](const ServerRecord&, const ServerContact&) {};
     int maxConnections = 15; // free connections kept: this gateway's share of the server's limit
     Net::ClientOptions client;
 };
@@ -121,6 +131,7 @@
     AcquiredConnection acquireConnection(Common::Duration maxIdle);
     void releaseConnection(const std::shared_ptr<Net::ClientConnection>&);
     bool isStale(const Net::ClientConnection&, Common::TimePoint now) const;
+    void reportContact(const ServerContact&);
     void sendProbe(Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done);
     void recordProbeFailure();
     void updateLoadReport(const Net::Headers&);
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include "Common/Hash.h"
+
 namespace Gateway {
 
 namespace {
@@ -19,6 +21,12 @@
     // Leaving servers that are remembered after the registry has dropped them.
     constexpr std::size_t maxLeftServers = 4096;
 
+    // Whether bytes came from the server, be they no valid response.
+    bool hasAnswered(const ServerContact& contact)
+    {
+        return !contact.failure || *contact.failure == Net::FailureKind::Malformed || *contact.failure == Net::FailureKind::TooLarge;
+    }
+
 }
 
 Backends::Backends(Net::EventLoop& loop, Common::EventLog& log, BackendsOptions options)
@@ -39,6 +47,7 @@
                                                                                    { { "server", record.id }, { "service", record.service }, { "pause_ms", std::to_string(static_cast<long>(Common::toMilliseconds(pause))) } }); },
         .limitShare = [this](const ServerRecord& record, double perSecond) { return limitShare(record, perSecond); },
         .limitChanged = [this](const ServerRecord& record, std::optional<double> perSecond, double share) { onLimitChanged(record, perSecond, share); },
+        .contacted = [this](const ServerRecord& record, const ServerContact& contact) { onContact(record, contact); },
         .maxConnections = 1,
         .client = m_options.client,
     };
@@ -163,9 +172,46 @@
         { { "server", id }, { "service", backend->record().service }, { "version", std::to_string(version) } });
 }
 
+Decisions::Reachability Backends::reachability(const std::string& service) const
+{
+    auto it = m_paths.find(service);
+    return it == m_paths.end() ? Decisions::Reachability::Reachable : it->second.evidence.state(usableCount(service), m_loop.now());
+}
+
+std::size_t Backends::unreachableServices() const
+{
+    return static_cast<std::size_t>(std::count_if(m_paths.begin(), m_paths.end(), [&](const auto& it) { return reachability(it.first) != Decisions::Reachability::Reachable; }));
+}
+
+void Backends::onContact(const ServerRecord& record, const ServerContact& contact)
+{
+    auto now = m_loop.now();
+    auto& path = m_paths[record.service];
+    auto lastAnswer = path.evidence.lastAnswer();
+    m_failedContacts += contact.failure ? 1 : 0;
+    path.evidence.record({ .server = Common::hash(record.id), .answered = hasAnswered(contact), .isNewConnection = contact.isNewConnection, .sentAt = contact.sentAt }, now);
+    auto state = path.evidence.state(usableCount(record.service), now);
+    if (state == path.logged)
+        return;
+    if (state == Decisions::Reachability::Reachable)
+        m_log.log(Common::EventId::ServersReachable,
+            { { "service", record.service }, { "server", record.id }, { "after_ms", fmt::format("{:.0f}", Common::toMilliseconds(now - path.loggedAt)) } });
+    else
+        m_log.log(Common::EventId::ServersUnreachable,
+            { { "service", record.service },
+                { "connections", state == Decisions::Reachability::Unreachable ? "all" : "new" },
+                { "failed_servers", std::to_string(path.evidence.failedServers(now)) },
+                { "fault", contact.failure ? std::string(Net::failureName(*contact.failure)) : "" },
+                { "new_connection", contact.isNewConnection ? "true" : "false" },
+                { "last_answer_ms", lastAnswer ? fmt::format("{:.0f}", Common::toMilliseconds(now - *lastAnswer)) : "none" } });
+    path.logged = state;
+    path.loggedAt = now;
+}
+
 void Backends::setServices(const std::map<std::string, Service, std::less<>>& services)
 {
     m_services = services;
+    std::erase_if(m_paths, [&](const auto& it) { return !m_services.contains(it.first); });
     for (const auto& [id, backend] : m_backends)
         backend->setOptions(optionsFor(backend->record().service));
 }
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Common/EventLog.h"
+#include "Decisions/ServerReachability.h"
 #include "Gateway/Backend.h"
 #include "Gateway/Configuration.h"
 
@@ -48,6 +49,10 @@
     // If all usable servers of the service pause or have a limit of which this gateway's share is used up: the time until the first
     // one takes a request again.
     std::optional<Common::Duration> limitLeft(const std::string& service) const;
+    Decisions::Reachability reachability(const std::string& service) const;
+    // Services whose servers this gateway does not reach, or not over new connections.
+    std::size_t unreachableServices() const;
+    std::uint64_t failedContacts() const { return m_failedContacts; }
     std::size_t size() const { return m_backends.size(); }
     std::size_t limitedCount() const;
     std::uint64_t connectionsOpened() const;
@@ -64,6 +69,7 @@
     double limitShare(const ServerRecord&, double perSecond) const;
     void onLimitChanged(const ServerRecord&, std::optional<double> perSecond, double share);
     bool hasLeft(const ServerRecord&) const;
+    void onContact(const ServerRecord&, const ServerContact&);
 
     Net::EventLoop& m_loop;
     Common::EventLog& m_log;
@@ -75,6 +81,13 @@
     std::map<std::string, Service, std::less<>> m_services;
     std::unordered_map<std::string, std::shared_ptr<Backend>> m_backends; // by id
     std::unordered_map<std::string, std::vector<std::shared_ptr<Backend>>> m_byService;
+    struct ServicePath {
+        Decisions::ServerReachability evidence;
+        Decisions::Reachability logged = Decisions::Reachability::Reachable; // the state that was last logged
+        Common::TimePoint loggedAt;
+    };
+    std::map<std::string, ServicePath, std::less<>> m_paths; // by service
+    std::uint64_t m_failedContacts = 0; // requests and load probes that a server did not answer
     std::uint64_t m_connectionsOpenedByRemoved = 0;
     // Servers that the registry has dropped. It may list the same incarnation again, and then what it said of itself still holds.
     struct Removed {
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -227,6 +227,8 @@
     page.gauge("caller_connections", static_cast<double>(m_callers.connections()));
     page.gauge("backend_servers", static_cast<double>(m_backends.size()));
     page.gauge("limited_servers", static_cast<double>(m_backends.limitedCount()));
+    page.counter("failed_contacts_total", static_cast<double>(m_backends.failedContacts()));
+    page.gauge("unreachable_services", static_cast<double>(m_backends.unreachableServices()));
     page.gauge("crash_suspects", static_cast<double>(m_router.crashSuspects().size()));
     page.gauge("blocked_requests", static_cast<double>(m_router.crashSuspects().blocked()));
     page.gauge("members", static_cast<double>(m_members.size()));
