Test: callers of gateways that are cut off from all servers (fails)

Proxies tell gateways apart by the address that connections come from, so the setting backend_source and Soak::FaultProxy modes by client address come with it; a refusing proxy lets open connections live, as before.

--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -78,7 +78,7 @@
           {
               .headers = m_options.platform.headers,
               .failureDomain = m_options.settings.failureDomain,
-              .client = { .deadPeerTimeout = peerSilenceLimit },
+              .client = { .deadPeerTimeout = peerSilenceLimit, .sourceHost = m_options.settings.backendSource },
           })
     , m_router(m_loop, m_log, m_backends,
           {
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -85,6 +85,8 @@
         });
     };
     try {
+        if (!m_options.sourceHost.empty())
+            m_socket.impl()->bind(Poco::Net::SocketAddress(m_options.sourceHost, 0));
         m_socket.connectNB(Poco::Net::SocketAddress(address));
         m_socket.setBlocking(false);
         configureSocket(m_socket, m_options.deadPeerTimeout, m_options.sendBufferBytes);
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -49,6 +49,7 @@
     // The kernel closes the connection when sent data or keep-alive probes stay unacknowledged for about this long.
     Common::Duration deadPeerTimeout = std::chrono::seconds(2);
     int sendBufferBytes = 0; // of the socket; 0: the kernel's default
+    std::string sourceHost = {}; // IP address that the connection comes from; empty: the kernel chooses
     std::size_t maxResponseBytes = 8 * 1024 * 1024; // of a body that is not passed on in parts; a larger one fails the request with TooLarge
     std::size_t maxHeldBytes = 32 * 1024; // of a body, before it is passed on in parts
 };
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -38,6 +38,9 @@
         settings.directory = readAddress(reader, "directory");
         settings.control = readAddress(reader, "control");
         settings.metrics = readAddress(reader, "metrics", std::string());
+        settings.backendSource = reader.string("backend_source", std::string());
+        if (!settings.backendSource.empty() && !Common::isAddress(settings.backendSource + ":1"))
+            reader.fail("backend_source", "expected an IP address, found '" + settings.backendSource + "'");
         settings.capacity = reader.number("capacity", 0.001, 1024, settings.capacity);
         settings.bootstrap = reader.boolean("bootstrap", settings.bootstrap);
         settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -18,6 +18,7 @@
     std::string directory;
     std::string control; // for other gateways
     std::string metrics; // empty: no metrics endpoint
+    std::string backendSource; // IP address that connections to backend servers come from; empty: the kernel chooses
     std::vector<std::string> seeds; // control addresses of some gateways; may be out of date
     std::string store; // ip:port of the platform's store
     int serverHeartbeatMs = 1500; // interval at which backend servers renew their registry rows
--- a/Source/Core/Soak/FaultProxy.cpp
+++ b/Source/Core/Soak/FaultProxy.cpp
@@ -12,6 +12,7 @@
 struct FaultProxy::Pair {
     Poco::Net::StreamSocket client;
     Poco::Net::StreamSocket server;
+    std::string clientHost;
     bool ended = false;
 };
 
@@ -35,7 +36,8 @@
     auto pair = std::make_shared<Pair>();
     try {
         pair->client = m_listener.acceptConnection();
-        if (m_mode == ProxyMode::Refuse)
+        pair->clientHost = pair->client.peerAddress().host().toString();
+        if (modeFor(*pair) == ProxyMode::Refuse)
             return end(pair, true);
         // Loopback answers at once, so that connecting does not hold up the loop.
         pair->server.connect(Poco::Net::SocketAddress(m_target));
@@ -50,6 +52,12 @@
     }
 }
 
+ProxyMode FaultProxy::modeFor(const Pair& pair) const
+{
+    auto it = m_modes.find(pair.clientHost);
+    return it == m_modes.end() ? m_mode : it->second;
+}
+
 void FaultProxy::forward(const std::shared_ptr<Pair>& pair, bool fromClient)
 {
     constexpr std::size_t pieceBytes = 16 * 1024;
@@ -64,10 +72,11 @@
         return;
     if (n == 0)
         return end(pair, false);
-    if (m_mode == ProxyMode::Silence || (m_mode == ProxyMode::OneWay && !fromClient))
+    auto mode = modeFor(*pair);
+    if (mode == ProxyMode::Silence || (mode == ProxyMode::OneWay && !fromClient))
         return;
     std::string bytes(buf.data(), static_cast<std::size_t>(n));
-    if (m_mode != ProxyMode::Delay)
+    if (mode != ProxyMode::Delay)
         return deliver(pair, !fromClient, bytes);
     m_loop.after(m_delay, [this, pair, fromClient, bytes] { deliver(pair, !fromClient, bytes); });
 }
@@ -115,4 +124,13 @@
         end(pair, true);
 }
 
+void FaultProxy::resetAllOf(const std::string& clientHost)
+{
+    auto pairs = m_pairs;
+    for (const auto& pair : pairs) {
+        if (pair->clientHost == clientHost)
+            end(pair, true);
+    }
+}
+
 }
--- a/Source/Core/Soak/FaultProxy.h
+++ b/Source/Core/Soak/FaultProxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -16,7 +17,7 @@
     Delay, // each piece is held back
     Silence, // takes connections and bytes, forwards nothing
     OneWay, // forwards requests, no answers
-    Refuse, // resets what comes
+    Refuse, // resets new connections; open ones live on
 };
 
 inline constexpr std::array proxyModeNames {
@@ -37,15 +38,19 @@
 
     std::string address() const { return m_listener.address().toString(); }
     void setMode(ProxyMode mode) { m_mode = mode; }
-    ProxyMode mode() const { return m_mode; }
+    // The mode for clients at one IP address, which goes before the one for all.
+    void setModeFor(const std::string& clientHost, ProxyMode mode) { m_modes[clientHost] = mode; }
+    void clearModeFor(const std::string& clientHost) { m_modes.erase(clientHost); }
     void setDelay(Common::Duration delay) { m_delay = delay; }
-    // Resets all open connections.
+    // Resets all open connections, or those of clients at one IP address.
     void resetAll();
+    void resetAllOf(const std::string& clientHost);
 
 private:
     struct Pair;
 
     void accept();
+    ProxyMode modeFor(const Pair&) const;
     void forward(const std::shared_ptr<Pair>&, bool fromClient);
     void deliver(const std::shared_ptr<Pair>&, bool toClient, const std::string& bytes);
     void end(const std::shared_ptr<Pair>&, bool abruptly);
@@ -54,6 +59,7 @@
     std::string m_target;
     Poco::Net::ServerSocket m_listener;
     ProxyMode m_mode = ProxyMode::Pass;
+    std::map<std::string, ProxyMode> m_modes; // by IP address of the client
     Common::Duration m_delay = std::chrono::milliseconds(50);
     std::unordered_set<std::shared_ptr<Pair>> m_pairs;
 };
--- /dev/null
+++ b/Source/UnitTests/Gateway/UnreachableServersTest.cpp
@@ -0,0 +1,223 @@
+#include "GatewayFixture.h"
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <mutex>
+
+#include <doctest/doctest.h>
+
+#include "Soak/FaultProxy.h"
+
+// Gateways that lose their paths to all backend servers, while callers, the store and other gateways still reach them.
+
+namespace {
+
+using Soak::ProxyMode;
+using std::chrono::milliseconds;
+using UnitTests::CallerConnection;
+using UnitTests::eventually;
+using UnitTests::GatewayFixture;
+using UnitTests::requestBytes;
+using UnitTests::RunningGateway;
+
+// The operators' bound: from here on after a cut, callers must be served.
+constexpr auto stabilityTime = std::chrono::seconds(3);
+constexpr auto measuredTime = milliseconds(1500);
+// Callers of a gateway: more in the cut than before it, so that the gateway's open connections to servers don't suffice.
+constexpr int callersBeforeCut = 1;
+constexpr int callersInCut = 10;
+
+enum class CutKind {
+    Silent,
+    Reset,
+    NewRefused, // open connections live on
+};
+
+// A store, servers and gateways. The gateways reach the servers through proxies that tell them apart by their IP addresses.
+class Fleet {
+public:
+    Fleet(int gateways, int firstPort, int servers = 6)
+        : m_fixture(0)
+    {
+        m_fixture.thread.call([&] {
+            for (int i = 1; i <= servers; ++i)
+                addServer("server-" + std::to_string(i));
+        });
+        std::vector<std::string> seeds { controlAddress(firstPort, 0), controlAddress(firstPort, 1) };
+        for (int i = 0; i < gateways; ++i) {
+            auto settings = RunningGateway::settings(m_fixture.storeAddress(), seeds, controlAddress(firstPort, i), Common::LogFormat::Off);
+            settings.failureDomain = i % 2 == 0 ? "a" : "b";
+            settings.backendSource = sourceHost(i);
+            m_gateways.push_back(std::make_unique<RunningGateway>(settings));
+        }
+    }
+    ~Fleet()
+    {
+        m_gateways.clear();
+        m_fixture.thread.call([&] { m_proxies.clear(); });
+    }
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
+
+    // Whether all gateways are ready and know each other.
+    bool waitReady()
+    {
+        for (auto& gateway : m_gateways) {
+            if (!gateway->waitReady())
+                return false;
+            auto line = "cowslipledge_members " + std::to_string(m_gateways.size()) + "\n";
+            if (!eventually([&] { return metrics(*gateway).find(line) != std::string::npos; }))
+                return false;
+        }
+        return true;
+    }
+
+    void cut(int gateway, CutKind kind)
+    {
+        m_fixture.thread.call([&] {
+            for (auto& proxy : m_proxies) {
+                proxy->setModeFor(sourceHost(gateway), kind == CutKind::Silent ? ProxyMode::Silence : ProxyMode::Refuse);
+                if (kind == CutKind::Reset)
+                    proxy->resetAllOf(sourceHost(gateway));
+            }
+        });
+    }
+    void heal(int gateway)
+    {
+        m_fixture.thread.call([&] {
+            for (auto& proxy : m_proxies)
+                proxy->clearModeFor(sourceHost(gateway));
+        });
+    }
+    static std::string metrics(RunningGateway& gateway) { return RunningGateway::get(gateway.daemon().metricsAddress(), "/metrics").body; }
+    RunningGateway& gateway(int index) { return *m_gateways[static_cast<std::size_t>(index)]; }
+    int runs(const std::string& id) const { return m_fixture.runs.runs(id); }
+    GatewayFixture& fixture() { return m_fixture; }
+
+private:
+    static std::string controlAddress(int firstPort, int index) { return "127.0.0.1:" + std::to_string(firstPort + index); }
+    static std::string sourceHost(int index) { return "127.0.1." + std::to_string(index + 1); }
+
+    void addServer(const std::string& id)
+    {
+        auto& server = m_fixture.addServer(id);
+        m_proxies.push_back(std::make_unique<Soak::FaultProxy>(m_fixture.thread.loop(), server.address()));
+        auto value = server.registryValue();
+        value.replace(value.find(server.address()), server.address().size(), m_proxies.back()->address());
+        m_fixture.store->put(UnitTests::Names::registryTable, id, value);
+    }
+
+    GatewayFixture m_fixture;
+    std::vector<std::unique_ptr<Soak::FaultProxy>> m_proxies;
+    std::vector<std::unique_ptr<RunningGateway>> m_gateways;
+};
+
+struct Outcome {
+    int gateway = 0;
+    std::string id;
+    bool once = false; // must not run twice
+    int status = 0;
+    Common::TimePoint sent;
+};
+
+// Callers of all gateways, a few a gateway, each of which sends one request after the other.
+std::vector<Outcome> callFor(Fleet& fleet, int gateways, Common::Duration length, int callersPerGateway)
+{
+    std::vector<Outcome> outcomes;
+    std::mutex mutex;
+    std::vector<std::thread> callers;
+    auto end = std::chrono::steady_clock::now() + length;
+    static std::atomic<int> sequence = 0;
+    for (int i = 0; i < gateways * callersPerGateway; ++i) {
+        callers.emplace_back([&, gateway = i % gateways] {
+            std::unique_ptr<CallerConnection> connection;
+            while (std::chrono::steady_clock::now() < end) {
+                auto n = ++sequence;
+                Outcome outcome { .gateway = gateway, .id = "call-" + std::to_string(n), .once = n % 2 == 0, .status = 0, .sent = std::chrono::steady_clock::now() };
+                try {
+                    if (!connection)
+                        connection = std::make_unique<CallerConnection>(fleet.gateway(gateway).daemon().callersAddress());
+                    connection->send(outcome.once ? requestBytes("POST", "/once/x", outcome.id, 1000, "body") : requestBytes("GET", "/safe/x", outcome.id));
+                    outcome.status = connection->receive().status;
+                } catch (const Poco::Exception&) {
+                    outcome.status = 0; // connection refused or reset
+                }
+                if (outcome.status == 0 || connection->closes())
+                    connection.reset();
+                {
+                    std::lock_guard lock(mutex);
+                    outcomes.push_back(outcome);
+                }
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    return outcomes;
+}
+
+void checkPromises(Fleet& fleet, const std::vector<Outcome>& outcomes)
+{
+    for (const auto& outcome : outcomes) {
+        CAPTURE(outcome.id);
+        CAPTURE(outcome.status);
+        auto runs = fleet.runs(outcome.id);
+        if (outcome.once)
+            CHECK(runs <= 1);
+        if (outcome.once && outcome.status == Net::HttpStatus::Unavailable)
+            CHECK(runs == 0);
+        if (outcome.status == Net::HttpStatus::Ok)
+            CHECK(runs >= 1);
+    }
+}
+
+struct CutCase {
+    std::string name;
+    CutKind kind = CutKind::Silent;
+    int cutOff = 1; // of `gateways`
+    int gateways = 3;
+    int firstPort = 0;
+};
+
+const CutCase cutCases[] = {
+    { "silent, one of three", CutKind::Silent, 1, 3, 18461 },
+    { "silent, two of three", CutKind::Silent, 2, 3, 18464 },
+    { "reset, one of three", CutKind::Reset, 1, 3, 18467 },
+    { "reset, two of three", CutKind::Reset, 2, 3, 18470 },
+    { "new connections refused, one of three", CutKind::NewRefused, 1, 3, 18473 },
+    { "new connections refused, two of three", CutKind::NewRefused, 2, 3, 18476 },
+};
+
+}
+
+// Guards against gateways that refuse all requests, or answer them too late, while others reach the servers.
+TEST_CASE("Callers of gateways that are cut off from all servers are served nearly as well as those of the others")
+{
+    for (const auto& row : cutCases) {
+        CAPTURE(row.name);
+        Fleet fleet(row.gateways, row.firstPort);
+        REQUIRE(fleet.waitReady());
+        callFor(fleet, row.gateways, milliseconds(300), callersBeforeCut);
+        auto cutAt = std::chrono::steady_clock::now();
+        for (int i = 0; i < row.cutOff; ++i)
+            fleet.cut(i, row.kind);
+        auto outcomes = callFor(fleet, row.gateways, stabilityTime + measuredTime, callersInCut);
+        std::array<double, 2> sent {};
+        std::array<double, 2> served {};
+        for (const auto& outcome : outcomes) {
+            if (outcome.sent < cutAt + stabilityTime)
+                continue;
+            auto isCutOff = outcome.gateway < row.cutOff ? 1 : 0;
+            ++sent[isCutOff];
+            served[isCutOff] += outcome.status == Net::HttpStatus::Ok ? 1 : 0;
+        }
+        REQUIRE(sent[0] > 0);
+        REQUIRE(sent[1] > 0);
+        CAPTURE(sent[1]);
+        CAPTURE(served[1]);
+        CHECK(served[1] / sent[1] >= 2.0 / 3 * served[0] / sent[0]);
+        checkPromises(fleet, outcomes);
+    }
+}
--- a/Source/UnitTests/Settings/GatewaySettingsTest.cpp
+++ b/Source/UnitTests/Settings/GatewaySettingsTest.cpp
@@ -64,3 +64,14 @@
         CHECK(errors.front().key.find("gateway.grace") == 0);
     }
 }
+
+TEST_CASE("An invalid address of a gateway's outgoing connections is an error that names the key")
+{
+    for (const std::string line : { "backend_source = \"127.0.0.1:80\"", "backend_source = \"servers.example\"", "backend_source = 5" }) {
+        CAPTURE(line);
+        std::vector<Common::FileError> errors;
+        CHECK(!parse(line, "", "", errors));
+        REQUIRE(!errors.empty());
+        CHECK(errors.front().key == "gateway.backend_source");
+    }
+}
