Backend: a new connection that fails does not cost the open ones

What callers saw: where only new connections to servers are refused, a gateway refused all requests seconds later, although its open connections still worked. Cause: a failed load probe dropped all free connections to its server, also when it was sent over a new connection. As soon as more requests were under way than connections open, one failure after the other emptied the pool, which could not be filled again. Change: the free connections are dropped only if the load probe had used one of them. Ruled out: idle timeouts; the open connections end 4 s after their last use, the pool was empty within 3 s under load.

--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -207,7 +207,13 @@
 std::shared_ptr<Net::ClientConnection> Backend::send(
     std::string bytes, bool expectsBody, Common::Duration timeout, Common::Duration maxIdle, Net::ClientHandlers handlers)
 {
-    auto [connection, reused] = acquireConnection(maxIdle);
+    return sendOver(acquireConnection(maxIdle), std::move(bytes), expectsBody, timeout, std::move(handlers));
+}
+
+std::shared_ptr<Net::ClientConnection> Backend::sendOver(
+    const AcquiredConnection& acquired, std::string bytes, bool expectsBody, Common::Duration timeout, Net::ClientHandlers handlers)
+{
+    const auto& [connection, reused] = acquired;
     m_busy.insert(connection);
     std::weak_ptr<Backend> weak = weak_from_this();
     std::weak_ptr<Net::ClientConnection> weakConnection = connection;
@@ -284,7 +290,7 @@
 
 void Backend::sendProbe(Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done)
 {
-    auto hadFreeConnection = !m_free.empty();
+    auto acquired = acquireConnection(Common::Duration::max());
     Net::Request request {
         .method = "GET",
         .target = m_options.healthPath,
@@ -298,7 +304,7 @@
     auto matchesRequest = [name = m_options.headers->requestId](const Net::ResponseHead& head) {
         return !Net::findHeader(head.response.headers, name);
     };
-    send(Net::toBytes(request), true, timeout, Common::Duration::max(),
+    sendOver(acquired, Net::toBytes(request), true, timeout,
         { .answered = [weak, done](Net::ResponseHead&& head) {
              auto self = weak.lock();
              if (!self)
@@ -315,28 +321,29 @@
              self->learnFrom(head.response, ResponseKind::Probe);
              auto reported = self->m_report && self->m_report->at > before;
              done({ .answered = true, .healthy = self->m_healthy, .reported = reported }); },
-            .failed = [weak, done, mayRetryOnNewConnection, hadFreeConnection, timeout](Net::ClientFailure failure) {
+            .failed = [weak, done, mayRetryOnNewConnection, reused = acquired.reused, timeout](Net::ClientFailure failure) {
                 auto self = weak.lock();
                 if (!self)
                     return;
                 // The server may have closed a reused connection just before the probe arrived.
                 auto wasClosed = failure.kind == Net::FailureKind::Reset || failure.kind == Net::FailureKind::Closed;
-                if (mayRetryOnNewConnection && hadFreeConnection && wasClosed && self->isAvailable(self->m_loop.now())) {
+                if (mayRetryOnNewConnection && reused && wasClosed && self->isAvailable(self->m_loop.now())) {
                     self->m_free.clear();
                     return self->sendProbe(timeout, false, done);
                 }
-                self->recordProbeFailure();
+                self->recordProbeFailure(reused);
                 done({}); },
             .matchesRequest = matchesRequest,
             .maxBodyBytes = maxProbeBodyBytes });
 }
 
-void Backend::recordProbeFailure()
+void Backend::recordProbeFailure(bool wasReused)
 {
     if (++m_consecutiveProbeFailures >= probeFailuresToSuspect)
         m_suspectUntil = m_loop.now() + suspectPeriod;
-    // The other free connections are probably dead too.
-    m_free.clear();
+    // If an open connection failed, the others are probably dead too. That a new one can't be opened says nothing of them.
+    if (wasReused)
+        m_free.clear();
 }
 
 void Backend::updateLoadReport(const Net::Headers& headers)
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -132,8 +132,10 @@
     void releaseConnection(const std::shared_ptr<Net::ClientConnection>&);
     bool isStale(const Net::ClientConnection&, Common::TimePoint now) const;
     void reportContact(const ServerContact&);
+    std::shared_ptr<Net::ClientConnection> sendOver(
+        const AcquiredConnection&, std::string bytes, bool expectsBody, Common::Duration timeout, Net::ClientHandlers);
     void sendProbe(Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done);
-    void recordProbeFailure();
+    void recordProbeFailure(bool wasReused);
     void updateLoadReport(const Net::Headers&);
     void updateLimit(const Net::Response&, ResponseKind);
     void endLimit();
--- a/Source/UnitTests/Gateway/UnreachableServersTest.cpp
+++ b/Source/UnitTests/Gateway/UnreachableServersTest.cpp
@@ -221,3 +221,23 @@
         checkPromises(fleet, outcomes);
     }
 }
+
+// Guards against dropping the open connections to a server because a new one to it failed.
+TEST_CASE("A gateway goes on using its open connections to servers while new ones are refused")
+{
+    constexpr int callersBefore = 1;
+    constexpr int callersAfter = 10;
+    Fleet fleet(1, 18480);
+    REQUIRE(fleet.waitReady());
+    auto served = [](const std::vector<Outcome>& outcomes) {
+        return std::count_if(outcomes.begin(), outcomes.end(), [](const auto& it) { return it.status == Net::HttpStatus::Ok; });
+    };
+    callFor(fleet, 1, milliseconds(500), callersBefore);
+    auto before = served(callFor(fleet, 1, measuredTime, callersBefore));
+    fleet.cut(0, CutKind::NewRefused);
+    checkPromises(fleet, callFor(fleet, 1, stabilityTime, callersAfter));
+    auto outcomes = callFor(fleet, 1, measuredTime, callersAfter);
+    CAPTURE(before);
+    CHECK(served(outcomes) >= before / 2);
+    checkPromises(fleet, outcomes);
+}
