Requests are forwarded to another gateway when no server of their service answers this one

A gateway that lost its paths to the servers refused every request (0 of 1,136 first tries served, 943 of 943 at the others), 311 ms after it came, and callers went on choosing it as often as the others. Cause: whether a service can be served was decided from what one process sees. Nothing asked whether other gateways reach the servers, and nothing carried a request there. Change: a gateway that gets no answer from three servers in a row asks two others whether they reach the service, and hands the request to the less loaded one, which makes all attempts and passes the server's answer on. - Decisions: ServerReachability judges the paths, PeerChoice the gateways. A header carries route, service, kind, priority and attempts left, so that one configuration handles a request. The retry budget counts it at the gateway of its caller. The other gateway says whether it sent the request to a server; an answer lost on the way counts as unknown. A caller that leaves ends the work at both. - While new connections fail and open ones work, only servers with an open connection are candidates. - Two servers of an unreachable service are tried over new connections each 250 ms. - Members tell each other where they take forwarded requests; a gateway of an older version names nothing and gets none. Ruled out: kept connections that stay dead (after the first second nothing was sent over them), too few servers (the others refused nothing).

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -36,6 +36,7 @@
         EventRow { CallRefused, "call-refused", Severity::Warning, "A call was refused as not run." },
         EventRow { CallAbandoned, "call-abandoned", Severity::Info, "The caller closed the connection before the answer; the call was cancelled." },
         EventRow { CallBlocked, "call-blocked", Severity::Error, "Several backend servers ended under the same request; it is refused from now on." },
+        EventRow { CallForwarded, "call-forwarded", Severity::Info, "A request is handed to another entry, since no server of its service answers this one." },
         EventRow { RecordApplied, "record-applied", Severity::Info, "A record of a newer revision is in force." },
         EventRow { RecordNotUnderstood, "record-not-understood", Severity::Warning, "A record holds no form that this entry supports; the old one stays in force." },
         EventRow { RecordRejected, "record-rejected", Severity::Error, "A stored record could not be read; the old one stays in force." },
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -35,6 +35,7 @@
     CallRefused = 2006,
     CallAbandoned = 2007,
     CallBlocked = 2008,
+    CallForwarded = 2009,
     RecordApplied = 3000,
     RecordNotUnderstood = 3001,
     RecordRejected = 3002,
--- a/Source/Core/Decisions/ServerReachability.h
+++ b/Source/Core/Decisions/ServerReachability.h
@@ -31,8 +31,9 @@
     void record(const Contact&, Common::TimePoint now);
     // `servers`: number of usable servers of the service.
     Reachability state(std::size_t servers, Common::TimePoint now) const;
-    // Servers that have failed since the last answer.
+    // Servers that have failed since the last answer, or since the last one over a new connection.
     std::size_t failedServers(Common::TimePoint now) const { return m_all.failedServers(now); }
+    std::size_t failedServersOfNewConnections(Common::TimePoint now) const { return m_newConnections.failedServers(now); }
     // When a server last answered; nullopt before the first answer.
     std::optional<Common::TimePoint> lastAnswer() const { return m_all.lastAnswer; }
 
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -185,6 +185,11 @@
         if (connection->isFree() && !isStale(*connection, now) && now - connection->lastUsed() <= maxIdle)
             return { .connection = connection, .reused = true };
     }
+    return openConnection();
+}
+
+Backend::AcquiredConnection Backend::openConnection()
+{
     ++m_connectionsOpened;
     return { .connection = Net::ClientConnection::open(m_loop, m_record.address, m_options.client), .reused = false };
 }
@@ -262,7 +267,12 @@
 
 void Backend::probe(Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done)
 {
-    sendProbe(timeout, true, done);
+    sendProbe(acquireConnection(Common::Duration::max()), timeout, true, done);
+}
+
+void Backend::probeNewConnection(Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done)
+{
+    sendProbe(openConnection(), timeout, false, done);
 }
 
 void Backend::checkAlive(Common::Duration timeout, std::function<void(bool)> done)
@@ -288,9 +298,8 @@
     connection->onIdleClose([finish] { finish(false); });
 }
 
-void Backend::sendProbe(Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done)
+void Backend::sendProbe(const AcquiredConnection& acquired, Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done)
 {
-    auto acquired = acquireConnection(Common::Duration::max());
     Net::Request request {
         .method = "GET",
         .target = m_options.healthPath,
@@ -329,7 +338,7 @@
                 auto wasClosed = failure.kind == Net::FailureKind::Reset || failure.kind == Net::FailureKind::Closed;
                 if (mayRetryOnNewConnection && reused && wasClosed && self->isAvailable(self->m_loop.now())) {
                     self->m_free.clear();
-                    return self->sendProbe(timeout, false, done);
+                    return self->sendProbe(self->openConnection(), timeout, false, done);
                 }
                 self->recordProbeFailure(reused);
                 done({}); },
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -85,6 +85,8 @@
 
     // Requests health and load. `done` is called once, unless the backend is destroyed first.
     void probe(Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done);
+    // Requests health and load over a new connection, which shows whether one can be opened.
+    void probeNewConnection(Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done);
     // Finds out whether the server still runs: by a load probe or, if it may get none now, by opening a connection. `done` is called as
     // for probe().
     void checkAlive(Common::Duration timeout, std::function<void(bool isAlive)> done);
@@ -129,12 +131,13 @@
     };
 
     AcquiredConnection acquireConnection(Common::Duration maxIdle);
+    AcquiredConnection openConnection();
     void releaseConnection(const std::shared_ptr<Net::ClientConnection>&);
     bool isStale(const Net::ClientConnection&, Common::TimePoint now) const;
     void reportContact(const ServerContact&);
     std::shared_ptr<Net::ClientConnection> sendOver(
         const AcquiredConnection&, std::string bytes, bool expectsBody, Common::Duration timeout, Net::ClientHandlers);
-    void sendProbe(Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done);
+    void sendProbe(const AcquiredConnection&, Common::Duration timeout, bool mayRetryOnNewConnection, const std::function<void(const ProbeAnswer&)>& done);
     void recordProbeFailure(bool wasReused);
     void updateLoadReport(const Net::Headers&);
     void updateLimit(const Net::Response&, ResponseKind);
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Backends.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -21,6 +22,11 @@
     // Leaving servers that are remembered after the registry has dropped them.
     constexpr std::size_t maxLeftServers = 4096;
 
+    // Load probes, for each service, to servers that this gateway does not reach. So many keep the failures of three servers in memory.
+    constexpr auto tryInterval = std::chrono::milliseconds(250);
+    constexpr auto tryTimeout = std::chrono::milliseconds(250);
+    constexpr std::size_t triesPerInterval = 2;
+
     // Whether bytes came from the server, be they no valid response.
     bool hasAnswered(const ServerContact& contact)
     {
@@ -193,21 +199,54 @@
     auto state = path.evidence.state(usableCount(record.service), now);
     if (state == path.logged)
         return;
-    if (state == Decisions::Reachability::Reachable)
+    path.logged = state;
+    if (state == Decisions::Reachability::Reachable) {
         m_log.log(Common::EventId::ServersReachable,
             { { "service", record.service }, { "server", record.id }, { "after_ms", fmt::format("{:.0f}", Common::toMilliseconds(now - path.loggedAt)) } });
-    else
+    } else {
+        auto isAll = state == Decisions::Reachability::Unreachable;
         m_log.log(Common::EventId::ServersUnreachable,
             { { "service", record.service },
-                { "connections", state == Decisions::Reachability::Unreachable ? "all" : "new" },
-                { "failed_servers", std::to_string(path.evidence.failedServers(now)) },
+                { "connections", isAll ? "all" : "new" },
+                { "failed_servers", std::to_string(isAll ? path.evidence.failedServers(now) : path.evidence.failedServersOfNewConnections(now)) },
                 { "fault", contact.failure ? std::string(Net::failureName(*contact.failure)) : "" },
                 { "new_connection", contact.isNewConnection ? "true" : "false" },
                 { "last_answer_ms", lastAnswer ? fmt::format("{:.0f}", Common::toMilliseconds(now - *lastAnswer)) : "none" } });
-    path.logged = state;
+        scheduleTries();
+    }
     path.loggedAt = now;
 }
 
+void Backends::scheduleTries()
+{
+    if (m_tryTimer != 0)
+        return;
+    m_tryTimer = m_loop.after(tryInterval, [this] {
+        m_tryTimer = 0;
+        tryUnreachable();
+    });
+}
+
+void Backends::tryUnreachable()
+{
+    std::vector<std::shared_ptr<Backend>> chosen;
+    for (const auto& [service, path] : m_paths) {
+        if (reachability(service) == Decisions::Reachability::Reachable)
+            continue;
+        auto backends = m_byService[service];
+        std::erase_if(backends, [&](const auto& it) { return !it->isAvailable(m_loop.now()); });
+        for (std::size_t i = 0; i < triesPerInterval && !backends.empty(); ++i) {
+            auto& picked = backends[Common::randomBelow(m_loop.hooks(), backends.size())];
+            chosen.push_back(std::exchange(picked, backends.back()));
+            backends.pop_back();
+        }
+    }
+    for (const auto& backend : chosen)
+        backend->probeNewConnection(tryTimeout, [](const ProbeAnswer&) {});
+    if (!chosen.empty())
+        scheduleTries();
+}
+
 void Backends::setServices(const std::map<std::string, Service, std::less<>>& services)
 {
     m_services = services;
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -70,6 +70,9 @@
     void onLimitChanged(const ServerRecord&, std::optional<double> perSecond, double share);
     bool hasLeft(const ServerRecord&) const;
     void onContact(const ServerRecord&, const ServerContact&);
+    // While servers of a service are not reachable, tries a few of them, so that requests need not find out.
+    void scheduleTries();
+    void tryUnreachable();
 
     Net::EventLoop& m_loop;
     Common::EventLog& m_log;
@@ -87,6 +90,7 @@
         Common::TimePoint loggedAt;
     };
     std::map<std::string, ServicePath, std::less<>> m_paths; // by service
+    Net::EventLoop::TimerId m_tryTimer = 0;
     std::uint64_t m_failedContacts = 0; // requests and load probes that a server did not answer
     std::uint64_t m_connectionsOpenedByRemoved = 0;
     // Servers that the registry has dropped. It may list the same incarnation again, and then what it said of itself still holds.
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -20,6 +20,8 @@
     constexpr double drainPeriodShare = 0.94;
     // Connections to backend servers end when the server acknowledges nothing for this long.
     constexpr auto peerSilenceLimit = std::chrono::seconds(3);
+    // That a gateway adds to the head of a request that it forwards.
+    constexpr std::size_t forwardedHeadBytes = 4 * 1024;
     constexpr std::size_t maxControlBodyBytes = 1024 * 1024;
     // Events kept in memory. Few, since the log on standard output is what operators read.
     constexpr std::size_t eventRingSize = 64;
@@ -80,7 +82,14 @@
               .failureDomain = m_options.settings.failureDomain,
               .client = { .deadPeerTimeout = peerSilenceLimit, .sourceHost = m_options.settings.backendSource },
           })
-    , m_router(m_loop, m_log, m_backends,
+    , m_members(selfMember(m_options.settings))
+    , m_peers(m_loop, m_members,
+          {
+              .headers = m_options.platform.headers,
+              .failureDomain = m_options.settings.failureDomain,
+              .client = { .deadPeerTimeout = peerSilenceLimit },
+          })
+    , m_router(m_loop, m_log, m_backends, m_peers,
           {
               .headers = m_options.platform.headers,
               .placement = {},
@@ -95,7 +104,6 @@
               .decoder = m_options.platform.decoder,
               .serverHeartbeat = std::chrono::milliseconds(m_options.settings.serverHeartbeatMs),
           })
-    , m_members(selfMember(m_options.settings))
     , m_catalogSync(m_loop, m_log, m_catalog, m_members, m_router.crashSuspects(),
           m_options.platform.openStore(m_loop, m_options.settings.store),
           m_options.platform.openStore(m_loop, m_options.settings.store),
@@ -107,6 +115,7 @@
               .bootstrap = m_options.settings.bootstrap,
           })
     , m_callers(m_loop, callerServerOptions())
+    , m_forwarding(m_loop, forwardingServerOptions())
     , m_ready(m_loop, serverOptions(m_log, m_options.settings.ready, [this](const auto& exchange) { serveReady(exchange); }))
     , m_directory(m_loop, serverOptions(m_log, m_options.settings.directory, [this](const auto& exchange) { serveDirectory(exchange); }))
     , m_control(m_loop, serverOptions(m_log, m_options.settings.control, [this](const auto& exchange) { m_catalogSync.serve(exchange); }))
@@ -122,6 +131,17 @@
     return options;
 }
 
+Net::ServerOptions Daemon::forwardingServerOptions()
+{
+    auto options = serverOptions(m_log, m_options.settings.forwarding, [this](const std::shared_ptr<Net::Exchange>& exchange) { m_router.serveForwarded(exchange); });
+    options.limits = [this] {
+        auto limits = m_router.configuration() ? m_router.configuration()->limits : Net::ServerLimits();
+        limits.headBytes += forwardedHeadBytes;
+        return limits;
+    };
+    return options;
+}
+
 Daemon::~Daemon()
 {
     flushLog();
@@ -129,14 +149,17 @@
 
 Common::Result<void> Daemon::open()
 {
-    for (auto* server : { &m_callers, &m_ready, &m_directory, &m_control, &m_metrics }) {
-        if (server == &m_metrics && m_options.settings.metrics.empty())
+    for (auto* server : { &m_callers, &m_forwarding, &m_ready, &m_directory, &m_control, &m_metrics }) {
+        auto isLeftOut = (server == &m_metrics && m_options.settings.metrics.empty()) || (server == &m_forwarding && m_options.settings.forwarding.empty());
+        if (isLeftOut)
             continue;
         if (auto opened = server->open(); !opened) {
             m_log.log(EventId::ListenFailed, { { "error", opened.error().text } });
             return opened;
         }
     }
+    if (!m_options.settings.forwarding.empty())
+        m_members.setForwarding(m_forwarding.address());
     m_settingsModifiedAt = m_options.settingsModifiedAt ? m_options.settingsModifiedAt() : 0;
     m_log.log(EventId::EntryStarted,
         { { "callers", m_options.settings.callers }, { "domain", m_options.settings.failureDomain }, { "store", m_options.settings.store } });
@@ -157,6 +180,7 @@
 void Daemon::doHousekeeping()
 {
     m_backends.closeIdleConnections();
+    m_peers.closeIdleConnections();
     m_router.crashSuspects().expire(m_loop.now());
     m_router.setGatewayCount(m_catalogSync.gatewayCount());
     m_backends.setGateways(m_members.self().control, m_members.servingInOwnDomain(), m_members.size());
@@ -208,6 +232,8 @@
     const auto& counters = m_router.counters();
     Common::MetricsPage page;
     page.counter("requests_total", static_cast<double>(counters.requests));
+    page.counter("forwarded_total", static_cast<double>(counters.forwarded));
+    page.counter("accepted_forwarded_total", static_cast<double>(counters.acceptedForwarded));
     page.counter("answered_total", static_cast<double>(counters.answered));
     page.counter("refused_total", static_cast<double>(counters.refused));
     page.counter("refused_blocked_total", static_cast<double>(counters.blocked));
@@ -286,6 +312,7 @@
     flushLog();
     m_shutdown.begin(m_loop.now());
     m_callers.startDraining();
+    m_forwarding.startDraining();
     m_members.setServing(false);
     m_catalogSync.leave();
     advanceShutdown();
@@ -293,10 +320,14 @@
 
 void Daemon::advanceShutdown()
 {
-    auto phase = m_shutdown.advance(m_loop.now(), static_cast<int>(m_callers.inFlight()), static_cast<int>(m_callers.connections()));
+    auto inFlight = m_callers.inFlight() + m_forwarding.inFlight();
+    auto connections = m_callers.connections() + m_forwarding.connections();
+    auto phase = m_shutdown.advance(m_loop.now(), static_cast<int>(inFlight), static_cast<int>(connections));
     if (phase == Decisions::ShutdownPhase::Draining) {
-        m_callers.stopAccepting();
-        m_callers.closeIdle();
+        for (auto* server : { &m_callers, &m_forwarding }) {
+            server->stopAccepting();
+            server->closeIdle();
+        }
     }
     if (phase == Decisions::ShutdownPhase::Stopped || phase == Decisions::ShutdownPhase::Forced) {
         m_shutdownClean = phase == Decisions::ShutdownPhase::Stopped;
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -73,6 +73,7 @@
     void serveDirectory(const std::shared_ptr<Net::Exchange>&);
     void serveMetrics(const std::shared_ptr<Net::Exchange>&);
     Net::ServerOptions callerServerOptions();
+    Net::ServerOptions forwardingServerOptions();
     void doHousekeeping();
     void updateServingState();
     void beginShutdown();
@@ -85,11 +86,13 @@
     Common::LogWriter m_writer;
     Common::EventLog m_log;
     Backends m_backends;
+    Members m_members;
+    PeerGateways m_peers;
     RequestRouter m_router;
     Catalog m_catalog;
-    Members m_members;
     CatalogSync m_catalogSync;
     Net::HttpServer m_callers;
+    Net::HttpServer m_forwarding; // for requests that other gateways forward
     Net::HttpServer m_ready;
     Net::HttpServer m_directory;
     Net::HttpServer m_control;
--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -32,6 +32,12 @@
     m_selfChangedAt = ++m_revision;
 }
 
+void Members::setForwarding(const std::string& address)
+{
+    m_self.forwarding = address;
+    m_selfChangedAt = ++m_revision;
+}
+
 Members::Other& Members::update(const Member& member)
 {
     auto& other = m_others[member.control];
@@ -179,6 +185,22 @@
     return controls;
 }
 
+std::vector<Member> Members::forwardingTargets(Common::TimePoint now) const
+{
+    std::vector<Member> targets;
+    for (const auto& [control, other] : m_others) {
+        if (other.member.serving && !other.member.forwarding.empty() && isCurrent(other, now))
+            targets.push_back(other.member);
+    }
+    return targets;
+}
+
+const Member* Members::find(const std::string& control) const
+{
+    auto it = m_others.find(control);
+    return it == m_others.end() ? nullptr : &it->second.member;
+}
+
 std::vector<Member> Members::all() const
 {
     std::vector<Member> list { m_self };
--- a/Source/Core/Gateway/Members.h
+++ b/Source/Core/Gateway/Members.h
@@ -19,6 +19,7 @@
     std::int64_t startedMs = 0; // Unix time at which the process started
     double capacity = 1; // processor share
     bool serving = false; // ready and not leaving
+    std::string forwarding = {}; // address (ip:port) for requests that other gateways forward; empty: it takes none
 
     bool operator==(const Member&) const = default;
 };
@@ -40,6 +41,7 @@
 
     const Member& self() const { return m_self; }
     void setServing(bool);
+    void setForwarding(const std::string& address);
 
     // Records a request from a member; returns whether the list changed.
     bool recordContact(const Member&, Common::TimePoint now);
@@ -61,6 +63,10 @@
     std::optional<Common::Duration> listAge(Common::TimePoint now) const;
     // Control addresses of the serving gateways of the own failure domain.
     std::vector<std::string> servingInOwnDomain() const;
+    // Other serving gateways that take forwarded requests and that something has been heard of lately.
+    std::vector<Member> forwardingTargets(Common::TimePoint now) const;
+    // Another member by its control address; nullptr if it is not known.
+    const Member* find(const std::string& control) const;
     // This gateway first.
     std::vector<Member> all() const;
     // Members known here or, where that is more, to the relay in all failure domains; at least 1.
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -31,6 +31,7 @@
         json.append(Json::Int64(member.startedMs));
         json.append(member.capacity);
         json.append(member.serving ? 1 : 0);
+        json.append(member.forwarding);
         return json;
     }
 
@@ -44,6 +45,7 @@
         member.startedMs = json[i++].asInt64();
         member.capacity = json[i++].asDouble();
         member.serving = json[i++].asInt() != 0;
+        member.forwarding = json[i++].asString(); // empty if the member's version knows no forwarded requests
         return member;
     }
 
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "Gateway/ForwardedRequest.h"
 #include "Gateway/RequestIdentity.h"
 
 namespace Gateway {
@@ -25,6 +26,8 @@
     constexpr auto maxIdleForUnsafeRequests = std::chrono::milliseconds(500);
     // Rounds of load probes for one request, as servers' limits are used up by others meanwhile.
     constexpr std::size_t maxProbeRounds = 8;
+    // Rounds of load probes to other gateways for one request.
+    constexpr int maxPeerRounds = 3;
     // No further attempt starts with less time than this before the deadline.
     constexpr double minTimeLeftMs = 20;
     // A hedged attempt starts when the open attempt takes this many times its expected response time, but not before the minimum.
@@ -51,7 +54,7 @@
 
 }
 
-RequestForwarder::RequestForwarder(RequestRouter& router, std::shared_ptr<Net::Exchange> exchange, Route route, std::string service, Common::TimePoint deadline)
+RequestForwarder::RequestForwarder(RequestRouter& router, std::shared_ptr<Net::Exchange> exchange, Route route, std::string service, Common::TimePoint deadline, RequestOrigin origin)
     : m_router(router)
     , m_exchange(std::move(exchange))
     , m_route(std::move(route))
@@ -59,6 +62,7 @@
     , m_id(Net::findHeader(m_exchange->request().headers, router.options().headers.requestId).value_or(""))
     , m_identity(requestIdentity(m_exchange->request()))
     , m_deadline(deadline)
+    , m_origin(origin)
 {
 }
 
@@ -78,12 +82,20 @@
         ++m_router.counters().blocked;
         return refuse(RefusalReason::Blocked, 0);
     }
-    m_router.retryBudget(m_service).onRequest(m_router.loop().now());
+    // The gateway that forwarded a request has counted it.
+    if (m_origin == RequestOrigin::Caller)
+        m_router.retryBudget(m_service).onRequest(m_router.loop().now());
     m_deadlineTimer = m_router.loop().after(m_deadline - m_router.loop().now(), [weak] {
         if (auto self = weak.lock())
             self->onDeadline();
     });
-    probeServers(CandidateScope::OwnDomain);
+    selectTarget();
+}
+
+void RequestForwarder::selectTarget()
+{
+    if (m_router.backends().reachability(m_service) != Decisions::Reachability::Unreachable || !probePeers())
+        probeServers(CandidateScope::OwnDomain);
 }
 
 // Servers in the scope that the request was not sent to yet, in the order in which to probe them: by ascending placement cost,
@@ -94,6 +106,8 @@
     auto now = router.loop().now();
     auto serviceTimeMs = router.expectedServiceTimeMs(m_route);
     auto candidates = router.backends().candidates(m_service, scope == CandidateScope::OwnDomain, m_tried);
+    if (router.backends().reachability(m_service) == Decisions::Reachability::NoNewConnections)
+        std::erase_if(candidates, [](const auto& backend) { return !backend->hasFreeConnection(); });
     std::vector<std::pair<double, std::shared_ptr<Backend>>> ranked;
     for (auto& backend : candidates) {
         auto spread = 1 + rankJitter * Common::randomUnit(router.loop().hooks());
@@ -116,6 +130,7 @@
     auto& router = m_router;
     auto keepAlive = shared_from_this();
     m_scope = scope;
+    m_hasProbedServers = true;
     if (scope == CandidateScope::OwnDomain) {
         ++m_probeRound;
         m_probes.clear();
@@ -141,18 +156,44 @@
         }
         return placeRequest();
     }
+    m_probesSent += static_cast<int>(n);
+    candidates.resize(n);
+    sendProbes(std::move(candidates));
+}
+
+bool RequestForwarder::probePeers()
+{
+    if (m_origin == RequestOrigin::Gateway || m_peerRounds >= maxPeerRounds)
+        return false;
+    auto keepAlive = shared_from_this();
+    auto peers = m_router.peers().candidates(m_service);
+    if (peers.empty())
+        return false;
+    ++m_peerRounds;
+    ++m_probeRound;
+    m_scope = CandidateScope::Peers;
+    m_probes.clear();
+    sendProbes(std::move(peers));
+    return true;
+}
+
+void RequestForwarder::sendProbes(std::vector<std::shared_ptr<Backend>> targets)
+{
     startProbeTimer(firstProbeAnswerTimeout);
     std::weak_ptr<RequestForwarder> weak = weak_from_this();
-    m_probesSent += static_cast<int>(n);
     auto round = m_probeRound;
     auto first = m_probes.size();
-    for (std::size_t i = 0; i < n; ++i)
-        m_probes.push_back({ .backend = candidates[i] });
-    for (std::size_t i = 0; i < n; ++i) {
-        candidates[i]->probe(probeTimeout, [weak, round, index = first + i](const ProbeAnswer& answer) {
+    for (const auto& target : targets)
+        m_probes.push_back({ .backend = target });
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        auto done = [weak, round, index = first + i](const ProbeAnswer& answer) {
             if (auto self = weak.lock())
                 self->onProbeResult(index, round, answer);
-        });
+        };
+        if (m_scope == CandidateScope::Peers)
+            m_router.peers().probe(targets[i], probeTimeout, done);
+        else
+            targets[i]->probe(probeTimeout, done);
     }
 }
 
@@ -162,7 +203,7 @@
     if (m_ended || round != m_probeRound)
         return;
     auto& probe = m_probes[index];
-    probe.answered = answer.answered && probe.backend->isAvailable(m_router.loop().now());
+    probe.answered = answer.answered && probe.backend->isAvailable(m_router.loop().now()) && (m_scope != CandidateScope::Peers || answer.healthy);
     probe.failed = !probe.answered;
     if (!isProbing())
         return;
@@ -197,6 +238,8 @@
 {
     if (m_ended)
         return;
+    if (m_scope == CandidateScope::Peers)
+        return placeAtPeer();
     auto now = m_router.loop().now();
     const auto& options = m_router.options().placement;
     auto startsAtOnce = [&](const LoadProbe& it) { return it.answered && Decisions::startsAtUsualSpeed(it.backend->signal(now), options); };
@@ -231,11 +274,17 @@
             return; // an earlier attempt may still be answered
         if (isLimitUsedUp && m_probeRound < maxProbeRounds)
             return probeServers(CandidateScope::OwnDomain);
+        auto isSilent = full == 0 && std::none_of(m_probes.begin(), m_probes.end(), [](const LoadProbe& it) { return it.answered; });
+        auto isReachable = m_router.backends().reachability(m_service) == Decisions::Reachability::Reachable;
+        if (isSilent && !isReachable && probePeers())
+            return;
         // Servers that answer late are better than none.
         if (full == 0 && isProbePending() && m_lateProbeRound != m_probeRound) {
             m_lateProbeRound = m_probeRound;
             return startProbeTimer(probeTimeout);
         }
+        if (isSilent && !m_probes.empty() && probePeers())
+            return;
         auto reason = full > 0                                ? RefusalReason::Busy
             : m_router.backends().usableCount(m_service) == 0 ? RefusalReason::NoServer
             : m_router.backends().pauseLeft(m_service)        ? RefusalReason::Paused
@@ -259,32 +308,84 @@
     send(backends[best], expectedMs);
 }
 
-std::string RequestForwarder::requestBytes(const Backend& backend) const
+void RequestForwarder::placeAtPeer()
+{
+    std::vector<Decisions::PeerSignal> signals;
+    std::vector<std::shared_ptr<Backend>> peers;
+    for (const auto& probe : m_probes) {
+        if (!probe.answered)
+            continue;
+        signals.push_back(m_router.peers().signal(*probe.backend));
+        peers.push_back(probe.backend);
+    }
+    if (peers.empty())
+        return onNoPeer();
+    sendToPeer(peers[Decisions::bestPeer(signals)]);
+}
+
+void RequestForwarder::onNoPeer()
+{
+    if (m_openAttempts > 0)
+        return; // an earlier attempt may still be answered
+    if (probePeers())
+        return;
+    if (!m_hasProbedServers)
+        return probeServers(CandidateScope::OwnDomain);
+    giveUp("neither a server nor another gateway answered", RefusalReason::NoReport, 0);
+}
+
+std::string RequestForwarder::requestBytes(const Net::Header& extra) const
 {
     const auto& names = m_router.options().headers;
     Net::Request request = m_exchange->request();
     std::erase_if(request.headers, [&](const auto& header) {
-        return Net::equalsIgnoringCase(header.name, names.deadline) || Net::equalsIgnoringCase(header.name, names.expectInstance);
+        return Net::equalsIgnoringCase(header.name, names.deadline) || Net::equalsIgnoringCase(header.name, names.expectInstance)
+            || Net::equalsIgnoringCase(header.name, forwardedHeader);
     });
     request.headers.push_back({ names.deadline, std::to_string(std::max(1L, static_cast<long>(timeLeftMs()))) });
-    request.headers.push_back({ names.expectInstance, backend.record().id });
+    request.headers.push_back(extra);
     return Net::toBytes(request);
 }
 
 void RequestForwarder::send(const std::shared_ptr<Backend>& backend, double expectedMs)
 {
     auto& router = m_router;
-    auto keepAlive = shared_from_this();
-    auto now = router.loop().now();
     if (m_attemptCount == 0)
-        router.placementTimes().add(now - m_exchange->received());
+        router.placementTimes().add(router.loop().now() - m_exchange->received());
     ++m_attemptCount;
     ++router.counters().attempts;
     m_tried.insert(backend->record().id);
     m_lastServer = backend->record().id;
-    backend->beginRequest();
     auto index = m_attempts.size();
-    m_attempts.push_back({ .backend = backend, .connection = {}, .sentAt = now, .expectedMs = expectedMs });
+    startAttempt({ .backend = backend, .connection = {}, .sentAt = router.loop().now(), .expectedMs = expectedMs },
+        requestBytes({ router.options().headers.expectInstance, backend->record().id }));
+    if (m_attempts[index].connection && isSafeToRepeat())
+        armHedgeTimer();
+}
+
+// The other gateway makes all further attempts.
+void RequestForwarder::sendToPeer(const std::shared_ptr<Backend>& peer)
+{
+    auto& router = m_router;
+    ++router.counters().forwarded;
+    m_lastServer = peer->record().id;
+    auto attemptsLeft = std::max(1, m_route.maxAttempts - m_attemptCount);
+    ForwardedRequest forwarded { .route = m_route, .service = m_service };
+    forwarded.route.maxAttempts = attemptsLeft;
+    m_attemptCount += attemptsLeft;
+    m_router.log().log(EventId::CallForwarded,
+        { { "request", m_id }, { "service", m_service }, { "entry", peer->record().id }, { "domain", peer->record().failureDomain }, { "left_ms", fmt::format("{:.1f}", timeLeftMs()) } });
+    startAttempt({ .backend = peer, .attemptsGiven = attemptsLeft, .connection = {}, .sentAt = router.loop().now() },
+        requestBytes({ forwardedHeader, toHeaderValue(forwarded) }));
+}
+
+void RequestForwarder::startAttempt(const Attempt& attempt, std::string bytes)
+{
+    auto& router = m_router;
+    auto keepAlive = shared_from_this();
+    auto index = m_attempts.size();
+    attempt.backend->beginRequest();
+    m_attempts.push_back(attempt);
     ++m_openAttempts;
     std::weak_ptr<RequestForwarder> weak = weak_from_this();
     auto expectsBody = m_exchange->request().method != "HEAD";
@@ -297,8 +398,8 @@
         auto isRejection = head.response.status == Misdirected || Net::findHeader(headers, names.notExecuted);
         return isRejection || !Net::findHeader(headers, names.instanceId);
     };
-    auto limit = m_deadline - now + std::chrono::seconds(1); // m_deadlineTimer fires first
-    m_attempts[index].connection = backend->send(requestBytes(*backend), expectsBody, limit, maxIdle,
+    auto limit = m_deadline - attempt.sentAt + std::chrono::seconds(1); // m_deadlineTimer fires first
+    m_attempts[index].connection = attempt.backend->send(std::move(bytes), expectsBody, limit, maxIdle,
         { .answered = [weak, index](Net::ResponseHead&& head) {
              if (auto self = weak.lock())
                  self->onAnswer(index, std::move(head)); },
@@ -315,8 +416,6 @@
             .completed = [weak, index] {
                 if (auto self = weak.lock())
                     self->onResponseCompleted(index); } });
-    if (m_attempts[index].connection && isSafeToRepeat())
-        armHedgeTimer();
 }
 
 RequestForwarder::Attempt RequestForwarder::finishAttempt(std::size_t index)
@@ -335,6 +434,8 @@
     auto keepAlive = shared_from_this();
     auto attempt = finishAttempt(index);
     auto& response = head.response;
+    if (attempt.attemptsGiven > 0)
+        return onPeerAnswer(attempt, std::move(response));
     if (response.status == Misdirected) {
         m_router.log().log(EventId::ServerMisdirected,
             { { "request", m_id }, { "server", attempt.backend->record().id }, { "address", attempt.backend->record().address } });
@@ -354,6 +455,35 @@
     respond(std::move(response), attempt);
 }
 
+void RequestForwarder::onPeerAnswer(const Attempt& attempt, Net::Response&& response)
+{
+    auto notExecuted = Net::findHeader(response.headers, m_router.options().headers.notExecuted);
+    if (!notExecuted)
+        return respond(std::move(response), attempt);
+    if (*notExecuted == unreachableReason) {
+        m_attemptCount -= attempt.attemptsGiven;
+        m_router.peers().avoid(*attempt.backend);
+        return onNoPeer();
+    }
+    if (m_openAttempts > 0)
+        return;
+    if (m_serverFailure || m_mayHaveExecuted)
+        return giveUp("another gateway refused the request", RefusalReason::Shed, 0);
+    auto retryAfter = Net::findHeader(response.headers, m_router.options().headers.retryAfter).value_or("");
+    respondRefused("another gateway refused the request", std::string(retryAfter), false);
+}
+
+void RequestForwarder::onPeerFailure(const Attempt& attempt, const Net::ClientFailure& failure)
+{
+    m_router.peers().avoid(*attempt.backend);
+    if (!failure.bytesSent) {
+        m_attemptCount -= attempt.attemptsGiven;
+        return onNoPeer();
+    }
+    m_mayHaveExecuted = true;
+    retryOrGiveUpAfterFailure();
+}
+
 void RequestForwarder::learnFromResponse(const Attempt& attempt, const Net::Response& response)
 {
     auto took = m_router.loop().now() - attempt.sentAt;
@@ -382,8 +512,11 @@
         if (i != index && m_attempts[i].connection)
             closeAttempt(m_attempts[i]);
     }
-    m_attempts[index].backend->learnFrom(head.response);
-    learnFromResponse(m_attempts[index], head.response);
+    // What a response says of its server is for the gateway that sent the request to it.
+    if (m_attempts[index].attemptsGiven == 0) {
+        m_attempts[index].backend->learnFrom(head.response);
+        learnFromResponse(m_attempts[index], head.response);
+    }
     auto length = head.framing == Net::Framing::Length ? std::optional(head.length) : std::nullopt;
     m_exchange->begin(std::move(head.response), length);
     pauseWhileBacklogged();
@@ -448,6 +581,8 @@
         { { "request", m_id }, { "server", attempt.backend->record().id }, { "fault", std::string(Net::failureName(failure.kind)) }, { "sent", failure.bytesSent ? "true" : "false" }, { "identity", fmt::format("{:016x}", m_identity) } });
     if (m_passedOn)
         return cutResponse("the server ended the connection in the middle of the response");
+    if (attempt.attemptsGiven > 0)
+        return onPeerFailure(attempt, failure);
     if (failure.bytesSent)
         m_mayHaveExecuted = true;
     auto wasClosed = failure.kind == Net::FailureKind::Closed || failure.kind == Net::FailureKind::Reset;
@@ -488,7 +623,7 @@
         auto fields = logFields("again");
         fields.push_back({ "cause", cause });
         router.log().log(EventId::CallRetried, std::move(fields));
-        return probeServers(CandidateScope::OwnDomain);
+        return selectTarget();
     }
     giveUp(cause, RefusalReason::Shed, 0);
 }
@@ -536,7 +671,7 @@
         if (attempt.connection)
             attempt.backend->recordFailure();
     }
-    probeServers(CandidateScope::OwnDomain);
+    selectTarget();
 }
 
 void RequestForwarder::respond(Net::Response&& response, const Attempt& attempt)
@@ -572,7 +707,6 @@
         reason = pauseLeft ? RefusalReason::Paused : limitLeft ? RefusalReason::Limited
                                                                : reason;
     auto timeLeft = pauseLeft ? pauseLeft : limitLeft;
-    ++router.counters().refused;
     auto wait = Decisions::retryAfter({
         .reason = reason,
         .timeLeftMs = timeLeftMs(),
@@ -580,21 +714,31 @@
         .pauseLeftMs = timeLeft ? Common::toMilliseconds(*timeLeft) : 0,
         .jitter = Common::randomUnit(router.loop().hooks()),
     });
-    auto retryAfter = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
+    const auto* cause = reason == RefusalReason::Busy ? "busy"
+        : reason == RefusalReason::Paused             ? "all servers asked for a pause"
+        : reason == RefusalReason::Limited            ? "the limits of all servers are used up"
+        : reason == RefusalReason::Shed               ? "shed"
+        : reason == RefusalReason::Blocked            ? "servers ended under it"
+        : reason == RefusalReason::NoReport           ? "no server answered a load probe"
+                                                      : "the service has no usable server";
+    auto isUnreachable = m_attemptCount == 0 && (reason == RefusalReason::NoReport || reason == RefusalReason::NoServer);
+    respondRefused(cause, fmt::format("{:.3f}", std::chrono::duration<double>(wait).count()), isUnreachable);
+}
+
+void RequestForwarder::respondRefused(const char* cause, const std::string& retryAfterS, bool isUnreachable)
+{
+    const auto& names = m_router.options().headers;
     auto fields = logFields("refused");
-    fields.push_back({ "cause",
-        reason == RefusalReason::Busy           ? "busy"
-            : reason == RefusalReason::Paused   ? "all servers asked for a pause"
-            : reason == RefusalReason::Limited  ? "the limits of all servers are used up"
-            : reason == RefusalReason::Shed     ? "shed"
-            : reason == RefusalReason::Blocked  ? "servers ended under it"
-            : reason == RefusalReason::NoReport ? "no server answered a load probe"
-                                                : "the service has no usable server" });
-    fields.push_back({ "retry_after_s", retryAfter });
-    router.log().log(EventId::CallRefused, std::move(fields));
+    fields.push_back({ "cause", cause });
+    fields.push_back({ "retry_after_s", retryAfterS });
+    m_router.log().log(EventId::CallRefused, std::move(fields));
+    Net::Headers headers { { names.retryAfter, retryAfterS } };
+    if (m_origin == RequestOrigin::Gateway)
+        headers.push_back({ names.notExecuted, isUnreachable ? unreachableReason : "1" });
+    ++m_router.counters().refused;
     auto exchange = m_exchange;
     finish();
-    exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { "Retry-After", retryAfter } }, .body = {} });
+    exchange->respond({ .status = Unavailable, .reason = {}, .headers = std::move(headers), .body = {} });
 }
 
 void RequestForwarder::fail(int status, const char* cause)
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -12,12 +12,18 @@
 
 namespace Gateway {
 
+// Who sent a request. One from another gateway is not forwarded to a third.
+enum class RequestOrigin {
+    Caller,
+    Gateway,
+};
+
 // Forwards one request: probes a few servers for their load, sends the request to the best of them, retries or hedges where
 // the route and the retry budget allow it, and answers the caller. Lives until it has answered or the caller has
 // disconnected. Owned by RequestRouter.
 class RequestForwarder : public std::enable_shared_from_this<RequestForwarder> {
 public:
-    RequestForwarder(RequestRouter&, std::shared_ptr<Net::Exchange>, Route, std::string service, Common::TimePoint deadline);
+    RequestForwarder(RequestRouter&, std::shared_ptr<Net::Exchange>, Route, std::string service, Common::TimePoint deadline, RequestOrigin);
 
     void start();
     // Called when the caller has disconnected: sends nothing more and cancels open attempts.
@@ -30,9 +36,10 @@
         bool answered = false;
         bool failed = false;
     };
-    // One send of the request to one server.
+    // One send of the request to one server, or to another gateway.
     struct Attempt {
         std::shared_ptr<Backend> backend;
+        int attemptsGiven = 0; // to another gateway: sends that it may make; 0 with a server
         std::shared_ptr<Net::ClientConnection> connection; // null once the attempt has ended
         Common::TimePoint sentAt;
         double expectedMs = 0; // response time predicted at placement
@@ -40,14 +47,27 @@
     enum class CandidateScope {
         OwnDomain,
         OtherDomains,
+        Peers, // other gateways, of any domain
     };
 
+    // Begins the choice of a server or, where no server of the service answers this gateway, of another gateway.
+    void selectTarget();
     std::vector<std::shared_ptr<Backend>> rankedCandidates(CandidateScope);
     void probeServers(CandidateScope);
+    // Asks other gateways whether they reach the service. Returns false if none can be asked.
+    bool probePeers();
+    void sendProbes(std::vector<std::shared_ptr<Backend>>);
+    // Called when no gateway that was asked reaches the service.
+    void onNoPeer();
+    void placeAtPeer();
+    void sendToPeer(const std::shared_ptr<Backend>&);
+    void onPeerAnswer(const Attempt&, Net::Response&&);
+    void onPeerFailure(const Attempt&, const Net::ClientFailure&);
     void onProbeResult(std::size_t index, std::size_t round, const ProbeAnswer&);
     void onProbesDone();
     void placeRequest();
     void send(const std::shared_ptr<Backend>&, double expectedMs);
+    void startAttempt(const Attempt&, std::string bytes);
     void onAnswer(std::size_t attempt, Net::ResponseHead&&);
     void onFailure(std::size_t attempt, Net::ClientFailure);
     void retryOrGiveUpAfterFailure();
@@ -68,6 +88,7 @@
     void recordAnswered(int status, const Attempt&);
     void closeAttempt(Attempt&);
     void refuse(Decisions::RefusalReason, double excessMs);
+    void respondRefused(const char* cause, const std::string& retryAfterS, bool isUnreachable);
     void fail(int status, const char* cause);
     void onDeadline();
     void finish();
@@ -78,7 +99,8 @@
     // Ends the wait for probe results after `timeout`.
     void startProbeTimer(Common::Duration timeout);
     double timeLeftMs() const;
-    std::string requestBytes(const Backend&) const;
+    // The request with the time that is left and `extra`.
+    std::string requestBytes(const Net::Header& extra) const;
     std::vector<Common::EventField> logFields(const char* outcome) const;
 
     RequestRouter& m_router;
@@ -88,9 +110,12 @@
     std::string m_id;
     std::uint64_t m_identity; // see requestIdentity()
     Common::TimePoint m_deadline;
+    RequestOrigin m_origin;
     CandidateScope m_scope = CandidateScope::OwnDomain;
     std::size_t m_probeRound = 0; // each attempt begins a new one; late results of earlier rounds are ignored
     std::size_t m_lateProbeRound = 0; // the last one whose probes got their whole time, since none was answered soon
+    int m_peerRounds = 0; // of them, those that asked other gateways
+    bool m_hasProbedServers = false;
     std::vector<LoadProbe> m_probes;
     std::set<std::string> m_tried; // ids of the servers that the request was sent to
     std::vector<Attempt> m_attempts; // open and ended ones
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "Common/Hash.h"
+#include "Gateway/ForwardedRequest.h"
 #include "Gateway/RequestForwarder.h"
 
 namespace Gateway {
@@ -19,6 +20,8 @@
 
     // A server that does not answer within this time after it closed a connection has ended.
     constexpr auto crashCheckTimeout = std::chrono::milliseconds(250);
+    // Of a forwarded request that names no time budget. The gateway that forwards it has its own limit.
+    constexpr auto forwardedTimeLimit = std::chrono::minutes(10);
 
     using enum Net::HttpStatus;
 
@@ -29,10 +32,11 @@
 
 }
 
-RequestRouter::RequestRouter(Net::EventLoop& loop, Common::EventLog& log, Backends& backends, RequestRouterOptions options)
+RequestRouter::RequestRouter(Net::EventLoop& loop, Common::EventLog& log, Backends& backends, PeerGateways& peers, RequestRouterOptions options)
     : m_loop(loop)
     , m_log(log)
     , m_backends(backends)
+    , m_peers(peers)
     , m_options(std::move(options))
 {
 }
@@ -158,18 +162,58 @@
     const auto* route = m_configuration->find(Net::findHeader(request.headers, "Host").value_or(""), Net::pathOf(request.target));
     if (!route || route->parts.empty())
         return respondNoRoute(exchange);
-    Common::Duration allowed = route->timeout;
-    if (auto text = Net::findHeader(request.headers, m_options.headers.deadline)) {
-        double ms = 0;
-        auto [rest, ec] = std::from_chars(text->data(), text->data() + text->size(), ms);
-        if (ec == std::errc() && ms >= 0)
-            allowed = std::min(allowed, Common::fromMilliseconds(std::min(ms, Common::toMilliseconds(route->timeout))));
-    }
-    auto forwarder = std::make_shared<RequestForwarder>(*this, exchange, *route, chooseService(*route), exchange->received() + allowed);
+    auto deadline = exchange->received() + timeAllowed(request, route->timeout);
+    start(std::make_shared<RequestForwarder>(*this, exchange, *route, chooseService(*route), deadline, RequestOrigin::Caller));
+}
+
+Common::Duration RequestRouter::timeAllowed(const Net::Request& request, Common::Duration limit) const
+{
+    auto text = Net::findHeader(request.headers, m_options.headers.deadline);
+    double ms = 0;
+    auto isValid = text && std::from_chars(text->data(), text->data() + text->size(), ms).ec == std::errc() && ms >= 0;
+    return isValid ? std::min(limit, Common::fromMilliseconds(std::min(ms, Common::toMilliseconds(limit)))) : limit;
+}
+
+void RequestRouter::start(const std::shared_ptr<RequestForwarder>& forwarder)
+{
     m_forwarders.insert(forwarder);
     forwarder->start();
 }
 
+void RequestRouter::serveForwarded(const std::shared_ptr<Net::Exchange>& exchange)
+{
+    auto& request = exchange->request();
+    auto text = Net::findHeader(request.headers, forwardedHeader);
+    if (!text)
+        return respondToPeerProbe(exchange);
+    auto forwarded = parseForwardedRequest(std::string(*text));
+    if (!forwarded || !m_configuration) {
+        if (!forwarded)
+            m_log.log(Common::EventId::PeerMessageRefused, { { "cause", "malformed header of a forwarded request" }, { "value", std::string(*text) } });
+        return exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { m_options.headers.notExecuted, unreachableReason } }, .body = {} });
+    }
+    ++m_counters.acceptedForwarded;
+    std::erase_if(request.headers, [](const auto& header) { return Net::equalsIgnoringCase(header.name, forwardedHeader); });
+    auto deadline = exchange->received() + timeAllowed(request, forwardedTimeLimit);
+    start(std::make_shared<RequestForwarder>(*this, exchange, forwarded->route, forwarded->service, deadline, RequestOrigin::Gateway));
+}
+
+// Tells another gateway whether this one reaches the servers of a service, and its load.
+void RequestRouter::respondToPeerProbe(const std::shared_ptr<Net::Exchange>& exchange)
+{
+    auto service = Net::queryValue(exchange->request().target, peerProbeService);
+    auto isReached = m_peers.self().serving && m_backends.usableCount(service) > 0 && m_backends.reachability(service) == Decisions::Reachability::Reachable;
+    auto isProbe = Net::pathOf(exchange->request().target) == peerProbePath;
+    exchange->respond({
+        .status = !isProbe ? NotFound : isReached ? Ok
+                                                  : Unavailable,
+        .reason = {},
+        // A gateway has no slots: the third figure only completes the report.
+        .headers = { { m_options.headers.instanceId, m_peers.self().control }, { m_options.headers.load, fmt::format("{},0,1,100", m_forwarders.size()) } },
+        .body = {},
+    });
+}
+
 void RequestRouter::respondNoRoute(const std::shared_ptr<Net::Exchange>& exchange)
 {
     ++m_counters.unknownRoute;
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -17,6 +17,7 @@
 #include "Decisions/WindowedRetryBudget.h"
 #include "Gateway/Backends.h"
 #include "Gateway/Configuration.h"
+#include "Gateway/PeerGateways.h"
 
 namespace Gateway {
 
@@ -32,7 +33,9 @@
 };
 
 struct RequestCounters {
-    std::uint64_t requests = 0;
+    std::uint64_t requests = 0; // of callers
+    std::uint64_t forwarded = 0; // sent to other gateways
+    std::uint64_t acceptedForwarded = 0; // that other gateways have sent here
     std::uint64_t answered = 0;
     std::uint64_t refused = 0; // answered with 503, not executed by any server
     std::uint64_t blocked = 0; // of the refused ones: requests that end the servers that run them
@@ -48,7 +51,7 @@
 // Routes callers' requests to backend servers by the configuration in force. Creates one RequestForwarder for each request.
 class RequestRouter {
 public:
-    RequestRouter(Net::EventLoop&, Common::EventLog&, Backends&, RequestRouterOptions);
+    RequestRouter(Net::EventLoop&, Common::EventLog&, Backends&, PeerGateways&, RequestRouterOptions);
     ~RequestRouter();
 
     // Applies a configuration to all requests that begin from now on. Returns false, and ignores it, unless its version is newer
@@ -59,11 +62,14 @@
     void setGatewayCount(int gatewayCount);
 
     void serve(const std::shared_ptr<Net::Exchange>&);
+    // Serves a request that another gateway has forwarded, or its load probe.
+    void serveForwarded(const std::shared_ptr<Net::Exchange>&);
 
     // For RequestForwarder.
     Net::EventLoop& loop() { return m_loop; }
     Common::EventLog& log() { return m_log; }
     Backends& backends() { return m_backends; }
+    PeerGateways& peers() { return m_peers; }
     const RequestRouterOptions& options() const { return m_options; }
     RequestCounters& counters() { return m_counters; }
     const RequestCounters& counters() const { return m_counters; }
@@ -85,11 +91,16 @@
 private:
     std::string chooseService(const Route&);
     void respondNoRoute(const std::shared_ptr<Net::Exchange>&);
+    void respondToPeerProbe(const std::shared_ptr<Net::Exchange>&);
+    // Until the time budget that the request names, or else the limit, is over.
+    Common::Duration timeAllowed(const Net::Request&, Common::Duration limit) const;
+    void start(const std::shared_ptr<RequestForwarder>&);
     void recordCrash(std::uint64_t identity, const std::string& requestId, const ServerRecord&);
 
     Net::EventLoop& m_loop;
     Common::EventLog& m_log;
     Backends& m_backends;
+    PeerGateways& m_peers;
     RequestRouterOptions m_options;
     int m_gatewayCount = 1;
     std::shared_ptr<const Configuration> m_configuration;
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -37,6 +37,7 @@
         settings.ready = readAddress(reader, "ready");
         settings.directory = readAddress(reader, "directory");
         settings.control = readAddress(reader, "control");
+        settings.forwarding = readAddress(reader, "forwarding", std::string());
         settings.metrics = readAddress(reader, "metrics", std::string());
         settings.backendSource = reader.string("backend_source", std::string());
         if (!settings.backendSource.empty() && !Common::isAddress(settings.backendSource + ":1"))
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -17,6 +17,7 @@
     std::string ready;
     std::string directory;
     std::string control; // for other gateways
+    std::string forwarding; // for requests that other gateways forward, since they reach no server; empty: none are taken or forwarded
     std::string metrics; // empty: no metrics endpoint
     std::string backendSource; // IP address that connections to backend servers come from; empty: the kernel chooses
     std::vector<std::string> seeds; // control addresses of some gateways; may be out of date
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -137,7 +137,7 @@
         Settings::GatewaySettings settings;
         settings.node = "test";
         settings.failureDomain = "a";
-        settings.callers = settings.ready = settings.directory = settings.metrics = "127.0.0.1:0";
+        settings.callers = settings.forwarding = settings.ready = settings.directory = settings.metrics = "127.0.0.1:0";
         settings.control = control;
         // Gateways tell each other their callers' addresses, so these must be known before they are bound.
         if (constexpr auto anyPort = "127.0.0.1:0"; control != anyPort)
--- a/Source/UnitTests/Gateway/StoreReaderTest.cpp
+++ b/Source/UnitTests/Gateway/StoreReaderTest.cpp
@@ -42,7 +42,8 @@
         : loop({ .now = [] { return Common::TimePoint(std::chrono::hours(2)); }, .random = [] { return std::uint64_t(0); } })
         , log({ .process = "test", .format = Common::LogFormat::Off })
         , backends(loop, log, {})
-        , router(loop, log, backends, {})
+        , peers(loop, members, {})
+        , router(loop, log, backends, peers, {})
         , catalog(loop, log, backends, router, { .decoder = decoder })
         , reader(loop, log, catalog, store.hooks(), { .registryTable = decoder.registryTable, .operatorTable = decoder.operatorTable })
     {
@@ -53,6 +54,8 @@
     Net::EventLoop loop;
     Common::EventLog log;
     Gateway::Backends backends;
+    Gateway::Members members { {} };
+    Gateway::PeerGateways peers;
     Gateway::RequestRouter router;
     Gateway::Catalog catalog;
     Gateway::StoreReader reader;
