--- /dev/null
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -0,0 +1,184 @@
+#include "FleetFixture.h"
+
+#include <doctest/doctest.h>
+
+#include "Gateway/ForwardedRequest.h"
+
+// Requests that one gateway forwards to another.
+
+namespace {
+
+using std::chrono::milliseconds;
+using UnitTests::CallerConnection;
+using UnitTests::CutKind;
+using UnitTests::eventually;
+using UnitTests::Fleet;
+using UnitTests::requestBytes;
+
+// Until a gateway that is cut off knows it.
+void learnCut(Fleet& fleet, int index)
+{
+    CHECK(eventually([&] {
+        fleet.gateway(index).call(requestBytes("GET", "/safe/x", "learn", 300));
+        return Fleet::metric(fleet.gateway(index), "unreachable_services") == 1;
+    }));
+}
+
+int sum(Fleet& fleet, int gateways, const std::string& metric)
+{
+    auto total = 0;
+    for (int i = 0; i < gateways; ++i)
+        total += Fleet::metric(fleet.gateway(i), metric).value_or(0);
+    return total;
+}
+
+struct AnswerCase {
+    std::string name;
+    std::string method;
+    std::string target;
+    std::size_t paddingBytes = 0;
+};
+
+const AnswerCase answerCases[] = {
+    { "safe", "GET", "/safe/x" },
+    { "not safe to repeat", "POST", "/once/x" },
+    { "beyond what a gateway holds", "GET", "/safe/x", 3'000'000 },
+};
+
+}
+
+TEST_CASE("A forwarded request gets its own answer whole, and runs once")
+{
+    Fleet fleet(2, 18501);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    learnCut(fleet, 0);
+    for (const auto& row : answerCases) {
+        CAPTURE(row.name);
+        fleet.fixture().thread.call([&] {
+            for (auto& server : fleet.fixture().servers)
+                server->setPadding(row.paddingBytes);
+        });
+        CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
+        for (int i = 0; i < 20; ++i) {
+            auto id = row.name + std::to_string(i);
+            caller.send(requestBytes(row.method, row.target, id, 5000, row.method == "POST" ? "body" : ""));
+            auto response = caller.receive();
+            CHECK(response.status == 200);
+            CHECK(response.body == "answer to " + id + std::string(row.paddingBytes, 'x'));
+            CHECK(!Net::findHeader(response.headers, Gateway::forwardedHeader));
+            CHECK(fleet.runs(id) == 1);
+        }
+    }
+}
+
+// Guards against requests that go round among gateways that all have lost their servers.
+TEST_CASE("When no gateway reaches the servers, requests are refused and not passed on")
+{
+    constexpr int gateways = 3;
+    Fleet fleet(gateways, 18511);
+    REQUIRE(fleet.waitReady());
+    for (int i = 0; i < gateways; ++i)
+        fleet.cut(i, CutKind::Reset);
+    for (int i = 0; i < gateways; ++i)
+        learnCut(fleet, i);
+    auto before = sum(fleet, gateways, "accepted_forwarded_total");
+    for (int n = 0; n < 30; ++n) {
+        auto id = "refused" + std::to_string(n);
+        auto response = fleet.gateway(n % gateways).call(requestBytes(n % 2 == 0 ? "GET" : "POST", n % 2 == 0 ? "/safe/x" : "/once/x", id));
+        CHECK(response.status == 503);
+        CHECK(Net::findHeader(response.headers, "Retry-After"));
+        CHECK(fleet.runs(id) == 0);
+    }
+    CHECK(sum(fleet, gateways, "accepted_forwarded_total") == before);
+    // Requests are served again soon after one gateway has its paths back.
+    fleet.heal(0);
+    for (int i = 0; i < gateways; ++i)
+        CHECK(eventually([&] { return fleet.gateway(i).call(requestBytes("GET", "/safe/x", "healed")).status == 200; }));
+}
+
+TEST_CASE("A gateway that reaches its servers again forwards nothing more")
+{
+    Fleet fleet(2, 18521);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    learnCut(fleet, 0);
+    fleet.heal(0);
+    CHECK(eventually([&] { return Fleet::metric(fleet.gateway(0), "unreachable_services") == 0; }));
+    auto before = Fleet::metric(fleet.gateway(0), "forwarded_total");
+    for (int i = 0; i < 20; ++i)
+        CHECK(fleet.gateway(0).call(requestBytes("GET", "/safe/x", "healed" + std::to_string(i))).status == 200);
+    CHECK(Fleet::metric(fleet.gateway(0), "forwarded_total") == before);
+}
+
+// A request is told from a forwarded one by the port that it comes in at.
+TEST_CASE("A caller can't pass a request off as a forwarded one")
+{
+    Fleet fleet(2, 18531);
+    REQUIRE(fleet.waitReady());
+    auto bytes = requestBytes("GET", "/nowhere/x", "spoofed");
+    bytes.insert(bytes.find("\r\n") + 2, std::string(Gateway::forwardedHeader) + ": ?service=service&route=r&repeat=safe&goal_ms=300&priority=1&attempts=2\r\n");
+    CHECK(fleet.gateway(0).call(bytes).status == 404);
+    CHECK(fleet.runs("spoofed") == 0);
+}
+
+// Guards against saying "not run" of a request whose answer was lost between two gateways.
+TEST_CASE("When the other gateway ends under a forwarded request, one that must not be repeated is answered 502 and runs once")
+{
+    Fleet fleet(3, 18541);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    fleet.cut(1, CutKind::Silent);
+    learnCut(fleet, 0);
+    learnCut(fleet, 1);
+    fleet.setWork(milliseconds(400));
+    CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
+    caller.send(requestBytes("POST", "/once/x", "lost", 3000, "body"));
+    REQUIRE(eventually([&] { return fleet.runs("lost") == 1; }));
+    fleet.stop(2);
+    CHECK(caller.receive().status == 502);
+    CHECK(fleet.runs("lost") == 1);
+}
+
+TEST_CASE("A planned stop of the other gateway cuts no forwarded request")
+{
+    Fleet fleet(2, 18551);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    learnCut(fleet, 0);
+    fleet.setWork(milliseconds(500));
+    CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
+    caller.send(requestBytes("POST", "/once/x", "planned", 3000, "body"));
+    REQUIRE(eventually([&] { return fleet.runs("planned") == 1; }));
+    fleet.gateway(1).daemon().shutDown();
+    CHECK(caller.receive().status == 200);
+    CHECK(fleet.gateway(1).join());
+}
+
+TEST_CASE("A caller that leaves ends its request at both gateways")
+{
+    Fleet fleet(2, 18561);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    learnCut(fleet, 0);
+    fleet.setWork(std::chrono::seconds(5));
+    {
+        CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
+        caller.send(requestBytes("GET", "/safe/x", "left", 5000));
+        REQUIRE(eventually([&] { return fleet.runs("left") == 1; }));
+        caller.close();
+    }
+    CHECK(eventually([&] { return Fleet::metric(fleet.gateway(0), "abandoned_total") == 1 && Fleet::metric(fleet.gateway(1), "abandoned_total") == 1; }));
+    CHECK(eventually([&] { return Fleet::metric(fleet.gateway(1), "requests_in_flight") == 0; }));
+}
+
+TEST_CASE("A forwarded request is answered 504 at its caller's deadline")
+{
+    Fleet fleet(2, 18571);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    learnCut(fleet, 0);
+    fleet.setWork(std::chrono::seconds(5));
+    CHECK(fleet.gateway(0).call(requestBytes("GET", "/safe/x", "late", 600)).status == 504);
+    CHECK(eventually([&] { return Fleet::metric(fleet.gateway(1), "requests_in_flight") == 0; }));
+}
--- a/Source/UnitTests/Gateway/RelayMessagesTest.cpp
+++ b/Source/UnitTests/Gateway/RelayMessagesTest.cpp
@@ -7,7 +7,7 @@
 TEST_CASE("An update request and response are read back as they were written")
 {
     UpdateRequest request {
-        .member = { .control = "c", .callers = "d", .failureDomain = "a", .startedMs = 5, .capacity = 0.25, .serving = true },
+        .member = { .control = "c", .callers = "d", .failureDomain = "a", .startedMs = 5, .capacity = 0.25, .serving = true, .forwarding = "e" },
         .position = { .registry = 7, .operators = 9 },
         .membersFrom = "r",
         .membersRevision = 3,
@@ -29,6 +29,9 @@
     // A gateway of a version without crash reports can't be told of them.
     CHECK(parseUpdateRequest(R"({"member":["c","d","a",1,1,1]})").value().crashesRevision == ~std::uint64_t(0));
 
+    // One without forwarded requests takes none.
+    CHECK(parseUpdateRequest(R"({"member":["c","d","a",1,1,1]})").value().member.forwarding.empty());
+
     UpdateResponse response {
         .isRelay = true,
         .relayList = request.relayList,
