Members: in a large fleet gateways know some of the other failure domains

What callers would see: from 48 gateways on, a gateway is told only of those of its own failure domain. Change: with a filtered list the relay tells up to six serving members of each other failure domain that take forwarded requests, again when these change. They are kept apart from the list: directory answers, elections and shared limits don't see them. Ruled out: adding them to the list itself, since the election compares the processor shares of the members that it knows. Test: MembersTest "In a fleet of any size ..." (100 random fleets of three domains with members that come, go and stop serving); fails with no such members told.

--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -16,6 +16,9 @@
     // Age of a relay's list above which members are not named to callers any more: callers keep an answer for up to as long.
     constexpr auto maxListAge = std::chrono::seconds(5);
     constexpr std::size_t maxTombstones = 512;
+    // Members of a failure domain that those of all others know in a large fleet. All forwarded requests of a domain that has lost its servers
+    // go to them.
+    constexpr std::size_t remoteTargetsPerDomain = 6;
 
 }
 
@@ -47,6 +50,7 @@
     other.changedAt = ++m_revision;
     m_tombstones.erase(member.control);
     updateFilter();
+    updateRemoteTargets();
     return other;
 }
 
@@ -88,6 +92,7 @@
             drop(current);
     }
     updateFilter();
+    updateRemoteTargets();
     return m_others.size() != before;
 }
 
@@ -113,6 +118,11 @@
         if (auto it = m_others.find(control); it != m_others.end())
             it->second.isListed = false;
     }
+    if (update.remoteTargets) {
+        m_remoteTargets.clear();
+        for (const auto& member : *update.remoteTargets)
+            m_remoteTargets.emplace(member.control, member);
+    }
     m_listedAt = now;
     m_listedTotal = static_cast<std::size_t>(std::max(1, update.total));
     dropIf([&](const Other& other) { return other.contactUntil < now && !other.isListed; });
@@ -128,6 +138,23 @@
     m_filterChangedAt = ++m_revision;
 }
 
+void Members::updateRemoteTargets()
+{
+    std::vector<Member> targets;
+    if (m_isFiltered) {
+        std::map<std::string, std::size_t> chosen; // by failure domain
+        for (const auto& [control, other] : m_others) {
+            const auto& member = other.member;
+            if (member.serving && !member.forwarding.empty() && chosen[member.failureDomain]++ < remoteTargetsPerDomain)
+                targets.push_back(member);
+        }
+    }
+    if (targets == m_ownTargets)
+        return;
+    m_ownTargets = std::move(targets);
+    m_ownTargetsChangedAt = ++m_revision;
+}
+
 bool Members::isVisibleTo(const std::string& failureDomain, const std::string& ofMember) const
 {
     return !m_isFiltered || failureDomain == ofMember;
@@ -138,7 +165,7 @@
     if (revision >= m_revision)
         return false;
     auto update = changesSince(revision, failureDomain);
-    return update.isFull || !update.members.empty() || !update.departed.empty();
+    return update.isFull || !update.members.empty() || !update.departed.empty() || update.remoteTargets;
 }
 
 MemberUpdate Members::changesSince(std::uint64_t revision, const std::string& failureDomain) const
@@ -162,6 +189,10 @@
         if (!update.isFull && tombstone.changedAt > revision && isVisibleTo(failureDomain, tombstone.failureDomain))
             update.departed.push_back(control);
     }
+    if (isNew(m_ownTargetsChangedAt)) {
+        update.remoteTargets = m_ownTargets;
+        std::erase_if(*update.remoteTargets, [&](const auto& it) { return it.failureDomain == failureDomain; });
+    }
     return update;
 }
 
@@ -192,13 +223,21 @@
         if (other.member.serving && !other.member.forwarding.empty() && isCurrent(other, now))
             targets.push_back(other.member);
     }
+    if (now - m_listedAt > maxListAge)
+        return targets;
+    for (const auto& [control, member] : m_remoteTargets) {
+        if (control != m_self.control && !m_others.contains(control))
+            targets.push_back(member);
+    }
     return targets;
 }
 
 const Member* Members::find(const std::string& control) const
 {
-    auto it = m_others.find(control);
-    return it == m_others.end() ? nullptr : &it->second.member;
+    if (auto it = m_others.find(control); it != m_others.end())
+        return &it->second.member;
+    auto it = m_remoteTargets.find(control);
+    return it == m_remoteTargets.end() ? nullptr : &it->second;
 }
 
 std::vector<Member> Members::all() const
--- a/Source/Core/Gateway/Members.h
+++ b/Source/Core/Gateway/Members.h
@@ -32,6 +32,8 @@
     int total = 0; // members known to the sender, in all failure domains
     std::vector<Member> members; // new or changed
     std::vector<std::string> departed; // control addresses
+    // A few members of other failure domains, of which a filtered list has none, that take forwarded requests; nullopt if unchanged.
+    std::optional<std::vector<Member>> remoteTargets = {};
 };
 
 // The gateways known to be alive: those that made contact with this one lately, and those in the list of the relay that it follows.
@@ -90,6 +92,8 @@
         std::uint64_t changedAt = 0; // revision
     };
 
+    // Of a filtered list: the first few members of each failure domain that take forwarded requests.
+    void updateRemoteTargets();
     bool isVisibleTo(const std::string& failureDomain, const std::string& ofMember) const;
     // Whether the member was heard of lately enough to name it to callers.
     bool isCurrent(const Other&, Common::TimePoint now) const;
@@ -110,6 +114,9 @@
     std::size_t m_listedTotal = 0; // members known to that relay, in all failure domains
     bool m_isFiltered = false; // members are only told of those in their own failure domain
     std::uint64_t m_filterChangedAt = 0; // revision
+    std::vector<Member> m_ownTargets; // that this gateway tells its followers, of all failure domains
+    std::uint64_t m_ownTargetsChangedAt = 0; // revision
+    std::map<std::string, Member> m_remoteTargets; // that the relay followed last has told, by control address
 };
 
 }
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -195,6 +195,11 @@
         for (const auto& member : response.members.members)
             json["members"].append(toJson(member));
         json["gone"] = toJson(response.members.departed);
+        if (response.members.remoteTargets) {
+            json["remote_targets"] = Json::Value(Json::arrayValue);
+            for (const auto& member : *response.members.remoteTargets)
+                json["remote_targets"].append(toJson(member));
+        }
         json["crashes"] = toJson(response.crashes);
         json["crashes_revision"] = Json::UInt64(response.crashesRevision);
     }
@@ -241,6 +246,11 @@
         };
         for (const auto& member : json["members"])
             response.members.members.push_back(toMember(member));
+        if (json.isMember("remote_targets")) {
+            response.members.remoteTargets.emplace();
+            for (const auto& member : json["remote_targets"])
+                response.members.remoteTargets->push_back(toMember(member));
+        }
         response.crashes = toCrashReports(json["crashes"]);
         response.crashesRevision = json["crashes_revision"].asUInt64();
         return std::pair(response, json["rows_deflated"].asBool());
--- a/Source/UnitTests/Gateway/MembersTest.cpp
+++ b/Source/UnitTests/Gateway/MembersTest.cpp
@@ -1,5 +1,8 @@
 #include "Gateway/Members.h"
 
+#include <algorithm>
+#include <map>
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -130,3 +133,45 @@
     candidate.apply(relay.changesSince(update.revision, "a"), start + std::chrono::seconds(3));
     CHECK(controls(candidate.all()) == std::vector { member(1).control + "+", member(2).control + "+" });
 }
+
+// Guards against a failure domain that has lost its servers and knows no gateway of another one.
+TEST_CASE("In a fleet of any size a gateway knows living gateways of each other failure domain that take forwarded requests")
+{
+    constexpr std::size_t enough = 3;
+    auto held = rc::check("three failure domains, lists around the filtered size", [&] {
+        Members relay(member(1));
+        Members follower(member(250, "a"));
+        std::uint64_t revision = 0;
+        auto now = start;
+        for (int step = 0; step < 12; ++step) {
+            now += std::chrono::milliseconds(1500);
+            std::map<std::string, std::size_t> alive;
+            for (const auto& [domain, first] : { std::pair("a", 2), std::pair("b", 80), std::pair("c", 160) }) {
+                auto n = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 60));
+                for (int i = 0; i < n; ++i) {
+                    auto other = member(first + i, domain, *rc::gen::inRange(0, 8) > 0);
+                    other.forwarding = i % 10 == 9 ? "" : other.control + "9"; // some are of a version that takes none
+                    relay.recordContact(other, now);
+                }
+            }
+            relay.expire(now);
+            for (const auto& it : relay.all())
+                alive[it.failureDomain] += it.serving && !it.forwarding.empty() ? 1 : 0;
+            auto update = relay.changesSince(revision, "a");
+            follower.apply(update, now);
+            revision = update.revision;
+            std::map<std::string, std::size_t> known;
+            auto listed = relay.all();
+            for (const auto& target : follower.forwardingTargets(now)) {
+                RC_ASSERT(std::find(listed.begin(), listed.end(), target) != listed.end());
+                RC_ASSERT(follower.find(target.control) != nullptr);
+                ++known[target.failureDomain];
+            }
+            for (const auto& [domain, n] : alive)
+                RC_ASSERT(known[domain] >= std::min(enough, n));
+        }
+    });
+    CHECK(held);
+    Members follower(member(250, "a"));
+    CHECK(follower.forwardingTargets(start).empty());
+}
--- a/Source/UnitTests/Gateway/RelayMessagesTest.cpp
+++ b/Source/UnitTests/Gateway/RelayMessagesTest.cpp
@@ -44,7 +44,7 @@
                 { .table = "t", .key = "gone", .value = {}, .version = 7 },
             },
         },
-        .members = { .isFull = false, .revision = 11, .total = 2, .members = { request.member }, .departed = { "z" } },
+        .members = { .isFull = false, .revision = 11, .total = 2, .members = { request.member }, .departed = { "z" }, .remoteTargets = std::vector { request.member } },
         .crashes = request.crashes,
         .crashesRevision = 13,
     };
@@ -56,6 +56,9 @@
     CHECK(back.value().members.members == response.members.members);
     CHECK(back.value().members.departed == response.members.departed);
     CHECK(back.value().members.revision == 11);
+    CHECK(back.value().members.remoteTargets == response.members.remoteTargets);
+    response.members.remoteTargets.reset();
+    CHECK(!parseUpdateResponse(toText(response, encodeRows({}))).value().members.remoteTargets);
     CHECK(back.value().crashes == request.crashes);
     CHECK(back.value().crashesRevision == 13);
 }
