Requests are not sent over paths that are known to be cut

Cause: when no load probe is left in the budget, a request is placed by the last known signals. While all gateways are cut off, callers whose requests are refused come back soon and use the probes up; what was sent then was reset, and nobody knows whether it has run. Change: it is refused instead, as not run, while no server of the service answers. The gateway's own tries find out when one does.

--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -147,8 +147,8 @@
         return probeServers(CandidateScope::OtherDomains);
     if (n == 0) {
         // No probe can be sent, usually because the probe budget is spent. If the whole round has sent none, the request is placed
-        // by the last known, possibly stale, signals of all servers.
-        if (m_probes.empty()) {
+        // by the last known, possibly stale, signals of all servers, unless it would probably be lost on its way.
+        if (m_probes.empty() && router.backends().reachability(m_service) != Decisions::Reachability::Unreachable) {
             for (const auto& candidateScope : { CandidateScope::OwnDomain, CandidateScope::OtherDomains }) {
                 for (const auto& backend : rankedCandidates(candidateScope))
                     m_probes.push_back({ .backend = backend, .answered = true });
--- a/Source/UnitTests/Gateway/UnreachableServersTest.cpp
+++ b/Source/UnitTests/Gateway/UnreachableServersTest.cpp
@@ -150,5 +150,22 @@
     auto outcomes = callFor(fleet, 1, measuredTime, callersAfter);
     CAPTURE(before);
     CHECK(served(outcomes) >= before / 2);
+    CHECK(std::none_of(outcomes.begin(), outcomes.end(), [](const auto& it) { return it.status == Net::HttpStatus::BadGateway; }));
     checkPromises(fleet, outcomes);
 }
+
+// Guards against 502 for requests that were sent although all paths were known to be cut, since the load probes were used up.
+TEST_CASE("A gateway that reaches no server refuses requests as not run, however many come")
+{
+    Fleet fleet(1, 18491);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Reset);
+    CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
+    constexpr int requests = 600;
+    for (int i = 0; i < requests; ++i) {
+        auto id = "refused-" + std::to_string(i);
+        caller.send(requestBytes("POST", "/once/x", id, 1000, "body"));
+        CHECK(caller.receive().status == Net::HttpStatus::Unavailable);
+        CHECK(fleet.runs(id) == 0);
+    }
+}
