While new connections fail, a request is placed only where an open connection is free

Cause: the connection that a load probe has used may be taken by another request before this one is placed, which was then sent over a new connection, and failed or got lost. Change: such a server is left out; if none is left, another gateway is asked.

--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -255,11 +255,15 @@
     std::vector<Decisions::ServerSignal> signals;
     std::vector<std::shared_ptr<Backend>> backends;
     auto full = 0;
+    auto mayConnect = m_router.backends().reachability(m_service) != Decisions::Reachability::NoNewConnections;
     auto isLimitUsedUp = false; // by other requests, since a server was probed
     for (const auto& probe : m_probes) {
         isLimitUsedUp = isLimitUsedUp || !probe.backend->limit().allows(now);
         if (!probe.answered || !probe.backend->isAvailable(now) || m_tried.contains(probe.backend->record().id))
             continue;
+        // Another request may have taken the connection that the load probe used.
+        if (!mayConnect && !probe.backend->hasFreeConnection())
+            continue;
         auto signal = probe.backend->signal(now);
         if (!Decisions::hasCapacity(signal, m_route.priority, options)) {
             ++full;
@@ -276,7 +280,7 @@
             return probeServers(CandidateScope::OwnDomain);
         auto isSilent = full == 0 && std::none_of(m_probes.begin(), m_probes.end(), [](const LoadProbe& it) { return it.answered; });
         auto isReachable = m_router.backends().reachability(m_service) == Decisions::Reachability::Reachable;
-        if (isSilent && !isReachable && probePeers())
+        if (full == 0 && !isReachable && probePeers())
             return;
         // Servers that answer late are better than none.
         if (full == 0 && isProbePending() && m_lateProbeRound != m_probeRound) {
