Soak: gateways are cut off from all servers (--cuts)

One, several or all gateways lose their paths to all servers for 4 to 6 s, beside the other faults: new connections hang or are refused, open ones fall silent, are reset or live on. From 3 s on their callers have to be served at least two thirds as often as those of the other gateways, or at most 10 and one in 50 requests may fail there (in_cuts counts those judged).

--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -33,7 +33,7 @@
   cowslipledge-bench load SERVICE PATH ENTRY... [--method M] [--rate R] [--seconds T] [--seed N]
   cowslipledge-bench replay FILE...
   cowslipledge-bench gossip [--entries N] [--loss P] [--seconds T]
-  cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--drills] [--program FILE]
+  cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--drills] [--cuts] [--program FILE]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -58,6 +58,7 @@
   --loss P        Share of datagrams lost, 0 to 1 [default: 0].
   --seeds N       Seeds of the soak, from --seed on [default: 1].
   --drills        Also restore the store from copies, and let servers leave or ask for pauses.
+  --cuts          Also cut gateways off from all servers, while callers, the store and other gateways reach them.
   --program FILE  The shipped program; the one beside this one without it.
   --table         Print a table of the services before the line of JSON.
 )";
@@ -158,7 +159,7 @@
     auto good = true;
     for (auto seed = first; seed < first + args["--seeds"].asLong(); ++seed) {
         auto folder = std::filesystem::temp_directory_path() / ("cowslipledge-soak-" + std::to_string(seed) + "-" + std::to_string(::getpid()));
-        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .drills = args["--drills"].asBool(), .program = program, .folder = folder.string() }) && good;
+        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .program = program, .folder = folder.string() }) && good;
     }
     return good ? 0 : 1;
 }
--- a/Source/Core/Soak/GatewayProcess.cpp
+++ b/Source/Core/Soak/GatewayProcess.cpp
@@ -36,6 +36,8 @@
 ready = "{}"
 directory = "{}"
 control = "{}"
+forwarding = "{}"
+backend_source = "{}"
 seeds = ["{}"]
 grace_ms = 3000
 directory_ttl_ms = 500
@@ -43,7 +45,7 @@
 [store]
 address = "{}"
 )",
-        m_options.name, m_options.failureDomain, callers(), ready(), directory(), control(), fmt::join(m_options.seeds, "\",\""), m_options.store);
+        m_options.name, m_options.failureDomain, callers(), ready(), directory(), control(), forwarding(), m_options.backendSource, fmt::join(m_options.seeds, "\",\""), m_options.store);
 }
 
 void GatewayProcess::start()
--- a/Source/Core/Soak/GatewayProcess.h
+++ b/Source/Core/Soak/GatewayProcess.h
@@ -15,7 +15,8 @@
     std::string name;
     std::string store; // ip:port
     std::string failureDomain;
-    int port = 0; // the first of four: callers, ready, directory, control
+    int port = 0; // the first of five: callers, ready, directory, control, forwarding
+    std::string backendSource; // IP address that its connections to servers come from
     std::vector<std::string> seeds;
 };
 
@@ -39,6 +40,7 @@
     std::string ready() const { return addressOf(1); }
     std::string directory() const { return addressOf(2); }
     std::string control() const { return addressOf(3); }
+    std::string forwarding() const { return addressOf(4); }
 
 private:
     std::string addressOf(int offset) const { return "127.0.0.1:" + std::to_string(m_options.port + offset); }
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 #include <fmt/format.h>
 #include <sys/wait.h>
@@ -38,8 +39,14 @@
     constexpr int restartDelayMs = 300;
     // For loading some twenty shared libraries on a busy machine.
     constexpr auto loadTime = milliseconds(50);
-    // Ports a gateway: callers, ready, directory, control.
-    constexpr int portsEach = 4;
+    // Ports a gateway: callers, ready, directory, control, forwarding.
+    constexpr int portsEach = 5;
+    // From here on after a gateway was cut off from all servers, its callers must be served nearly as well as those of the others.
+    constexpr auto cutStabilityTime = std::chrono::seconds(3);
+    constexpr double minServedShare = 2.0 / 3;
+    // Failures of callers of cut-off gateways that are allowed in any case.
+    constexpr int allowedFailures = 10;
+    constexpr double allowedFailureShare = 0.02;
 
     using enum Net::HttpStatus;
 
@@ -96,6 +103,7 @@
             callers.stop();
             m_outcomes = callers.outcomes();
             checkOutcomes();
+            checkCuts();
             report();
             return m_broken.empty();
         }
@@ -156,7 +164,7 @@
                 seeds.push_back("127.0.0.1:" + std::to_string(port + i * portsEach + 3));
             for (int i = 0; i < m_options.gateways; ++i) {
                 auto store = m_thread.call([&] { return m_storeProxies[static_cast<std::size_t>(i)]->address(); });
-                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = i % 2 == 0 ? "a" : "b", .port = port + i * portsEach, .seeds = seeds }));
+                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = i % 2 == 0 ? "a" : "b", .port = port + i * portsEach, .backendSource = sourceHost(static_cast<std::size_t>(i)), .seeds = seeds }));
                 m_gateways.back()->start();
             }
             m_expected.resize(m_gateways.size());
@@ -190,9 +198,12 @@
             auto server = static_cast<std::size_t>(below(m_options.servers));
             constexpr int faults = 9;
             constexpr int faultsOfDrills = 3;
-            auto fault = below(m_options.drills ? faults + faultsOfDrills : faults);
-            if (fault >= faults)
+            constexpr int cuts = 5;
+            auto fault = below(faults + (m_options.drills ? faultsOfDrills : 0) + (m_options.cuts ? cuts : 0));
+            if (fault >= faults && m_options.drills && fault < faults + faultsOfDrills)
                 return startDrill(fault - faults, server, until);
+            if (fault >= faults)
+                return startCut();
             switch (fault) {
             case 0:
             case 1:
@@ -244,6 +255,86 @@
             }
         }
 
+        static std::string sourceHost(std::size_t gateway) { return "127.0.1." + std::to_string(gateway + 1); }
+
+        // Cuts one, several or all gateways off from all servers: new connections hang or are refused, open ones are silent, reset or live on.
+        void startCut()
+        {
+            if (std::any_of(m_cuts.begin(), m_cuts.end(), [](const auto& it) { return !it.hasEnded; }))
+                return;
+            enum CutKind {
+                Silent,
+                Reset,
+                NewRefused,
+                Kinds
+            };
+            auto kind = below(Kinds);
+            auto length = milliseconds(4000 + below(2000));
+            auto count = 1 + below(m_options.gateways);
+            Cut cut { .gateways = {}, .during = { .from = Clock::now(), .to = {} } };
+            auto first = static_cast<std::size_t>(below(m_options.gateways));
+            for (int i = 0; i < count; ++i)
+                cut.gateways.insert((first + static_cast<std::size_t>(i)) % m_gateways.size());
+            note(fmt::format("{} gateways from {} on are cut off from all servers, kind {}", count, first, kind));
+            m_thread.call([&] {
+                for (auto& proxy : m_serverProxies) {
+                    for (auto gateway : cut.gateways) {
+                        proxy->setModeFor(sourceHost(gateway), kind == Silent ? ProxyMode::Silence : ProxyMode::Refuse);
+                        if (kind == Reset)
+                            proxy->resetAllOf(sourceHost(gateway));
+                    }
+                }
+            });
+            m_cuts.push_back(cut);
+            m_active.push_back({ Clock::now() + length, [this, index = m_cuts.size() - 1] { endCut(m_cuts[index]); } });
+        }
+
+        struct Cut {
+            std::set<std::size_t> gateways;
+            Interval during;
+            bool hasEnded = false;
+        };
+
+        void endCut(Cut& cut)
+        {
+            note("the cut ends");
+            cut.hasEnded = true;
+            cut.during.to = Clock::now();
+            m_thread.call([&] {
+                for (auto& proxy : m_serverProxies) {
+                    for (auto gateway : cut.gateways)
+                        proxy->clearModeFor(sourceHost(gateway));
+                }
+            });
+        }
+
+        struct Served {
+            int sent = 0;
+            int ok = 0;
+            double share() const { return sent == 0 ? 0 : static_cast<double>(ok) / sent; }
+        };
+
+        void checkCuts()
+        {
+            for (const auto& cut : m_cuts) {
+                Served cutOff;
+                Served others;
+                for (const auto& outcome : m_outcomes) {
+                    if (outcome.sent < cut.during.from + cutStabilityTime || outcome.ended > cut.during.to || isDisturbed(outcome))
+                        continue;
+                    auto gateway = std::find_if(m_gateways.begin(), m_gateways.end(), [&](const auto& it) { return it->callers() == outcome.gateway; });
+                    auto isCutOff = cut.gateways.contains(static_cast<std::size_t>(gateway - m_gateways.begin()));
+                    auto& served = isCutOff ? cutOff : others;
+                    ++served.sent;
+                    served.ok += outcome.status == Ok ? 1 : 0;
+                }
+                auto allowed = allowedFailures + allowedFailureShare * (cutOff.sent + others.sent);
+                if (others.sent > 0 && cutOff.sent - cutOff.ok > allowed && cutOff.share() < minServedShare * others.share())
+                    m_broken.push_back(fmt::format("gateways without servers served {} of {} requests, the others {} of {}, in the cut from {:.3f} s on", cutOff.ok, cutOff.sent, others.ok, others.sent, std::chrono::duration<double>(cut.during.from - Common::TimePoint(m_begun)).count()));
+                m_cutRequests += cutOff.sent;
+            }
+        }
+
         void startDrill(int kind, std::size_t server, Clock::time_point until)
         {
             if (kind == 0) {
@@ -411,7 +502,7 @@
             std::string statuses;
             for (const auto& [status, n] : m_statuses)
                 statuses += fmt::format("{}\"{}\":{}", statuses.empty() ? "" : ",", status, n);
-            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_broken.size());
+            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"in_cuts\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_cutRequests, m_broken.size());
         }
 
         SoakOptions m_options;
@@ -429,6 +520,8 @@
         std::vector<ActiveFault> m_active;
         std::map<std::string, std::vector<Interval>> m_disturbed; // by callers' address
         std::vector<Outcome> m_outcomes;
+        std::vector<Cut> m_cuts;
+        int m_cutRequests = 0; // judged by checkCuts(), of gateways that were cut off
         std::map<int, int> m_statuses;
         std::vector<std::string> m_broken;
         std::vector<std::string> m_history;
--- a/Source/Core/Soak/Soak.h
+++ b/Source/Core/Soak/Soak.h
@@ -11,6 +11,7 @@
     int gateways = 3;
     int servers = 4;
     bool drills = false; // also restores the store from copies, and lets servers leave or ask for pauses
+    bool cuts = false; // also cuts gateways off from all servers
     std::string program; // path of the shipped binary
     std::string folder; // for settings and logs; removed when the run was good
 };
