Sockets: the number of keep-alive probes is not set where TCP_USER_TIMEOUT decides

Change: the option without effect is gone, the comments say what decides. Connections to callers end after 4 s, to servers and for forwarded requests after 3 s, to relays and the store after 2 s without an acknowledgement, as before.

--- a/Source/Core/Backends/BackendSocket.cpp
+++ b/Source/Core/Backends/BackendSocket.cpp
@@ -76,7 +76,7 @@
     setKeepAlive(true);
     setOption(IPPROTO_TCP, TCP_KEEPIDLE, seconds(options.keepAliveIdle));
     setOption(IPPROTO_TCP, TCP_KEEPINTVL, seconds(options.keepAliveInterval));
-    setOption(IPPROTO_TCP, TCP_KEEPCNT, options.keepAliveCount);
+    // With this set, the number of keep-alive probes (TCP_KEEPCNT) has no effect.
     setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(Common::toMilliseconds(options.unacknowledgedLimit)));
 }
 
--- a/Source/Core/Backends/BackendSocket.h
+++ b/Source/Core/Backends/BackendSocket.h
@@ -10,10 +10,9 @@
 
 // How the kernel is to notice a peer that has gone without a word.
 struct SilenceOptions {
-    Common::Duration unacknowledgedLimit = std::chrono::seconds(5); // sent bytes without an acknowledgement
+    Common::Duration unacknowledgedLimit = std::chrono::seconds(5); // sent bytes or keep-alive probes without an acknowledgement
     Common::Duration keepAliveIdle = std::chrono::seconds(5); // quiet time before the first keepalive segment
     Common::Duration keepAliveInterval = std::chrono::seconds(2);
-    int keepAliveCount = 3;
 };
 
 // A TCP socket that remembers what passed through it: the evidence for what may be said of a request.
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -50,7 +50,7 @@
     socket.setKeepAlive(true);
     socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
     socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, 1);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, 1);
+    // With this set, the number of keep-alive probes (TCP_KEEPCNT) has no effect.
     socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
     if (sendBufferBytes > 0)
         socket.setSendBufferSize(sendBufferBytes);
--- a/Source/UnitTests/Gateway/CatalogSyncTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogSyncTest.cpp
@@ -64,6 +64,49 @@
     CHECK(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(2500));
 }
 
+// Guards against a call that was made in the last moments of an outage and is waited for long after its end.
+TEST_CASE("A change made 0.7 s after a silent outage is applied within 2 s, at whatever moment of the gateway's calls it ended")
+{
+    constexpr int fleets = 8;
+    constexpr auto shortestOutage = std::chrono::milliseconds(3000);
+    constexpr auto step = std::chrono::milliseconds(90); // together about the interval between two calls
+    constexpr auto changeDelay = std::chrono::milliseconds(700);
+    constexpr auto applyLimit = std::chrono::milliseconds(2000);
+    std::vector<std::unique_ptr<GatewayFixture>> fixtures;
+    std::vector<std::unique_ptr<RunningGateway>> gateways;
+    for (int i = 0; i < fleets; ++i) {
+        fixtures.push_back(std::make_unique<GatewayFixture>(1));
+        gateways.push_back(fixtures.back()->gateway());
+    }
+    for (auto& gateway : gateways)
+        REQUIRE(gateway->waitReady());
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    for (auto& fixture : fixtures)
+        fixture->thread.call([&] { fixture->store->setMode(StoreMode::Silent); });
+    auto silent = std::chrono::steady_clock::now();
+    std::vector<std::thread> runs;
+    std::vector<Common::Duration> took(fleets, Common::Duration::max());
+    for (std::size_t i = 0; i < fleets; ++i) {
+        runs.emplace_back([&, i] {
+            auto& fixture = *fixtures[i];
+            std::this_thread::sleep_until(silent + shortestOutage + step * static_cast<int>(i));
+            fixture.thread.call([&] { fixture.store->setMode(StoreMode::Serving); });
+            std::this_thread::sleep_for(changeDelay);
+            fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(2, "service", addedRoute)); });
+            auto changed = std::chrono::steady_clock::now();
+            if (eventually([&] { return serves(*gateways[i], "/added/x"); }))
+                took[i] = std::chrono::steady_clock::now() - changed;
+        });
+    }
+    for (auto& run : runs)
+        run.join();
+    for (std::size_t i = 0; i < fleets; ++i) {
+        CAPTURE(i);
+        CHECK(took[i] < applyLimit);
+    }
+    gateways.clear();
+}
+
 TEST_CASE("Without a store a gateway reports that it is not ready and rejects requests")
 {
     GatewayFixture fixture(1);
