Answers to forwarded requests tell the gateway of the caller what their server says of itself

What could be broken: a gateway passes on an answer that says that its server is leaving, or names a limit, and sends that server requests once its own paths are back (DRAIN, LIMIT). Cause: the other gateway alone took notice; the one that forwarded did not know which server had answered. Change: the other gateway names the server in a header, which is taken out before the caller gets the answer.

--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -278,6 +278,12 @@
     return found;
 }
 
+std::shared_ptr<Backend> Backends::find(const std::string& id) const
+{
+    auto it = m_backends.find(id);
+    return it == m_backends.end() ? nullptr : it->second;
+}
+
 std::size_t Backends::usableCount(const std::string& service) const
 {
     auto it = m_byService.find(service);
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -42,6 +42,8 @@
     // Servers of the service that may get requests now, without those whose ids are in `exclude`: the ones in the own failure domain, or else
     // those in all others.
     std::vector<std::shared_ptr<Backend>> candidates(const std::string& service, bool ownDomain, const std::set<std::string>& exclude);
+    // nullptr if the registry does not list the server.
+    std::shared_ptr<Backend> find(const std::string& id) const;
     // Number of servers of the service that are usable, those that pause included.
     std::size_t usableCount(const std::string& service) const;
     // If all usable servers of the service pause: the time until the first one takes requests again.
--- a/Source/Core/Gateway/ForwardedRequest.h
+++ b/Source/Core/Gateway/ForwardedRequest.h
@@ -17,6 +17,8 @@
 
 // Header of a forwarded request that carries it.
 inline constexpr auto forwardedHeader = "Cowslipledge-Forwarded";
+// Header of the answer to a forwarded request: id of the server that gave it.
+inline constexpr auto servedByHeader = "Cowslipledge-Served-By";
 // Path of the load probe that one gateway sends another, with the service as a query parameter.
 inline constexpr auto peerProbePath = "/v1/reach";
 inline constexpr auto peerProbeService = "service";
--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -218,18 +218,19 @@
 
 std::vector<Member> Members::forwardingTargets(Common::TimePoint now) const
 {
-    std::vector<Member> targets;
-    for (const auto& [control, other] : m_others) {
-        if (other.member.serving && !other.member.forwarding.empty() && isCurrent(other, now))
-            targets.push_back(other.member);
-    }
-    if (now - m_listedAt > maxListAge)
-        return targets;
+    std::vector<Member> current;
+    std::vector<Member> older;
+    auto add = [&](const Member& member, bool isCurrent) {
+        if (member.serving && !member.forwarding.empty())
+            (isCurrent ? current : older).push_back(member);
+    };
+    for (const auto& [control, other] : m_others)
+        add(other.member, isCurrent(other, now));
     for (const auto& [control, member] : m_remoteTargets) {
         if (control != m_self.control && !m_others.contains(control))
-            targets.push_back(member);
+            add(member, now - m_listedAt <= maxListAge);
     }
-    return targets;
+    return current.empty() ? older : current;
 }
 
 const Member* Members::find(const std::string& control) const
--- a/Source/Core/Gateway/Members.h
+++ b/Source/Core/Gateway/Members.h
@@ -65,7 +65,8 @@
     std::optional<Common::Duration> listAge(Common::TimePoint now) const;
     // Control addresses of the serving gateways of the own failure domain.
     std::vector<std::string> servingInOwnDomain() const;
-    // Other serving gateways that take forwarded requests and that something has been heard of lately.
+    // Other serving gateways that take forwarded requests: those that something has been heard of lately or, if there is none, all that are
+    // known.
     std::vector<Member> forwardingTargets(Common::TimePoint now) const;
     // Another member by its control address; nullptr if it is not known.
     const Member* find(const std::string& control) const;
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -462,8 +462,10 @@
 void RequestForwarder::onPeerAnswer(const Attempt& attempt, Net::Response&& response)
 {
     auto notExecuted = Net::findHeader(response.headers, m_router.options().headers.notExecuted);
-    if (!notExecuted)
+    if (!notExecuted) {
+        learnFromPeerResponse(response);
         return respond(std::move(response), attempt);
+    }
     if (*notExecuted == unreachableReason) {
         m_attemptCount -= attempt.attemptsGiven;
         m_router.peers().avoid(*attempt.backend);
@@ -502,6 +504,21 @@
     m_router.updateServiceTime(m_route, tookMs, factor);
 }
 
+void RequestForwarder::learnFromPeerResponse(Net::Response& response)
+{
+    auto id = Net::findHeader(response.headers, servedByHeader);
+    // It has passed through this gateway: a server that says that it leaves, or names a limit, counts on it.
+    if (auto server = id ? m_router.backends().find(std::string(*id)) : nullptr)
+        server->learnFrom(response);
+    std::erase_if(response.headers, [](const auto& header) { return Net::equalsIgnoringCase(header.name, servedByHeader); });
+}
+
+void RequestForwarder::addServedBy(Net::Response& response, const Attempt& attempt) const
+{
+    if (m_origin == RequestOrigin::Gateway && attempt.backend && attempt.attemptsGiven == 0)
+        response.headers.push_back({ servedByHeader, attempt.backend->record().id });
+}
+
 void RequestForwarder::onResponseStarted(std::size_t index, Net::ResponseHead&& head)
 {
     if (m_ended || m_passedOn)
@@ -516,10 +533,12 @@
         if (i != index && m_attempts[i].connection)
             closeAttempt(m_attempts[i]);
     }
-    // What a response says of its server is for the gateway that sent the request to it.
-    if (m_attempts[index].attemptsGiven == 0) {
+    if (m_attempts[index].attemptsGiven > 0)
+        learnFromPeerResponse(head.response);
+    else {
         m_attempts[index].backend->learnFrom(head.response);
         learnFromResponse(m_attempts[index], head.response);
+        addServedBy(head.response, m_attempts[index]);
     }
     auto length = head.framing == Net::Framing::Length ? std::optional(head.length) : std::nullopt;
     m_exchange->begin(std::move(head.response), length);
@@ -681,6 +700,7 @@
 void RequestForwarder::respond(Net::Response&& response, const Attempt& attempt)
 {
     recordAnswered(response.status, attempt);
+    addServedBy(response, attempt);
     auto exchange = m_exchange;
     finish();
     exchange->respond(std::move(response));
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -78,6 +78,10 @@
     void pauseWhileBacklogged();
     void cutResponse(const char* cause);
     void learnFromResponse(const Attempt&, const Net::Response&);
+    // Takes what the answer to a forwarded request says of the server that gave it.
+    void learnFromPeerResponse(Net::Response&);
+    // Names the server to the gateway that has forwarded the request.
+    void addServedBy(Net::Response&, const Attempt&) const;
     Attempt finishAttempt(std::size_t attempt);
     // Called after an attempt that gave no response to pass on. `cause` is logged.
     void retryOrGiveUp(const char* cause);
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -1,5 +1,7 @@
 #include "FleetFixture.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "Gateway/ForwardedRequest.h"
@@ -182,3 +184,46 @@
     CHECK(fleet.gateway(0).call(requestBytes("GET", "/safe/x", "late", 600)).status == 504);
     CHECK(eventually([&] { return Fleet::metric(fleet.gateway(1), "requests_in_flight") == 0; }));
 }
+
+// Guards against a gateway that sends requests to a server although it has passed on that server's word that it is leaving.
+TEST_CASE("What a server says of itself in the answer to a forwarded request holds for both gateways")
+{
+    Fleet fleet(2, 18581);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    learnCut(fleet, 0);
+    auto arrivals = [&] {
+        return fleet.fixture().thread.call([&] {
+            std::vector<int> list;
+            for (auto& server : fleet.fixture().servers)
+                list.push_back(server->arrivals());
+            return list;
+        });
+    };
+    auto setLeaving = [&](bool leaving) {
+        fleet.fixture().thread.call([&] {
+            for (auto& server : fleet.fixture().servers)
+                server->setLeaving(leaving);
+        });
+    };
+    // Only the server that runs the request is heard to leave.
+    fleet.setWork(milliseconds(400));
+    auto before = arrivals();
+    CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
+    caller.send(requestBytes("POST", "/once/x", "leaving", 3000, "body"));
+    REQUIRE(eventually([&] { return fleet.runs("leaving") == 1; }));
+    auto after = arrivals();
+    auto server = std::mismatch(before.begin(), before.end(), after.begin()).first - before.begin();
+    setLeaving(true);
+    auto response = caller.receive();
+    setLeaving(false);
+    REQUIRE(Net::findHeader(response.headers, UnitTests::Names::serverLeaving));
+    CHECK(!Net::findHeader(response.headers, Gateway::servedByHeader));
+    fleet.setWork(milliseconds(5));
+    fleet.heal(0);
+    REQUIRE(eventually([&] { return Fleet::metric(fleet.gateway(0), "unreachable_services") == 0; }));
+    before = arrivals();
+    for (int i = 0; i < 100; ++i)
+        CHECK(fleet.gateway(i % 2).call(requestBytes("GET", "/safe/x", "afterwards" + std::to_string(i))).status == 200);
+    CHECK(arrivals()[static_cast<std::size_t>(server)] == before[static_cast<std::size_t>(server)]);
+}
--- a/Source/UnitTests/Gateway/MembersTest.cpp
+++ b/Source/UnitTests/Gateway/MembersTest.cpp
@@ -175,3 +175,18 @@
     Members follower(member(250, "a"));
     CHECK(follower.forwardingTargets(start).empty());
 }
+
+TEST_CASE("Gateways that nothing has been heard of for long get forwarded requests only if there are no others")
+{
+    Members members(member(1));
+    auto target = [](int number) {
+        auto it = member(number);
+        it.forwarding = it.control + "9";
+        return it;
+    };
+    members.recordContact(target(2), start);
+    auto later = start + std::chrono::minutes(1);
+    CHECK(members.forwardingTargets(later) == std::vector { target(2) });
+    members.recordContact(target(3), later);
+    CHECK(members.forwardingTargets(later) == std::vector { target(3) });
+}
