--- a/Source/Core/Soak/GatewayProcess.cpp
+++ b/Source/Core/Soak/GatewayProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstring>
 #include <fstream>
 
 #include <fcntl.h>
@@ -60,8 +61,10 @@
     constexpr mode_t logMode = 0644;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    if (posix_spawn(&m_pid, m_options.program.c_str(), &actions, nullptr, arguments.data(), environ) != 0)
+    if (auto error = posix_spawn(&m_pid, m_options.program.c_str(), &actions, nullptr, arguments.data(), environ); error != 0) {
+        fmt::print(stderr, "soak: {} could not be started: {}\n", m_options.program, std::strerror(error));
         m_pid = 0;
+    }
     posix_spawn_file_actions_destroy(&actions);
 }
 
