ServerReachability: servers are only counted while some have failed

The state was asked for with the number of usable servers several times a request and once a contact, a walk over all servers of the service; with 900 servers that would be most of a request's own work. Not measured; by construction nothing is counted while no contact has failed. A 5xx answer that is held for another attempt names its server to the gateway that forwarded the request as well.

--- a/Source/Core/Decisions/ServerReachability.cpp
+++ b/Source/Core/Decisions/ServerReachability.cpp
@@ -32,9 +32,13 @@
     return static_cast<std::size_t>(std::count_if(failedAt.begin(), failedAt.end(), [&](const auto& it) { return now - it.second <= failureMemory; }));
 }
 
-bool ServerReachability::Evidence::isCut(std::size_t servers, Common::TimePoint now) const
+bool ServerReachability::Evidence::isCut(const std::function<std::size_t()>& servers, Common::TimePoint now) const
 {
-    return servers > 0 && failedServers(now) >= std::min(minFailedServers, servers);
+    auto failed = failedServers(now);
+    if (failed == 0)
+        return false;
+    auto needed = std::min(minFailedServers, servers());
+    return needed > 0 && failed >= needed;
 }
 
 void ServerReachability::record(const Contact& contact, Common::TimePoint now)
@@ -44,7 +48,7 @@
         m_newConnections.record(contact, now);
 }
 
-Reachability ServerReachability::state(std::size_t servers, Common::TimePoint now) const
+Reachability ServerReachability::state(const std::function<std::size_t()>& servers, Common::TimePoint now) const
 {
     if (m_all.isCut(servers, now))
         return Reachability::Unreachable;
--- a/Source/Core/Decisions/ServerReachability.h
+++ b/Source/Core/Decisions/ServerReachability.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -29,8 +30,8 @@
     };
 
     void record(const Contact&, Common::TimePoint now);
-    // `servers`: number of usable servers of the service.
-    Reachability state(std::size_t servers, Common::TimePoint now) const;
+    // `servers`: number of usable servers of the service; only called while there are failures, since counting takes time.
+    Reachability state(const std::function<std::size_t()>& servers, Common::TimePoint now) const;
     // Servers that have failed since the last answer, or since the last one over a new connection.
     std::size_t failedServers(Common::TimePoint now) const { return m_all.failedServers(now); }
     std::size_t failedServersOfNewConnections(Common::TimePoint now) const { return m_newConnections.failedServers(now); }
@@ -45,7 +46,7 @@
 
         void record(const Contact&, Common::TimePoint now);
         std::size_t failedServers(Common::TimePoint now) const;
-        bool isCut(std::size_t servers, Common::TimePoint now) const;
+        bool isCut(const std::function<std::size_t()>& servers, Common::TimePoint now) const;
     };
 
     Evidence m_all;
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -181,7 +181,7 @@
 Decisions::Reachability Backends::reachability(const std::string& service) const
 {
     auto it = m_paths.find(service);
-    return it == m_paths.end() ? Decisions::Reachability::Reachable : it->second.evidence.state(usableCount(service), m_loop.now());
+    return it == m_paths.end() ? Decisions::Reachability::Reachable : it->second.evidence.state([&] { return usableCount(service); }, m_loop.now());
 }
 
 std::size_t Backends::unreachableServices() const
@@ -196,7 +196,7 @@
     auto lastAnswer = path.evidence.lastAnswer();
     m_failedContacts += contact.failure ? 1 : 0;
     path.evidence.record({ .server = Common::hash(record.id), .answered = hasAnswered(contact), .isNewConnection = contact.isNewConnection, .sentAt = contact.sentAt }, now);
-    auto state = path.evidence.state(usableCount(record.service), now);
+    auto state = path.evidence.state([&] { return usableCount(record.service); }, now);
     if (state == path.logged)
         return;
     path.logged = state;
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -453,6 +453,7 @@
     learnFromResponse(attempt, response);
     if (isServerFailure(response.status) && isSafeToRepeat()) {
         m_mayHaveExecuted = true;
+        addServedBy(response, attempt);
         m_serverFailure = std::move(response);
         return retryOrGiveUp("the server answered with a 5xx status");
     }
--- a/Source/UnitTests/Decisions/ServerReachabilityTest.cpp
+++ b/Source/UnitTests/Decisions/ServerReachabilityTest.cpp
@@ -62,7 +62,7 @@
         for (const auto& step : row.steps) {
             reachability.record({ .server = static_cast<std::uint64_t>(step.server), .answered = step.answered, .isNewConnection = step.isNewConnection, .sentAt = at(step.sentAtMs) }, at(step.atMs));
         }
-        CHECK(reachability.state(row.servers, at(row.atMs)) == row.expected);
+        CHECK(reachability.state([&] { return row.servers; }, at(row.atMs)) == row.expected);
     }
 }
 
