Tests: fleets of gateways get ports that no other test uses

A port that two processes bind with address reuse is shared: the callers' port of one test, 20 above its control port, was the control port of another that ran beside it, and control ports answer a caller's request with 400. All fleets of these two files are now between 20100 and 20201, which no other test uses (looked for in all tests).

--- a/Source/UnitTests/Gateway/FleetFixture.h
+++ b/Source/UnitTests/Gateway/FleetFixture.h
@@ -16,6 +16,8 @@
     NewRefused, // open connections live on
 };
 
+// Tests run side by side, and a port that two processes bind is shared by them: of `firstPort` to firstPort + gateways - 1, and those 20 above for
+// callers, none may be another test's.
 // A store, servers and gateways. The gateways reach the servers through proxies that tell them apart by their IP addresses.
 class Fleet {
 public:
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -51,7 +51,7 @@
 
 TEST_CASE("A forwarded request gets its own answer whole, and runs once")
 {
-    Fleet fleet(2, 18501);
+    Fleet fleet(2, 20142);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Silent);
     learnCut(fleet, 0);
@@ -78,7 +78,7 @@
 TEST_CASE("When no gateway reaches the servers, requests are refused and not passed on")
 {
     constexpr int gateways = 3;
-    Fleet fleet(gateways, 18511);
+    Fleet fleet(gateways, 20144);
     REQUIRE(fleet.waitReady());
     for (int i = 0; i < gateways; ++i)
         fleet.cut(i, CutKind::Reset);
@@ -101,7 +101,7 @@
 
 TEST_CASE("A gateway that reaches its servers again forwards nothing more")
 {
-    Fleet fleet(2, 18521);
+    Fleet fleet(2, 20147);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Silent);
     learnCut(fleet, 0);
@@ -116,7 +116,7 @@
 // A request is told from a forwarded one by the port that it comes in at.
 TEST_CASE("A caller can't pass a request off as a forwarded one")
 {
-    Fleet fleet(2, 18531);
+    Fleet fleet(2, 20149);
     REQUIRE(fleet.waitReady());
     auto bytes = requestBytes("GET", "/nowhere/x", "spoofed");
     bytes.insert(bytes.find("\r\n") + 2, std::string(Gateway::forwardedHeader) + ": ?service=service&route=r&repeat=safe&goal_ms=300&priority=1&attempts=2\r\n");
@@ -127,7 +127,7 @@
 // Guards against saying "not run" of a request whose answer was lost between two gateways.
 TEST_CASE("When the other gateway ends under a forwarded request, one that must not be repeated is answered 502 and runs once")
 {
-    Fleet fleet(3, 18541);
+    Fleet fleet(3, 20151);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Silent);
     fleet.cut(1, CutKind::Silent);
@@ -144,7 +144,7 @@
 
 TEST_CASE("A planned stop of the other gateway cuts no forwarded request")
 {
-    Fleet fleet(2, 18551);
+    Fleet fleet(2, 20154);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Silent);
     learnCut(fleet, 0);
@@ -159,7 +159,7 @@
 
 TEST_CASE("A caller that leaves ends its request at both gateways")
 {
-    Fleet fleet(2, 18561);
+    Fleet fleet(2, 20156);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Silent);
     learnCut(fleet, 0);
@@ -176,7 +176,7 @@
 
 TEST_CASE("A forwarded request is answered 504 at its caller's deadline")
 {
-    Fleet fleet(2, 18571);
+    Fleet fleet(2, 20158);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Silent);
     learnCut(fleet, 0);
@@ -188,7 +188,7 @@
 // Guards against a gateway that sends requests to a server although it has passed on that server's word that it is leaving.
 TEST_CASE("What a server says of itself in the answer to a forwarded request holds for both gateways")
 {
-    Fleet fleet(2, 18581);
+    Fleet fleet(2, 20180);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Silent);
     learnCut(fleet, 0);
--- a/Source/UnitTests/Gateway/UnreachableServersTest.cpp
+++ b/Source/UnitTests/Gateway/UnreachableServersTest.cpp
@@ -93,12 +93,12 @@
 };
 
 const CutCase cutCases[] = {
-    { "silent, one of three", CutKind::Silent, 1, 3, 18461 },
-    { "silent, two of three", CutKind::Silent, 2, 3, 18464 },
-    { "reset, one of three", CutKind::Reset, 1, 3, 18467 },
-    { "reset, two of three", CutKind::Reset, 2, 3, 18470 },
-    { "new connections refused, one of three", CutKind::NewRefused, 1, 3, 18473 },
-    { "new connections refused, two of three", CutKind::NewRefused, 2, 3, 18476 },
+    { "silent, one of three", CutKind::Silent, 1, 3, 20100 },
+    { "silent, two of three", CutKind::Silent, 2, 3, 20103 },
+    { "reset, one of three", CutKind::Reset, 1, 3, 20106 },
+    { "reset, two of three", CutKind::Reset, 2, 3, 20109 },
+    { "new connections refused, one of three", CutKind::NewRefused, 1, 3, 20112 },
+    { "new connections refused, two of three", CutKind::NewRefused, 2, 3, 20115 },
 };
 
 }
@@ -138,7 +138,7 @@
 {
     constexpr int callersBefore = 1;
     constexpr int callersAfter = 10;
-    Fleet fleet(1, 18480);
+    Fleet fleet(1, 20140);
     REQUIRE(fleet.waitReady());
     auto served = [](const std::vector<Outcome>& outcomes) {
         return std::count_if(outcomes.begin(), outcomes.end(), [](const auto& it) { return it.status == Net::HttpStatus::Ok; });
@@ -157,7 +157,7 @@
 // Guards against 502 for requests that were sent although all paths were known to be cut, since the load probes were used up.
 TEST_CASE("A gateway that reaches no server refuses requests as not run, however many come")
 {
-    Fleet fleet(1, 18491);
+    Fleet fleet(1, 20141);
     REQUIRE(fleet.waitReady());
     fleet.cut(0, CutKind::Reset);
     CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
