--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -438,7 +438,7 @@
     auto keepAlive = shared_from_this();
     auto attempt = finishAttempt(index);
     auto& response = head.response;
-    if (attempt.attemptsGiven > 0)
+    if (attempt.isToPeer())
         return onPeerAnswer(attempt, std::move(response));
     if (response.status == Misdirected) {
         m_router.log().log(EventId::ServerMisdirected,
@@ -516,7 +516,7 @@
 
 void RequestForwarder::addServedBy(Net::Response& response, const Attempt& attempt) const
 {
-    if (m_origin == RequestOrigin::Gateway && attempt.backend && attempt.attemptsGiven == 0)
+    if (m_origin == RequestOrigin::Gateway && attempt.backend && !attempt.isToPeer())
         response.headers.push_back({ servedByHeader, attempt.backend->record().id });
 }
 
@@ -534,7 +534,7 @@
         if (i != index && m_attempts[i].connection)
             closeAttempt(m_attempts[i]);
     }
-    if (m_attempts[index].attemptsGiven > 0)
+    if (m_attempts[index].isToPeer())
         learnFromPeerResponse(head.response);
     else {
         m_attempts[index].backend->learnFrom(head.response);
@@ -605,7 +605,7 @@
         { { "request", m_id }, { "server", attempt.backend->record().id }, { "fault", std::string(Net::failureName(failure.kind)) }, { "sent", failure.bytesSent ? "true" : "false" }, { "identity", fmt::format("{:016x}", m_identity) } });
     if (m_passedOn)
         return cutResponse("the server ended the connection in the middle of the response");
-    if (attempt.attemptsGiven > 0)
+    if (attempt.isToPeer())
         return onPeerFailure(attempt, failure);
     if (failure.bytesSent)
         m_mayHaveExecuted = true;
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -43,6 +43,8 @@
         std::shared_ptr<Net::ClientConnection> connection; // null once the attempt has ended
         Common::TimePoint sentAt;
         double expectedMs = 0; // response time predicted at placement
+
+        bool isToPeer() const { return attemptsGiven > 0; }
     };
     enum class CandidateScope {
         OwnDomain,
@@ -92,6 +94,7 @@
     void recordAnswered(int status, const Attempt&);
     void closeAttempt(Attempt&);
     void refuse(Decisions::RefusalReason, double excessMs);
+    // `isUnreachable`: this gateway reaches no server and has sent the request to none; tells a gateway that forwarded it.
     void respondRefused(const char* cause, const std::string& retryAfterS, bool isUnreachable);
     void fail(int status, const char* cause);
     void onDeadline();
@@ -118,8 +121,8 @@
     CandidateScope m_scope = CandidateScope::OwnDomain;
     std::size_t m_probeRound = 0; // each attempt begins a new one; late results of earlier rounds are ignored
     std::size_t m_lateProbeRound = 0; // the last one whose probes got their whole time, since none was answered soon
-    int m_peerRounds = 0; // of them, those that asked other gateways
-    bool m_hasProbedServers = false;
+    int m_peerRounds = 0; // rounds that asked other gateways
+    bool m_hasProbedServers = false; // in any round
     std::vector<LoadProbe> m_probes;
     std::set<std::string> m_tried; // ids of the servers that the request was sent to
     std::vector<Attempt> m_attempts; // open and ended ones
