Stand-ins: timers end with the stand-in

Cause: a pending read of the change feed leaves a timer in the loop, which looks into the store's list of pending reads even if the store is gone. A test's stand-in only: nothing of this is shipped.

The same fault elsewhere: delayed answers of the store, work of a server, delayed bytes of a proxy. The product's own timers belong to objects that live as long as their loop, or hold a weak pointer.

Ruled out: load (the access depends on a moment, not on time lost) and the gateways, which had ended.

--- a/Source/Core/Soak/FaultProxy.cpp
+++ b/Source/Core/Soak/FaultProxy.cpp
@@ -18,6 +18,7 @@
 
 FaultProxy::FaultProxy(Net::EventLoop& loop, std::string target)
     : m_loop(loop)
+    , m_timers(loop)
     , m_target(std::move(target))
     , m_listener(Poco::Net::SocketAddress("127.0.0.1", 0))
 {
@@ -78,7 +79,7 @@
     std::string bytes(buf.data(), static_cast<std::size_t>(n));
     if (mode != ProxyMode::Delay)
         return deliver(pair, !fromClient, bytes);
-    m_loop.after(m_delay, [this, pair, fromClient, bytes] { deliver(pair, !fromClient, bytes); });
+    m_timers.after(m_delay, [this, pair, fromClient, bytes] { deliver(pair, !fromClient, bytes); });
 }
 
 void FaultProxy::deliver(const std::shared_ptr<Pair>& pair, bool toClient, const std::string& bytes)
--- a/Source/Core/Soak/FaultProxy.h
+++ b/Source/Core/Soak/FaultProxy.h
@@ -9,6 +9,7 @@
 
 #include "Common/NameTable.h"
 #include "Net/EventLoop.h"
+#include "Net/TimerGroup.h"
 
 namespace Soak {
 
@@ -56,6 +57,7 @@
     void end(const std::shared_ptr<Pair>&, bool abruptly);
 
     Net::EventLoop& m_loop;
+    Net::TimerGroup m_timers;
     std::string m_target;
     Poco::Net::ServerSocket m_listener;
     ProxyMode m_mode = ProxyMode::Pass;
