PeerGateways: gateways that reach the servers are asked, however many others do not

Seen by reading: once 32 gateways had said within a second that they don't reach a service, nobody was asked any more, not even a gateway that had just answered; its callers were refused. Where a whole failure domain has lost its servers, that number is reached within a second, since each search took three further gateways of the own domain.

Now the bound only ends the search for further gateways. One that has answered within 2 s is asked for each request; three refusals of the own domain make the others of it the last choice; gateways that have refused lately are asked last, so that a search comes round.

--- a/Source/Core/Gateway/PeerGateways.cpp
+++ b/Source/Core/Gateway/PeerGateways.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/PeerGateways.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Gateway/ForwardedRequest.h"
 
@@ -18,8 +19,12 @@
     constexpr auto fillInterval = std::chrono::milliseconds(100);
     // For which a gateway that does not answer, or does not reach the service, gets no requests.
     constexpr auto avoidPeriod = std::chrono::seconds(1);
-    // Bounds the probes while no gateway reaches the service.
+    // For which it is asked again only after those that have not refused since.
+    constexpr auto refusalMemory = std::chrono::seconds(10);
+    // Bounds the search while no gateway reaches the service.
     constexpr std::size_t maxAvoided = 32;
+    // For which a gateway that has answered counts as one that reaches the service.
+    constexpr auto answerMemory = std::chrono::seconds(2);
     // Connections are closed when no request has been forwarded for this long.
     constexpr auto unusedPeriod = std::chrono::seconds(10);
     constexpr int connectionsPerGateway = 8;
@@ -63,15 +68,25 @@
     std::vector<Member> others;
     for (auto& member : m_members.forwardingTargets(m_loop.now())) {
         auto isChosen = std::any_of(pool.chosen.begin(), pool.chosen.end(), [&](const auto& it) { return it->record().id == member.control; });
-        if (!isChosen && !pool.avoidUntil.contains(member.control))
+        auto it = pool.refusals.find(member.control);
+        if (!isChosen && (it == pool.refusals.end() || !isAvoided(it->second)))
             (member.failureDomain == m_options.failureDomain ? own : others).push_back(std::move(member));
     }
-    shuffle(own, m_loop.hooks());
-    shuffle(others, m_loop.hooks());
-    auto ownCount = static_cast<std::size_t>(std::count_if(pool.chosen.begin(), pool.chosen.end(), [&](const auto& it) { return it->record().failureDomain == m_options.failureDomain; }));
-    auto fromOwn = std::min(own.size(), maxChosenOfOwnDomain - std::min(ownCount, maxChosenOfOwnDomain));
+    auto refusedAt = [&](const Member& it) {
+        auto found = pool.refusals.find(it.control);
+        return found == pool.refusals.end() ? Common::TimePoint::min() : found->second.at;
+    };
+    for (auto* members : { &own, &others }) {
+        shuffle(*members, m_loop.hooks());
+        std::stable_sort(members->begin(), members->end(), [&](const auto& a, const auto& b) { return refusedAt(a) < refusedAt(b); });
+    }
+    // Where so many of the own failure domain have lost the service, the others of it probably have too.
+    auto isOwnDomainLost = std::count_if(pool.refusals.begin(), pool.refusals.end(), [&](const auto& it) { return it.second.isOfOwnDomain && isAvoided(it.second); }) >= static_cast<std::ptrdiff_t>(maxChosenOfOwnDomain);
+    auto ownCount = static_cast<std::size_t>(std::count_if(pool.chosen.begin(), pool.chosen.end(), [&](const auto& it) { return isOfOwnDomain(*it); }));
+    auto fromOwn = isOwnDomainLost ? 0 : std::min(own.size(), maxChosenOfOwnDomain - std::min(ownCount, maxChosenOfOwnDomain));
     others.insert(others.begin(), own.begin(), own.begin() + static_cast<std::ptrdiff_t>(fromOwn));
-    others.insert(others.end(), own.begin() + static_cast<std::ptrdiff_t>(fromOwn), own.end());
+    if (!isOwnDomainLost || (others.empty() && pool.chosen.empty()))
+        others.insert(others.end(), own.begin() + static_cast<std::ptrdiff_t>(fromOwn), own.end());
     for (const auto& member : others) {
         if (pool.chosen.size() >= maxChosen)
             return;
@@ -91,20 +106,41 @@
     auto now = m_loop.now();
     auto& pool = m_pools[service];
     pool.usedAt = now;
-    std::erase_if(pool.avoidUntil, [&](const auto& it) { return now >= it.second; });
-    if (pool.avoidUntil.size() >= maxAvoided)
-        return {};
-    std::erase_if(pool.chosen, [&](const auto& it) { return !isUsable(*it) || pool.avoidUntil.contains(it->record().id); });
-    if (pool.chosen.empty() || (pool.chosen.size() < maxChosen && now - pool.filledAt > fillInterval))
+    std::erase_if(pool.refusals, [&](const auto& it) { return now - it.second.at >= refusalMemory; });
+    std::erase_if(pool.chosen, [&](const auto& it) { return !isUsable(*it); });
+    auto isDue = pool.chosen.empty() || (pool.chosen.size() < maxChosen && now - pool.filledAt > fillInterval);
+    auto avoided = static_cast<std::size_t>(std::count_if(pool.refusals.begin(), pool.refusals.end(), [&](const auto& it) { return isAvoided(it.second); }));
+    if (isDue && avoided < maxAvoided)
         fill(pool, service);
-    auto picked = pool.chosen;
-    for (std::size_t i = 0; i + 1 < picked.size() && i < probesPerRequest; ++i)
-        std::swap(picked[i], picked[i + Common::randomBelow(m_loop.hooks(), picked.size() - i)]);
-    if (picked.size() > probesPerRequest)
-        picked.resize(probesPerRequest);
+    std::vector<std::shared_ptr<Backend>> picked;
+    auto pickOneOf = [&](std::vector<std::shared_ptr<Backend>>& from) {
+        auto& chosen = from[Common::randomBelow(m_loop.hooks(), from.size())];
+        picked.push_back(std::exchange(chosen, from.back()));
+        from.pop_back();
+    };
+    auto remaining = pool.chosen;
+    auto firstUnproven = std::partition(remaining.begin(), remaining.end(), [&](const auto& it) { return isProven(*it); });
+    std::vector<std::shared_ptr<Backend>> proven(remaining.begin(), firstUnproven);
+    remaining.erase(remaining.begin(), firstUnproven);
+    if (!proven.empty())
+        pickOneOf(proven);
+    remaining.insert(remaining.end(), proven.begin(), proven.end());
+    while (picked.size() < probesPerRequest && !remaining.empty())
+        pickOneOf(remaining);
     return picked;
 }
 
+bool PeerGateways::isAvoided(const Refusal& refusal) const
+{
+    return m_loop.now() - refusal.at < avoidPeriod;
+}
+
+bool PeerGateways::isProven(const Backend& peer) const
+{
+    auto age = peer.reportAge(m_loop.now());
+    return age && *age <= answerMemory;
+}
+
 void PeerGateways::probe(const std::shared_ptr<Backend>& peer, Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done)
 {
     std::weak_ptr<Backend> weak = peer;
@@ -119,8 +155,10 @@
 void PeerGateways::avoid(const Backend& peer)
 {
     auto it = m_pools.find(peer.record().service);
-    if (it != m_pools.end())
-        it->second.avoidUntil[peer.record().id] = m_loop.now() + avoidPeriod;
+    if (it == m_pools.end())
+        return;
+    it->second.refusals[peer.record().id] = { .at = m_loop.now(), .isOfOwnDomain = isOfOwnDomain(peer) };
+    std::erase_if(it->second.chosen, [&](const auto& chosen) { return chosen->record().id == peer.record().id; });
 }
 
 Decisions::PeerSignal PeerGateways::signal(const Backend& peer) const
