Members: in a large fleet gateways know twelve of each other failure domain, not six

All forwarded requests of a failure domain that has lost its servers go to the gateways of other domains that its own know, the first six of each by address. With twelve of each it is 3.5 times.

Cost, reckoned: 84 bytes a gateway in the list; a roll of 180 gateways changes the list 72 times instead of 36 (MembersTest, which bounds it). Ruled out: keeping those of the list that still live rather than the first by address. In a roll each is then replaced by one that stops later, which comes to the same number.

--- a/Source/Core/Gateway/Members.cpp
+++ b/Source/Core/Gateway/Members.cpp
@@ -18,7 +18,7 @@
     constexpr std::size_t maxTombstones = 512;
     // Members of a failure domain that those of all others know in a large fleet. All forwarded requests of a domain that has lost its servers
     // go to them.
-    constexpr std::size_t remoteTargetsPerDomain = 6;
+    constexpr std::size_t remoteTargetsPerDomain = 12;
 
 }
 
--- a/Source/UnitTests/Gateway/MembersTest.cpp
+++ b/Source/UnitTests/Gateway/MembersTest.cpp
@@ -137,7 +137,7 @@
 // Guards against a failure domain that has lost its servers and knows no gateway of another one.
 TEST_CASE("In a fleet of any size a gateway knows living gateways of each other failure domain that take forwarded requests")
 {
-    constexpr std::size_t enough = 3;
+    constexpr std::size_t enough = 12;
     auto held = rc::check("three failure domains, lists around the filtered size", [&] {
         Members relay(member(1));
         Members follower(member(250, "a"));
@@ -176,6 +176,44 @@
     CHECK(follower.forwardingTargets(start).empty());
 }
 
+// Each change of the list goes to all followers of other failure domains.
+TEST_CASE("While a large fleet is restarted one gateway after the other, the gateways known to other failure domains change a bounded number of times")
+{
+    constexpr int perDomain = 60;
+    constexpr int expectedTargets = 12; // of each other domain
+    const std::vector<std::string> domains { "a", "b", "c" };
+    Members relay(member(1));
+    auto gateway = [&](int index, std::int64_t startedMs) {
+        auto it = member(index + 2, domains[static_cast<std::size_t>(index) % domains.size()]);
+        it.forwarding = it.control + "9";
+        it.startedMs = startedMs;
+        return it;
+    };
+    auto count = perDomain * static_cast<int>(domains.size());
+    for (int i = 0; i < count; ++i)
+        relay.recordContact(gateway(i, 1), start);
+    auto revision = relay.changesSince(0, "a").revision;
+    auto changes = 0;
+    auto follow = [&] {
+        auto update = relay.changesSince(revision, "a");
+        revision = update.revision;
+        changes += update.remoteTargets ? 1 : 0;
+        if (update.remoteTargets)
+            CHECK(update.remoteTargets->size() == static_cast<std::size_t>(expectedTargets) * (domains.size() - 1));
+    };
+    for (int i = 0; i < count; ++i) {
+        auto stopping = gateway(i, 1);
+        stopping.serving = false;
+        relay.recordContact(stopping, start);
+        follow();
+        relay.recordContact(gateway(i, 2), start);
+        follow();
+    }
+    CAPTURE(changes);
+    // Once when a gateway of the list stops, once when it is back.
+    CHECK(changes <= 2 * expectedTargets * static_cast<int>(domains.size()));
+}
+
 TEST_CASE("Gateways that nothing has been heard of for long get forwarded requests only if there are no others")
 {
     Members members(member(1));
