--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -33,7 +33,8 @@
   cowslipledge-bench load SERVICE PATH ENTRY... [--method M] [--rate R] [--seconds T] [--seed N]
   cowslipledge-bench replay FILE...
   cowslipledge-bench gossip [--entries N] [--loss P] [--seconds T]
-  cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--drills] [--cuts] [--program FILE]
+  cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--gateways N] [--domains N] [--callers N] [--drills] [--cuts]
+                          [--program FILE]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -57,6 +58,9 @@
   --entries N     Entries that gossip [default: 22].
   --loss P        Share of datagrams lost, 0 to 1 [default: 0].
   --seeds N       Seeds of the soak, from --seed on [default: 1].
+  --gateways N    Gateways of the soak, 200 at most [default: 3].
+  --domains N     Failure domains of the soak's gateways and servers, 26 at most [default: 2].
+  --callers N     Callers of the soak [default: 8].
   --drills        Also restore the store from copies, and let servers leave or ask for pauses.
   --cuts          Also cut gateways off from all servers, while callers, the store and other gateways reach them.
   --program FILE  The shipped program; the one beside this one without it.
@@ -156,10 +160,19 @@
     auto own = std::filesystem::read_symlink("/proc/self/exe");
     auto program = args["--program"] ? args["--program"].asString() : (own.parent_path() / "cowslipledge").string();
     auto first = args["--seed"].asLong();
+    auto gateways = static_cast<int>(args["--gateways"].asLong());
+    auto domains = static_cast<int>(args["--domains"].asLong());
+    constexpr int minServers = 4;
+    constexpr int gatewaysPerServer = 3;
+    auto callers = static_cast<int>(args["--callers"].asLong());
+    if (gateways < 1 || gateways > Soak::maxGateways || domains < 1 || domains > Soak::maxDomains || callers < 1) {
+        fmt::print(stderr, "soak: got {} gateways, {} failure domains, {} callers; expected 1 to {}, 1 to {}, 1 or more\n", gateways, domains, callers, Soak::maxGateways, Soak::maxDomains);
+        return 2;
+    }
     auto good = true;
     for (auto seed = first; seed < first + args["--seeds"].asLong(); ++seed) {
         auto folder = std::filesystem::temp_directory_path() / ("cowslipledge-soak-" + std::to_string(seed) + "-" + std::to_string(::getpid()));
-        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .program = program, .folder = folder.string() }) && good;
+        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .gateways = gateways, .servers = std::max(minServers, gateways / gatewaysPerServer), .domains = domains, .callers = callers, .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .program = program, .folder = folder.string() }) && good;
     }
     return good ? 0 : 1;
 }
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -48,6 +48,35 @@
     constexpr int allowedFailures = 10;
     constexpr double allowedFailureShare = 0.02;
 
+    // How the paths from gateways to servers fail.
+    enum class CutKind {
+        Silent,
+        Reset,
+        NewRefused, // open connections live on
+    };
+
+    constexpr std::array cutKindNames {
+        Common::EnumName<CutKind> { CutKind::Silent, "silent" },
+        Common::EnumName<CutKind> { CutKind::Reset, "reset" },
+        Common::EnumName<CutKind> { CutKind::NewRefused, "new connections refused" },
+    };
+
+    enum class CutScope {
+        Some, // of any failure domain
+        PartOfDomain,
+        MostOfDomain, // all but one
+        Domain,
+        All,
+    };
+
+    constexpr std::array cutScopeNames {
+        Common::EnumName<CutScope> { CutScope::Some, "some" },
+        Common::EnumName<CutScope> { CutScope::PartOfDomain, "part of a domain" },
+        Common::EnumName<CutScope> { CutScope::MostOfDomain, "most of a domain" },
+        Common::EnumName<CutScope> { CutScope::Domain, "a domain" },
+        Common::EnumName<CutScope> { CutScope::All, "all" },
+    };
+
     using enum Net::HttpStatus;
 
     bool promisesNotRun(int status)
@@ -90,10 +119,10 @@
             std::vector<std::string> addresses;
             for (const auto& gateway : m_gateways)
                 addresses.push_back(gateway->callers());
-            SoakCallers callers({ .gateways = addresses, .deadlineMs = callerDeadlineMs, .seed = m_options.seed });
+            SoakCallers callers({ .gateways = addresses, .threads = m_options.callers, .deadlineMs = callerDeadlineMs, .seed = m_options.seed });
             auto end = Clock::now() + std::chrono::seconds(m_options.seconds);
             while (Clock::now() < end) {
-                if (below(3) == 0)
+                if (below(3) == 0 && Clock::now() >= m_quietUntil)
                     startFault();
                 step(milliseconds(50));
             }
@@ -117,11 +146,13 @@
 
         int below(int bound) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(bound)); }
 
+        std::string domainOf(int index) const { return std::string(1, static_cast<char>('a' + index % m_options.domains)); }
+
         void openStandIns()
         {
             m_store = std::make_unique<PlatformStandIn::Store>(m_thread.loop());
             for (int i = 0; i < m_options.servers; ++i) {
-                m_servers.push_back(std::make_unique<PlatformStandIn::Server>(m_thread.loop(), m_runs, PlatformStandIn::ServerOptions { .id = "server-" + std::to_string(i), .failureDomain = i % 2 == 0 ? "a" : "b", .work = milliseconds(20) }));
+                m_servers.push_back(std::make_unique<PlatformStandIn::Server>(m_thread.loop(), m_runs, PlatformStandIn::ServerOptions { .id = "server-" + std::to_string(i), .failureDomain = domainOf(i), .work = milliseconds(20) }));
                 m_serverProxies.push_back(std::make_unique<FaultProxy>(m_thread.loop(), m_servers.back()->address()));
                 putServer(static_cast<std::size_t>(i), false);
             }
@@ -157,14 +188,14 @@
         {
             std::filesystem::create_directories(m_options.folder);
             constexpr int firstPort = 21000;
-            constexpr int portRange = 11000; // below the ports that the kernel hands out
-            auto port = firstPort + static_cast<int>((m_options.seed * 131 + static_cast<std::uint64_t>(::getpid())) % portRange);
+            auto portRange = 11000 - m_options.gateways * portsEach; // below the ports that the kernel hands out
+            auto port = firstPort + static_cast<int>((m_options.seed * 131 + static_cast<std::uint64_t>(::getpid())) % static_cast<std::uint64_t>(portRange));
             std::vector<std::string> seeds;
             for (int i = 0; i < std::min(2, m_options.gateways); ++i)
                 seeds.push_back("127.0.0.1:" + std::to_string(port + i * portsEach + 3));
             for (int i = 0; i < m_options.gateways; ++i) {
                 auto store = m_thread.call([&] { return m_storeProxies[static_cast<std::size_t>(i)]->address(); });
-                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = i % 2 == 0 ? "a" : "b", .port = port + i * portsEach, .backendSource = sourceHost(static_cast<std::size_t>(i)), .seeds = seeds }));
+                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = domainOf(i), .port = port + i * portsEach, .backendSource = sourceHost(static_cast<std::size_t>(i)), .seeds = seeds }));
                 m_gateways.back()->start();
             }
             m_expected.resize(m_gateways.size());
@@ -257,30 +288,43 @@
 
         static std::string sourceHost(std::size_t gateway) { return "127.0.1." + std::to_string(gateway + 1); }
 
-        // Cuts one, several or all gateways off from all servers: new connections hang or are refused, open ones are silent, reset or live on.
+        std::vector<std::size_t> gatewaysToCut(CutScope scope)
+        {
+            auto count = m_options.gateways;
+            auto first = below(count);
+            auto isOfDomain = scope == CutScope::PartOfDomain || scope == CutScope::MostOfDomain || scope == CutScope::Domain;
+            std::vector<std::size_t> chosen;
+            for (int i = 0; i < count; ++i) {
+                auto index = (first + i) % count;
+                if (!isOfDomain || domainOf(index) == domainOf(first))
+                    chosen.push_back(static_cast<std::size_t>(index));
+            }
+            auto size = static_cast<int>(chosen.size());
+            if (scope == CutScope::Some || scope == CutScope::PartOfDomain)
+                chosen.resize(static_cast<std::size_t>(1 + below(size)));
+            else if (scope == CutScope::MostOfDomain)
+                chosen.resize(static_cast<std::size_t>(std::max(1, size - 1)));
+            return chosen;
+        }
+
+        // Cuts gateways off from all servers. In half of the cuts no other fault begins, so that nothing else explains what callers get.
         void startCut()
         {
             if (std::any_of(m_cuts.begin(), m_cuts.end(), [](const auto& it) { return !it.hasEnded; }))
                 return;
-            enum CutKind {
-                Silent,
-                Reset,
-                NewRefused,
-                Kinds
-            };
-            auto kind = below(Kinds);
+            auto kind = cutKindNames[static_cast<std::size_t>(below(cutKindNames.size()))].value;
+            auto scope = cutScopeNames[static_cast<std::size_t>(below(cutScopeNames.size()))].value;
             auto length = milliseconds(4000 + below(2000));
-            auto count = 1 + below(m_options.gateways);
-            Cut cut { .gateways = {}, .during = { .from = Clock::now(), .to = {} } };
-            auto first = static_cast<std::size_t>(below(m_options.gateways));
-            for (int i = 0; i < count; ++i)
-                cut.gateways.insert((first + static_cast<std::size_t>(i)) % m_gateways.size());
-            note(fmt::format("{} gateways from {} on are cut off from all servers, kind {}", count, first, kind));
+            auto chosen = gatewaysToCut(scope);
+            Cut cut { .gateways = { chosen.begin(), chosen.end() }, .during = { .from = Clock::now(), .to = {} } };
+            if (below(2) == 0)
+                m_quietUntil = Clock::now() + length;
+            note(fmt::format("{} gateways ({}) from {} on are cut off from all servers: {}", chosen.size(), Common::nameOf(cutScopeNames, scope), chosen.front(), Common::nameOf(cutKindNames, kind)));
             m_thread.call([&] {
                 for (auto& proxy : m_serverProxies) {
                     for (auto gateway : cut.gateways) {
-                        proxy->setModeFor(sourceHost(gateway), kind == Silent ? ProxyMode::Silence : ProxyMode::Refuse);
-                        if (kind == Reset)
+                        proxy->setModeFor(sourceHost(gateway), kind == CutKind::Silent ? ProxyMode::Silence : ProxyMode::Refuse);
+                        if (kind == CutKind::Reset)
                             proxy->resetAllOf(sourceHost(gateway));
                     }
                 }
@@ -312,6 +356,11 @@
             int sent = 0;
             int ok = 0;
             double share() const { return sent == 0 ? 0 : static_cast<double>(ok) / sent; }
+            void add(const Served& other)
+            {
+                sent += other.sent;
+                ok += other.ok;
+            }
         };
 
         void checkCuts()
@@ -331,7 +380,8 @@
                 auto allowed = allowedFailures + allowedFailureShare * (cutOff.sent + others.sent);
                 if (others.sent > 0 && cutOff.sent - cutOff.ok > allowed && cutOff.share() < minServedShare * others.share())
                     m_broken.push_back(fmt::format("gateways without servers served {} of {} requests, the others {} of {}, in the cut from {:.3f} s on", cutOff.ok, cutOff.sent, others.ok, others.sent, std::chrono::duration<double>(cut.during.from - Common::TimePoint(m_begun)).count()));
-                m_cutRequests += cutOff.sent;
+                m_inCuts.add(cutOff);
+                m_besideCuts.add(others);
             }
         }
 
@@ -502,7 +552,7 @@
             std::string statuses;
             for (const auto& [status, n] : m_statuses)
                 statuses += fmt::format("{}\"{}\":{}", statuses.empty() ? "" : ",", status, n);
-            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"in_cuts\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_cutRequests, m_broken.size());
+            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"in_cuts\":{},\"served_in_cuts\":{},\"beside_cuts\":{},\"served_beside_cuts\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_inCuts.sent, m_inCuts.ok, m_besideCuts.sent, m_besideCuts.ok, m_broken.size());
         }
 
         SoakOptions m_options;
@@ -521,7 +571,10 @@
         std::map<std::string, std::vector<Interval>> m_disturbed; // by callers' address
         std::vector<Outcome> m_outcomes;
         std::vector<Cut> m_cuts;
-        int m_cutRequests = 0; // judged by checkCuts(), of gateways that were cut off
+        Clock::time_point m_quietUntil; // no fault begins before
+        // Judged by checkCuts(): requests to gateways that were cut off, and to the others meanwhile.
+        Served m_inCuts;
+        Served m_besideCuts;
         std::map<int, int> m_statuses;
         std::vector<std::string> m_broken;
         std::vector<std::string> m_history;
--- a/Source/Core/Soak/Soak.h
+++ b/Source/Core/Soak/Soak.h
@@ -5,11 +5,16 @@
 
 namespace Soak {
 
+inline constexpr int maxGateways = 200; // each needs ports and an IP address of its own
+inline constexpr int maxDomains = 26;
+
 struct SoakOptions {
     std::uint64_t seed = 1;
     int seconds = 20; // of faults
     int gateways = 3;
     int servers = 4;
+    int domains = 2; // failure domains of gateways and servers
+    int callers = 8;
     bool drills = false; // also restores the store from copies, and lets servers leave or ask for pauses
     bool cuts = false; // also cuts gateways off from all servers
     std::string program; // path of the shipped binary
