PeerGateways, soak: names and constants as read by a newcomer

isOwnDomainLost() has a name of its own, the end of the soak's ports is a constant. No change of behaviour.

--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -162,17 +162,18 @@
     auto first = args["--seed"].asLong();
     auto gateways = static_cast<int>(args["--gateways"].asLong());
     auto domains = static_cast<int>(args["--domains"].asLong());
-    constexpr int minServers = 4;
-    constexpr int gatewaysPerServer = 3;
     auto callers = static_cast<int>(args["--callers"].asLong());
     if (gateways < 1 || gateways > Soak::maxGateways || domains < 1 || domains > Soak::maxDomains || callers < 1) {
         fmt::print(stderr, "soak: got {} gateways, {} failure domains, {} callers; expected 1 to {}, 1 to {}, 1 or more\n", gateways, domains, callers, Soak::maxGateways, Soak::maxDomains);
         return 2;
     }
+    constexpr int minServers = 4;
+    constexpr int gatewaysPerServer = 3;
+    auto servers = std::max(minServers, gateways / gatewaysPerServer);
     auto good = true;
     for (auto seed = first; seed < first + args["--seeds"].asLong(); ++seed) {
         auto folder = std::filesystem::temp_directory_path() / ("cowslipledge-soak-" + std::to_string(seed) + "-" + std::to_string(::getpid()));
-        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .gateways = gateways, .servers = std::max(minServers, gateways / gatewaysPerServer), .domains = domains, .callers = callers, .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .program = program, .folder = folder.string() }) && good;
+        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .gateways = gateways, .servers = servers, .domains = domains, .callers = callers, .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .program = program, .folder = folder.string() }) && good;
     }
     return good ? 0 : 1;
 }
--- a/Source/Core/Gateway/PeerGateways.cpp
+++ b/Source/Core/Gateway/PeerGateways.cpp
@@ -19,7 +19,7 @@
     constexpr auto fillInterval = std::chrono::milliseconds(100);
     // For which a gateway that does not answer, or does not reach the service, gets no requests.
     constexpr auto avoidPeriod = std::chrono::seconds(1);
-    // For which it is asked again only after those that have not refused since.
+    // For which a gateway that has refused is asked again only after all that have not.
     constexpr auto refusalMemory = std::chrono::seconds(10);
     // Bounds the search while no gateway reaches the service.
     constexpr std::size_t maxAvoided = 32;
@@ -61,6 +61,13 @@
     return member && member->serving && member->forwarding == backend.record().address && member->startedMs == backend.record().startedMs && backend.isUsable();
 }
 
+// Where a few gateways of the own failure domain have lost the service, the others of it probably have too.
+bool PeerGateways::isOwnDomainLost(const Pool& pool) const
+{
+    auto lost = std::count_if(pool.refusals.begin(), pool.refusals.end(), [&](const auto& it) { return it.second.isOfOwnDomain && isAvoided(it.second); });
+    return static_cast<std::size_t>(lost) >= maxChosenOfOwnDomain;
+}
+
 void PeerGateways::fill(Pool& pool, const std::string& service)
 {
     pool.filledAt = m_loop.now();
@@ -78,14 +85,14 @@
     };
     for (auto* members : { &own, &others }) {
         shuffle(*members, m_loop.hooks());
+        // Those that refused longest ago first, so that a search in a large domain comes round.
         std::stable_sort(members->begin(), members->end(), [&](const auto& a, const auto& b) { return refusedAt(a) < refusedAt(b); });
     }
-    // Where so many of the own failure domain have lost the service, the others of it probably have too.
-    auto isOwnDomainLost = std::count_if(pool.refusals.begin(), pool.refusals.end(), [&](const auto& it) { return it.second.isOfOwnDomain && isAvoided(it.second); }) >= static_cast<std::ptrdiff_t>(maxChosenOfOwnDomain);
+    auto ownDomainLost = isOwnDomainLost(pool);
     auto ownCount = static_cast<std::size_t>(std::count_if(pool.chosen.begin(), pool.chosen.end(), [&](const auto& it) { return isOfOwnDomain(*it); }));
-    auto fromOwn = isOwnDomainLost ? 0 : std::min(own.size(), maxChosenOfOwnDomain - std::min(ownCount, maxChosenOfOwnDomain));
+    auto fromOwn = ownDomainLost ? 0 : std::min(own.size(), maxChosenOfOwnDomain - std::min(ownCount, maxChosenOfOwnDomain));
     others.insert(others.begin(), own.begin(), own.begin() + static_cast<std::ptrdiff_t>(fromOwn));
-    if (!isOwnDomainLost || (others.empty() && pool.chosen.empty()))
+    if (!ownDomainLost || (others.empty() && pool.chosen.empty()))
         others.insert(others.end(), own.begin() + static_cast<std::ptrdiff_t>(fromOwn), own.end());
     for (const auto& member : others) {
         if (pool.chosen.size() >= maxChosen)
--- a/Source/Core/Gateway/PeerGateways.h
+++ b/Source/Core/Gateway/PeerGateways.h
@@ -54,7 +54,8 @@
     void fill(Pool&, const std::string& service);
     bool isUsable(const Backend&) const;
     bool isOfOwnDomain(const Backend& peer) const { return peer.record().failureDomain == m_options.failureDomain; }
-    bool isAvoided(const Refusal& refusal) const;
+    bool isAvoided(const Refusal&) const;
+    bool isOwnDomainLost(const Pool&) const;
     // Whether it has answered lately that it reaches the service.
     bool isProven(const Backend&) const;
     BackendOptions optionsFor(const std::string& service) const;
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -188,8 +188,9 @@
         {
             std::filesystem::create_directories(m_options.folder);
             constexpr int firstPort = 21000;
-            auto portRange = 11000 - m_options.gateways * portsEach; // below the ports that the kernel hands out
-            auto port = firstPort + static_cast<int>((m_options.seed * 131 + static_cast<std::uint64_t>(::getpid())) % static_cast<std::uint64_t>(portRange));
+            constexpr int endOfPorts = 32000; // below the ports that the kernel hands out
+            auto portRange = static_cast<std::uint64_t>(endOfPorts - firstPort - m_options.gateways * portsEach);
+            auto port = firstPort + static_cast<int>((m_options.seed * 131 + static_cast<std::uint64_t>(::getpid())) % portRange);
             std::vector<std::string> seeds;
             for (int i = 0; i < std::min(2, m_options.gateways); ++i)
                 seeds.push_back("127.0.0.1:" + std::to_string(port + i * portsEach + 3));
