Retry budget: a forwarded request counts at the gateway that makes its attempts

The log of gateway-2: forwarded requests refused as "shed", 20 a second and more than the log takes; gateway-0 retried its own ones.

Cause: the gateway that a caller asked counted the request for its retry budget, but the other one makes the retries, from a budget that knows only its own callers' requests. The fleet's budget was there, at the gateways that can't use it.

Change: a request that is forwarded moves its count: the first gateway takes it back, the second counts it, and the other way round if the second one has sent it to no server. Over the fleet each request counts once, as before. Ruled out: counting at both (the operators' bound would be exceeded), retries given along with each request (reserved for requests that need none).

Test: ForwardingTest "Forwarded requests bring their share ...": no slack, half of the servers shed, a gateway without callers of its own makes the attempts of 200 requests: 0 retries before, 20 or more and at most 40 now; it failed before. WindowedRetryBudgetTest: the move itself.

--- a/Source/Core/Decisions/WindowedRetryBudget.cpp
+++ b/Source/Core/Decisions/WindowedRetryBudget.cpp
@@ -18,6 +18,11 @@
     ++current(now).requests;
 }
 
+void WindowedRetryBudget::onRequestHandedOver(Common::TimePoint now)
+{
+    --current(now).requests;
+}
+
 double WindowedRetryBudget::available(Common::TimePoint now)
 {
     auto newest = current(now).number;
--- a/Source/Core/Decisions/WindowedRetryBudget.h
+++ b/Source/Core/Decisions/WindowedRetryBudget.h
@@ -26,6 +26,8 @@
 
     void setEntries(int entries) { m_options.entries = entries; }
     void onRequest(Common::TimePoint now);
+    // Called when another entry makes the attempts of a request that was counted here, and counts it.
+    void onRequestHandedOver(Common::TimePoint now);
     // Takes one additional attempt; false when none is left in the window.
     bool take(Common::TimePoint now);
     // Additional attempts that are still available in the window.
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -82,9 +82,7 @@
         ++m_router.counters().blocked;
         return refuse(RefusalReason::Blocked, 0);
     }
-    // The gateway that forwarded a request has counted it.
-    if (m_origin == RequestOrigin::Caller)
-        m_router.retryBudget(m_service).onRequest(m_router.loop().now());
+    m_router.retryBudget(m_service).onRequest(m_router.loop().now());
     m_deadlineTimer = m_router.loop().after(m_deadline - m_router.loop().now(), [weak] {
         if (auto self = weak.lock())
             self->onDeadline();
@@ -377,6 +375,7 @@
     ForwardedRequest forwarded { .route = m_route, .service = m_service };
     forwarded.route.maxAttempts = attemptsLeft;
     m_attemptCount += attemptsLeft;
+    router.retryBudget(m_service).onRequestHandedOver(router.loop().now());
     m_router.log().log(EventId::CallForwarded,
         { { "request", m_id }, { "service", m_service }, { "entry", peer->record().id }, { "domain", peer->record().failureDomain }, { "left_ms", fmt::format("{:.1f}", timeLeftMs()) } });
     startAttempt({ .backend = peer, .attemptsGiven = attemptsLeft, .connection = {}, .sentAt = router.loop().now() },
@@ -468,9 +467,8 @@
         return respond(std::move(response), attempt);
     }
     if (*notExecuted == unreachableReason) {
-        m_attemptCount -= attempt.attemptsGiven;
         m_router.peers().avoid(*attempt.backend);
-        return onNoPeer();
+        return onReturnedByPeer(attempt);
     }
     if (m_openAttempts > 0)
         return;
@@ -483,14 +481,19 @@
 void RequestForwarder::onPeerFailure(const Attempt& attempt, const Net::ClientFailure& failure)
 {
     m_router.peers().avoid(*attempt.backend);
-    if (!failure.bytesSent) {
-        m_attemptCount -= attempt.attemptsGiven;
-        return onNoPeer();
-    }
+    if (!failure.bytesSent)
+        return onReturnedByPeer(attempt);
     m_mayHaveExecuted = true;
     retryOrGiveUpAfterFailure();
 }
 
+void RequestForwarder::onReturnedByPeer(const Attempt& attempt)
+{
+    m_attemptCount -= attempt.attemptsGiven;
+    m_router.retryBudget(m_service).onRequest(m_router.loop().now());
+    onNoPeer();
+}
+
 void RequestForwarder::learnFromResponse(const Attempt& attempt, const Net::Response& response)
 {
     auto took = m_router.loop().now() - attempt.sentAt;
@@ -758,8 +761,11 @@
     fields.push_back({ "retry_after_s", retryAfterS });
     m_router.log().log(EventId::CallRefused, std::move(fields));
     Net::Headers headers { { names.retryAfter, retryAfterS } };
-    if (m_origin == RequestOrigin::Gateway)
+    if (m_origin == RequestOrigin::Gateway) {
         headers.push_back({ names.notExecuted, isUnreachable ? unreachableReason : "1" });
+        if (isUnreachable)
+            m_router.retryBudget(m_service).onRequestHandedOver(m_router.loop().now());
+    }
     ++m_router.counters().refused;
     auto exchange = m_exchange;
     finish();
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -65,6 +65,8 @@
     void sendToPeer(const std::shared_ptr<Backend>&);
     void onPeerAnswer(const Attempt&, Net::Response&&);
     void onPeerFailure(const Attempt&, const Net::ClientFailure&);
+    // Called when another gateway has sent the request to no server.
+    void onReturnedByPeer(const Attempt&);
     void onProbeResult(std::size_t index, std::size_t round, const ProbeAnswer&);
     void onProbesDone();
     void placeRequest();
--- a/Source/UnitTests/Decisions/WindowedRetryBudgetTest.cpp
+++ b/Source/UnitTests/Decisions/WindowedRetryBudgetTest.cpp
@@ -57,3 +57,22 @@
     CHECK(!budget.take(now + std::chrono::seconds(2)));
     CHECK(budget.take(now + std::chrono::seconds(12)));
 }
+
+TEST_CASE("a request that is handed over takes its share of the budget along")
+{
+    constexpr int requests = 100;
+    Decisions::WindowedRetryBudgetOptions options { .ratio = ratio, .slack = 0, .window = window, .entries = 2, .margin = 1 };
+    WindowedRetryBudget from(options);
+    WindowedRetryBudget to(options);
+    Common::TimePoint now(std::chrono::hours(1));
+    for (int i = 0; i < requests; ++i) {
+        from.onRequest(now);
+        from.onRequestHandedOver(now);
+        to.onRequest(now);
+        now += std::chrono::milliseconds(10);
+    }
+    CHECK(from.available(now) == doctest::Approx(0));
+    CHECK(to.available(now) == doctest::Approx(ratio * requests));
+    CHECK(!from.take(now));
+    CHECK(to.take(now));
+}
--- a/Source/UnitTests/Gateway/FleetFixture.h
+++ b/Source/UnitTests/Gateway/FleetFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,7 +22,8 @@
 // A store, servers and gateways. The gateways reach the servers through proxies that tell them apart by their IP addresses.
 class Fleet {
 public:
-    Fleet(int gateways, int firstPort, int servers = 6)
+    // `adjust`: changes the settings of each gateway.
+    Fleet(int gateways, int firstPort, int servers = 6, const std::function<void(Settings::GatewaySettings&)>& adjust = {})
         : m_fixture(0)
     {
         m_fixture.thread.call([&] {
@@ -33,6 +35,8 @@
             auto settings = RunningGateway::settings(m_fixture.storeAddress(), seeds, controlAddress(firstPort, i), Common::LogFormat::Off);
             settings.failureDomain = i % 2 == 0 ? "a" : "b";
             settings.backendSource = sourceHost(i);
+            if (adjust)
+                adjust(settings);
             m_gateways.push_back(std::make_unique<RunningGateway>(settings));
         }
     }
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -227,3 +227,32 @@
         CHECK(fleet.gateway(i % 2).call(requestBytes("GET", "/safe/x", "afterwards" + std::to_string(i))).status == 200);
     CHECK(arrivals()[static_cast<std::size_t>(server)] == before[static_cast<std::size_t>(server)]);
 }
+
+// Guards against forwarded requests that are refused as "shed", since the gateway that got them has hardly any requests of its own and so no
+// retries.
+TEST_CASE("Forwarded requests bring their share of the retry budget to the gateway that makes the attempts")
+{
+    constexpr int requests = 200;
+    constexpr int servers = 8;
+    // A gateway uses three quarters of the budget, and forwards once it knows that it is cut off.
+    constexpr double ratio = 0.2;
+    constexpr int expectedRetries = requests / 10;
+    constexpr int allowedRetries = static_cast<int>(ratio * requests);
+    Fleet fleet(2, 20210, servers, [&](auto& settings) {
+        settings.retryRatio = ratio;
+        settings.retrySlack = 0;
+    });
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Reset);
+    learnCut(fleet, 0);
+    for (std::size_t i = 0; i < servers / 2; ++i)
+        fleet.fixture().setMode(i, PlatformStandIn::ServerMode::Sheds);
+    auto before = sum(fleet, 2, "second_sends_total");
+    for (int i = 0; i < requests; ++i) {
+        auto status = fleet.gateway(0).call(requestBytes("GET", "/safe/x", "shed" + std::to_string(i))).status;
+        CHECK((status == 200 || status == 503));
+    }
+    auto retries = sum(fleet, 2, "second_sends_total") - before;
+    CHECK(retries >= expectedRetries);
+    CHECK(retries <= allowedRetries);
+}
