--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -300,11 +300,10 @@
                 if (!isOfDomain || domainOf(index) == domainOf(first))
                     chosen.push_back(static_cast<std::size_t>(index));
             }
-            auto size = static_cast<int>(chosen.size());
             if (scope == CutScope::Some || scope == CutScope::PartOfDomain)
-                chosen.resize(static_cast<std::size_t>(1 + below(size)));
+                chosen.resize(1 + static_cast<std::size_t>(below(static_cast<int>(chosen.size()))));
             else if (scope == CutScope::MostOfDomain)
-                chosen.resize(static_cast<std::size_t>(std::max(1, size - 1)));
+                chosen.resize(std::max<std::size_t>(1, chosen.size() - 1));
             return chosen;
         }
 
