Requests are forwarded, not refused as "busy", while the servers with open connections are full and others can't be reached

Cause: such a gateway uses the servers to which it has a free open connection, one or two of six. When these were full it refused at once ("busy", of=1 full=1 and of=2 full=2 in its log), though it could not ask the others, which had room. Change: where not all servers are reached, full ones lead to another gateway, as silent ones did; likewise when the best server's expected response time exceeds the deadline. If no other gateway helps, the refusal is "busy", as before. Ruled out: a machine too slow for the test (the share is as low on an idle machine), requests lost on dead connections (all answers are 503, none 502), refusals by the other gateway (5 of 100).

The stand-in server can have slots taken by other work.

--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -278,7 +278,9 @@
             return probeServers(CandidateScope::OwnDomain);
         auto isSilent = full == 0 && std::none_of(m_probes.begin(), m_probes.end(), [](const LoadProbe& it) { return it.answered; });
         auto isReachable = m_router.backends().reachability(m_service) == Decisions::Reachability::Reachable;
-        if (full == 0 && !isReachable && probePeers())
+        // Where not all servers are reached, those that are may be full while others have room.
+        m_foundFullServers = m_foundFullServers || full > 0;
+        if (!isReachable && probePeers())
             return;
         // Servers that answer late are better than none.
         if (full == 0 && isProbePending() && m_lateProbeRound != m_probeRound) {
@@ -303,7 +305,7 @@
         signal.running, signal.waiting, signal.slots, signal.workFactor, signal.slowness, signal.failureShare, signal.sameDomain,
         reportAge ? fmt::format("{:.0f}", Common::toMilliseconds(*reportAge)) : "none", expectedMs, backends.size(), full);
     if (expectedMs > timeLeftMs()) {
-        if (m_openAttempts > 0)
+        if (m_openAttempts > 0 || (!mayConnect && probePeers()))
             return;
         return giveUp("the best server's expected response time exceeds the deadline", RefusalReason::Busy, expectedMs - timeLeftMs());
     }
@@ -333,7 +335,7 @@
         return;
     if (!m_hasProbedServers)
         return probeServers(CandidateScope::OwnDomain);
-    giveUp("neither a server nor another gateway answered", RefusalReason::NoReport, 0);
+    giveUp("neither a server with room nor another gateway answered", m_foundFullServers ? RefusalReason::Busy : RefusalReason::NoReport, 0);
 }
 
 std::string RequestForwarder::requestBytes(const Net::Header& extra) const
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -125,6 +125,7 @@
     std::size_t m_lateProbeRound = 0; // the last one whose probes got their whole time, since none was answered soon
     int m_peerRounds = 0; // rounds that asked other gateways
     bool m_hasProbedServers = false; // in any round
+    bool m_foundFullServers = false; // in any round
     std::vector<LoadProbe> m_probes;
     std::set<std::string> m_tried; // ids of the servers that the request was sent to
     std::vector<Attempt> m_attempts; // open and ended ones
--- a/Source/UnitTests/Gateway/FleetFixture.h
+++ b/Source/UnitTests/Gateway/FleetFixture.h
@@ -61,13 +61,15 @@
         return true;
     }
 
-    void cut(int gateway, CutKind kind)
+    // Cuts the gateway off from all servers but the first `kept`.
+    void cut(int gateway, CutKind kind, std::size_t kept = 0)
     {
         m_fixture.thread.call([&] {
-            for (auto& proxy : m_proxies) {
-                proxy->setModeFor(sourceHost(gateway), kind == CutKind::Silent ? Soak::ProxyMode::Silence : Soak::ProxyMode::Refuse);
+            for (std::size_t i = kept; i < m_proxies.size(); ++i) {
+                auto& proxy = *m_proxies[i];
+                proxy.setModeFor(sourceHost(gateway), kind == CutKind::Silent ? Soak::ProxyMode::Silence : Soak::ProxyMode::Refuse);
                 if (kind == CutKind::Reset)
-                    proxy->resetAllOf(sourceHost(gateway));
+                    proxy.resetAllOf(sourceHost(gateway));
             }
         });
     }
--- a/Source/UnitTests/Gateway/UnreachableServersTest.cpp
+++ b/Source/UnitTests/Gateway/UnreachableServersTest.cpp
@@ -154,6 +154,35 @@
     checkPromises(fleet, outcomes);
 }
 
+// Guards against refusals as "busy" by a gateway that can't open connections to the servers that have room.
+TEST_CASE("While new connections are refused and the servers with open ones are busy, requests are served by way of another gateway")
+{
+    constexpr int busySlots = 3; // of four: the last one is kept for urgent requests
+    constexpr int servers = 6;
+    // With many load probes the other gateway always finds a server with room.
+    Fleet fleet(2, 20240, servers, [](auto& settings) { settings.probesPerServer = 1000; });
+    REQUIRE(fleet.waitReady());
+    auto isServedDirectly = [&] {
+        auto before = Fleet::metric(fleet.gateway(0), "forwarded_total");
+        auto status = fleet.gateway(0).call(requestBytes("GET", "/safe/x", "direct")).status;
+        return status == Net::HttpStatus::Ok && Fleet::metric(fleet.gateway(0), "forwarded_total") == before;
+    };
+    // The gateway gets an open connection to the first server only.
+    fleet.cut(0, CutKind::Reset, 1);
+    REQUIRE(UnitTests::eventually(isServedDirectly));
+    fleet.cut(0, CutKind::NewRefused);
+    REQUIRE(UnitTests::eventually([&] { return isServedDirectly() && Fleet::metric(fleet.gateway(0), "unreachable_services") == 1; }));
+    fleet.fixture().thread.call([&] { fleet.fixture().servers.front()->setOtherWork(busySlots); });
+    CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
+    for (int i = 0; i < 50; ++i) {
+        auto once = i % 2 == 0;
+        auto id = "busy-" + std::to_string(i);
+        caller.send(once ? requestBytes("POST", "/once/x", id, 1000, "body") : requestBytes("GET", "/safe/x", id));
+        CHECK(caller.receive().status == Net::HttpStatus::Ok);
+        CHECK(fleet.runs(id) == 1);
+    }
+}
+
 // Guards against 502 for requests that were sent although all paths were known to be cut, since the load probes were used up.
 TEST_CASE("A gateway that reaches no server refuses requests as not run, however many come")
 {
