Placement: a rejection by a server that reports room counts as a failure; such servers are not preferred while new connections fail

Callers saw: 503 "shed" though other servers had room. Cause: a server that rejects every request at once reports no load, and rejections counted nowhere, so it was chosen again and again. Where only open connections are left it was nearly the only choice: its own is always free. Change: a rejection counts as a failure, unless the server's report explains it (no room). While new connections fail, a request goes to another gateway rather than to a server with a failure share above .3.

Test: "A server that rejects requests though it reports room gets few of them": 40 to 49 of 120 requests before, in three plays; at most 10 now.

--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -28,6 +28,8 @@
     constexpr std::size_t maxProbeRounds = 8;
     // Rounds of load probes to other gateways for one request.
     constexpr int maxPeerRounds = 3;
+    // While no new connections can be opened, a request is forwarded rather than sent to a server that fails more of them.
+    constexpr double maxFailureShareBeforePeers = 0.3;
     // No further attempt starts with less time than this before the deadline.
     constexpr double minTimeLeftMs = 20;
     // A hedged attempt starts when the open attempt takes this many times its expected response time, but not before the minimum.
@@ -309,6 +311,9 @@
             return;
         return giveUp("the best server's expected response time exceeds the deadline", RefusalReason::Busy, expectedMs - timeLeftMs());
     }
+    // The servers that can't be reached may be better than the few left to choose from.
+    if (!mayConnect && signal.failureShare > maxFailureShareBeforePeers && m_openAttempts == 0 && probePeers())
+        return;
     send(backends[best], expectedMs);
 }
 
@@ -449,6 +454,9 @@
     }
     attempt.backend->learnFrom(response);
     if (Net::findHeader(response.headers, m_router.options().headers.notExecuted)) {
+        // One that reports room rejects for another reason, and will probably do so again.
+        if (Decisions::hasCapacity(attempt.backend->signal(m_router.loop().now()), m_route.priority, m_router.options().placement))
+            attempt.backend->recordFailure();
         return retryOrGiveUp("the server rejected the request without executing it");
     }
     learnFromResponse(attempt, response);
--- a/Source/UnitTests/Gateway/ServerSignalsTest.cpp
+++ b/Source/UnitTests/Gateway/ServerSignalsTest.cpp
@@ -85,6 +85,20 @@
     CHECK(eventually([&] { return call(*gateway) == 200 && contacts(fixture, 0) > before; }));
 }
 
+// Guards against a server that rejects everything at once, and so always seems idle, being preferred to those that work.
+TEST_CASE("A server that rejects requests though it reports room gets few of them")
+{
+    constexpr int requests = 120;
+    constexpr int fairShare = requests / 3;
+    GatewayFixture fixture(3);
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    fixture.setMode(0, ServerMode::Sheds);
+    for (int i = 0; i < requests; ++i)
+        call(*gateway);
+    CHECK(fixture.thread.call([&] { return fixture.servers[0]->arrivals(); }) <= fairShare / 4);
+}
+
 TEST_CASE("While all servers pause, requests are refused at once with the time until the first one is back")
 {
     GatewayFixture fixture(2);
