--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -283,15 +283,21 @@
                 answer = await self.handle(message, reader)
                 if answer is None:
                     break
-                writer.write(answer)
+                if not await self.send(writer, answer, message):
+                    break
                 self.after_answer(answer, message, state)
-                await writer.drain()
         except (ConnectionError, OSError):
             pass
         finally:
             self.connections.discard(writer)
             writer.close()
 
+    async def send(self, writer, answer, message):
+        """Returns whether the connection is kept."""
+        writer.write(answer)
+        await writer.drain()
+        return True
+
     async def before_answer(self, writer, state):
         pass
 
@@ -362,12 +368,12 @@
 class Gateway:
     """A gateway process, started as deploy/system.toml says, with settings made from its template."""
 
-    def __init__(self, folder, name, ip, zone, store, seeds, bounds=None, bootstrap=True):
+    def __init__(self, folder, name, ip, zone, store, seeds, bounds=None):
         self.name, self.ip, self.folder = name, ip, folder
         self.front, self.ready, self.control, self.directory = (f"{ip}:{port}" for port in (8161, 8167, 8166, 8164))
         self.fields = {
             "node_name": name, "role": "gateway", "machine_class": "front", "ip": ip, "zone": zone, "region": "region",
-            "internal_port_range": [7720, 7735], "seed_nodes": seeds, "bootstrap": bootstrap, "heartbeat_ms": 1500,
+            "internal_port_range": [7720, 7735], "seed_nodes": seeds, "heartbeat_ms": 1500,
             "listen": {"front": self.front, "ready": self.ready, "control": self.control, "directory": self.directory},
             "limits": {"cpu_share": 0.17, "memory_mb": 217},
             "platform": {"address": store.address},
@@ -378,6 +384,8 @@
         self.starts = 0
 
     def start(self):
+        self.fields["bootstrap"] = self.starts == 0  # true only when the whole system starts for the first time
+        self.starts += 1
         system = open(os.path.join(ROOT, "deploy/system.toml")).read()
         command = re.search(r'^run = "(.*)"', system, re.M).group(1).split()
         template = open(os.path.join(ROOT, re.search(r'^template = "(.*)"', system, re.M).group(1))).read()
@@ -387,7 +395,6 @@
         program = os.path.join(ROOT, command[0])
         if not os.access(program, os.X_OK):
             raise Broken(f"{command[0]} is not built")
-        self.starts += 1
         with open(os.path.join(self.folder, f"{self.name}.log"), "ab") as log:
             self.process = subprocess.Popen([program, *command[1:]], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                                             env={"PATH": os.environ["PATH"], "HOME": self.folder, "COWSLIPLEDGE_NODE_FILE": settings})
