--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,6 +11,7 @@
 
 SEED = int(os.environ.get("SEED", "1"))
 DRAIN_S = 2.0
+IN_TOUCH_S = 3.2  # after the kill: stability_ms and a little more; only later requests are counted
 SERVES_ON_S = 9.0  # of a server whose entry was removed: drain_ms and many seconds more
 ROUNDS = 4
 RESTART_S = 0.25
@@ -21,10 +22,8 @@
     newest = (0, [])
     for gateway in gateways:
         with open(os.path.join(tmp, f"{gateway.name}.log")) as log:
-            for match in re.finditer(r'"relays":"([^"]*)","version":"(\d+)"|"relays":"([^"]*)"[^}]*"version":"(\d+)"', log.read()):
-                version = int(match.group(2) or match.group(4))
-                if version > newest[0]:
-                    newest = (version, (match.group(1) or match.group(3)).split())
+            for match in re.finditer(r'"relays":"([^"]*)","version":"(\d+)"', log.read()):
+                newest = max(newest, (int(match.group(2)), match.group(1).split()))
     return [gateway for control in newest[1] for gateway in gateways if gateway.control == control]
 
 
@@ -80,15 +79,15 @@
         record("server-ends", server=leaving.id)
         await asyncio.sleep(1.5)
         undisturbed = {gateway.name for gateway in gateways if not (trouble and gateway in relays[:2])}
-        late += [(round_, id, at - gone) for at, id in leaving.arrivals if at > gone + DRAIN_S and taken_by.get(id) in undisturbed]
-        lost += [id for at, id in leaving.runs if at < ended and statuses.get(id) not in (200,) and id in statuses and at > gone + DRAIN_S and taken_by.get(id) in undisturbed]
+        late += [(round_, id, at - gone) for at, id in leaving.arrivals if at > gone + max(DRAIN_S, IN_TOUCH_S) and taken_by.get(id) in undisturbed]
+        lost += [id for at, id in leaving.runs if at < ended and statuses.get(id, 200) != 200 and at > gone + max(DRAIN_S, IN_TOUCH_S) and taken_by.get(id) in undisturbed]
     is_over = True
     await asyncio.gather(*clients)
     for round_, id, after in late:
         record("DRAIN", round=round_, id=id, gateway=taken_by[id], after_s=f"{after:.2f}")
     for id in lost:
         record("lost", id=id, status=statuses[id])
-    print(f"{len(statuses)} requests, statuses {dict(Counter(statuses.values()))}: {len(late)} reached a server later than {DRAIN_S} s after its entry was removed, from gateways that were not disturbed; {len(lost)} of these were lost when it ended; rounds {sorted({it[0] for it in late})}")
+    print(f"{len(statuses)} requests, statuses {dict(Counter(statuses.values()))}: {len(late)} reached a server later than {max(DRAIN_S, IN_TOUCH_S)} s after its entry was removed, from gateways that were not disturbed; {len(lost)} of these were lost when it ended; rounds {sorted({it[0] for it in late})}")
     return not late
 
 
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -501,6 +501,7 @@
         processes.append(self.process)
     Gateway.start = start
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that nothing is left running
     code = 2
     try:
         loop = asyncio.new_event_loop()
