Net: header values are passed on as received, and no value can end its line

A header value that is an encoded word (RFC 2047) reached the server decoded, line breaks included; the server ran the request hidden in it. Responses to callers could be split the same way.

Cause: hasValidHeaderLines() checked the received lines, but the values came from Poco's MessageHeader::read(), which decodes encoded words; nothing looked at them again. Evidence: the new test shows the bytes written for ten values, eight without any line break.

Change: fields are taken from the checked lines; Poco keeps the start line and the limits on fields. The start line is checked as the other lines are, and a request line must equal what was parsed from it (GET /a HTTP/1.1/b HTTP/1.1 was passed on as /a). All heads are written through one function that replaces CR, LF and NUL. The older entry checks the headers of responses, as it did those of requests.

Ruled out: turning the decoding off in the library (Poco 1.11 has no such switch).

--- a/Source/Core/Backends/BackendSession.cpp
+++ b/Source/Core/Backends/BackendSession.cpp
@@ -155,6 +155,9 @@
             return endOfReceive(AttemptFault::Malformed);
         answer.status = response.getStatus();
         answer.headers.assign(response.begin(), response.end());
+        // The library decodes encoded words, which may yield line breaks.
+        if (!std::all_of(response.begin(), response.end(), [](const auto& header) { return isFieldValue(header.second); }))
+            return endOfReceive(AttemptFault::Malformed);
         auto fault = m_head || hasNoBody(answer.status) ? AttemptFault::None : readBody(response, answer);
         if (fault != AttemptFault::None)
             return endOfReceive(fault);
--- a/Source/Core/Net/HttpMessage.cpp
+++ b/Source/Core/Net/HttpMessage.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 
 #include <Poco/MemoryStream.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -83,14 +84,6 @@
         return version == Poco::Net::HTTPMessage::HTTP_1_1 || headerHasToken(all, "Connection", "keep-alive");
     }
 
-    Headers allHeaders(const Poco::Net::MessageHeader& message)
-    {
-        Headers headers;
-        for (const auto& [name, value] : message)
-            headers.push_back({ .name = name, .value = value });
-        return headers;
-    }
-
     // Drops hop-by-hop headers and the headers named by the Connection header.
     Headers endToEndHeaders(const Headers& all)
     {
@@ -108,23 +101,54 @@
         return kept;
     }
 
-    // Rejects lines without a colon, names with white space and bare CR or LF. None is valid, and Poco would interpret them leniently.
-    bool hasValidHeaderLines(std::string_view head)
+    // CR, LF and NUL delimit or end fields for other parsers of the message (RFC 9110, 5.5).
+    bool isDelimiter(char c)
+    {
+        return c == '\r' || c == '\n' || c == '\0';
+    }
+
+    bool hasDelimiter(std::string_view text)
     {
+        return std::any_of(text.begin(), text.end(), isDelimiter);
+    }
+
+    // The fields of a head, values as received: Poco decodes encoded words (RFC 2047) in values, which may yield line breaks. nullopt for
+    // lines without a colon, names with white space and bare CR, LF or NUL, the start line included.
+    std::optional<Headers> parseFields(std::string_view head)
+    {
+        Headers fields;
         auto lineEnd = head.find("\r\n");
+        if (hasDelimiter(head.substr(0, lineEnd)))
+            return std::nullopt;
         for (auto rest = head.substr(lineEnd + 2); rest.size() > 2; rest.remove_prefix(std::min(lineEnd + 2, rest.size()))) {
             lineEnd = rest.find("\r\n");
             auto line = rest.substr(0, lineEnd);
             auto colon = line.find(':');
             if (colon == 0 || colon == std::string_view::npos)
-                return false;
+                return std::nullopt;
             auto name = line.substr(0, colon);
-            if (std::any_of(name.begin(), name.end(), [](char c) { return c <= ' ' || c == '\x7f'; }))
-                return false;
-            if (std::any_of(line.begin(), line.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; }))
-                return false;
+            auto isNameInvalid = std::any_of(name.begin(), name.end(), [](char c) { return c <= ' ' || c == '\x7f'; });
+            if (isNameInvalid || hasDelimiter(line))
+                return std::nullopt;
+            fields.push_back({ .name = std::string(name), .value = std::string(trimWhitespace(line.substr(colon + 1))) });
+        }
+        return fields;
+    }
+
+    // Appends text to a message head. Delimiters are replaced, so that no value can end its line, wherever it comes from.
+    void appendText(std::string& bytes, std::string_view text)
+    {
+        std::transform(text.begin(), text.end(), std::back_inserter(bytes), [](char c) { return isDelimiter(c) ? ' ' : c; });
+    }
+
+    void appendFields(std::string& bytes, const Headers& headers)
+    {
+        for (const auto& header : headers) {
+            appendText(bytes, header.name);
+            bytes += ": ";
+            appendText(bytes, header.value);
+            bytes += "\r\n";
         }
-        return true;
     }
 
     ParseFault parseFaultOf(const Poco::Exception& ec)
@@ -134,12 +158,10 @@
         return isLarge ? ParseFault::HeadTooLarge : ParseFault::Malformed;
     }
 
-    // Parses a head into a Poco message; returns nullopt on success.
+    // Parses the start line into a Poco message, which also limits number and size of the fields.
     template <typename Message>
-    std::optional<ParseFault> parseInto(Message& message, std::string_view bytes)
+    std::optional<ParseFault> parseStartLine(Message& message, std::string_view bytes)
     {
-        if (!hasValidHeaderLines(bytes))
-            return ParseFault::Malformed;
         message.setFieldLimit(maxFields);
         try {
             Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(bytes.size()));
@@ -204,43 +226,50 @@
 
 Parsed<RequestHead> parseRequestHead(std::string_view bytes)
 {
+    auto fields = parseFields(bytes);
+    if (!fields)
+        return {};
     Poco::Net::HTTPRequest message;
-    if (auto fault = parseInto(message, bytes))
+    if (auto fault = parseStartLine(message, bytes))
         return { .head = {}, .fault = *fault };
-    auto all = allHeaders(message);
-    auto rule = bodyFraming(all);
+    auto rule = bodyFraming(*fields);
     const auto& target = message.getURI();
+    // Poco accepts other white space and further words. A server that reads the line otherwise would serve another path.
+    if (bytes.substr(0, bytes.find("\r\n")) != message.getMethod() + " " + target + " " + message.getVersion())
+        return {};
     if (!rule.valid || target.empty() || target.front() != '/' || !message.getVersion().starts_with("HTTP/1."))
         return {};
     RequestHead head;
     head.request = {
         .method = message.getMethod(),
         .target = target,
-        .headers = endToEndHeaders(all),
+        .headers = endToEndHeaders(*fields),
         .body = {},
-        .keepAlive = isPersistent(message.getVersion(), all),
+        .keepAlive = isPersistent(message.getVersion(), *fields),
         .acceptsChunks = message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1,
     };
     head.framing = rule.framing;
     head.length = rule.length;
-    head.expectsContinue = headerHasToken(all, "Expect", "100-continue");
+    head.expectsContinue = headerHasToken(*fields, "Expect", "100-continue");
     return { .head = std::move(head) };
 }
 
 Parsed<ResponseHead> parseResponseHead(std::string_view bytes, bool hasBody)
 {
+    auto fields = parseFields(bytes);
+    if (!fields)
+        return {};
     Poco::Net::HTTPResponse message;
-    if (auto fault = parseInto(message, bytes))
+    if (auto fault = parseStartLine(message, bytes))
         return { .head = {}, .fault = *fault };
-    auto all = allHeaders(message);
-    auto rule = bodyFraming(all);
+    auto rule = bodyFraming(*fields);
     auto status = static_cast<int>(message.getStatus());
     if (!rule.valid || status < 100 || status > 999 || !message.getVersion().starts_with("HTTP/1."))
         return {};
     ResponseHead head;
-    head.response = { .status = status, .reason = message.getReason(), .headers = endToEndHeaders(all), .body = {} };
-    head.keepAlive = isPersistent(message.getVersion(), all);
-    head.idleTimeoutS = parseIdleTimeout(all);
+    head.response = { .status = status, .reason = message.getReason(), .headers = endToEndHeaders(*fields), .body = {} };
+    head.keepAlive = isPersistent(message.getVersion(), *fields);
+    head.idleTimeoutS = parseIdleTimeout(*fields);
     if (hasBody && mayHaveBody(status)) {
         head.framing = rule.framing == Framing::None ? Framing::UntilClose : rule.framing;
         head.length = rule.length;
@@ -250,9 +279,12 @@
 
 std::string toBytes(const Request& request)
 {
-    std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const auto& header : request.headers)
-        bytes += header.name + ": " + header.value + "\r\n";
+    std::string bytes;
+    appendText(bytes, request.method);
+    bytes += ' ';
+    appendText(bytes, request.target);
+    bytes += " HTTP/1.1\r\n";
+    appendFields(bytes, request.headers);
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     return bytes + "\r\n" + request.body;
@@ -260,10 +292,10 @@
 
 std::string headBytes(const Response& response, bool keepAlive, Framing framing, std::size_t length)
 {
-    std::string bytes = "HTTP/1.1 " + std::to_string(response.status) + " "
-        + (response.reason.empty() ? std::string(reasonPhrase(response.status)) : response.reason) + "\r\n";
-    for (const auto& header : response.headers)
-        bytes += header.name + ": " + header.value + "\r\n";
+    auto bytes = "HTTP/1.1 " + std::to_string(response.status) + " ";
+    appendText(bytes, response.reason.empty() ? reasonPhrase(response.status) : response.reason);
+    bytes += "\r\n";
+    appendFields(bytes, response.headers);
     if (framing == Framing::Length && mayHaveBody(response.status))
         bytes += "Content-Length: " + std::to_string(length) + "\r\n";
     else if (framing == Framing::Chunked)
--- a/Source/UnitTests/Backends/BackendSessionTest.cpp
+++ b/Source/UnitTests/Backends/BackendSessionTest.cpp
@@ -92,6 +92,7 @@
         { "neither length nor chunks", cutAfter("HTTP/1.1 200 OK\r\n\r\nbody"), PartlyAnswered, Fault::CutShort },
         { "two lengths", answering("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nbody"), PartlyAnswered, Fault::Malformed },
         { "length beside chunks", answering("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"), PartlyAnswered, Fault::Malformed },
+        { "encoded word with line breaks", answering("HTTP/1.1 200 OK\r\nX-Title: =?utf-8?Q?a=0D=0AX-Added:_1?=\r\nContent-Length: 0\r\n\r\n"), PartlyAnswered, Fault::Malformed },
         { "negative length", answering("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"), PartlyAnswered, Fault::Malformed },
         { "length beyond the limit", answering("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"), PartlyAnswered, Fault::TooLarge },
         { "extra bytes after the answer", answering(wholeAnswer + "more"), Answered, Fault::None, false },
--- a/Source/UnitTests/Net/HttpMessageTest.cpp
+++ b/Source/UnitTests/Net/HttpMessageTest.cpp
@@ -40,6 +40,10 @@
     { "absolute-form target", "GET http://x/ HTTP/1.1\r\n\r\n", 0, Framing::None, false },
     { "other protocol", "GET / SPDY/3\r\n\r\n", 0, Framing::None, false },
     { "not HTTP", "\x16\x03\x01 hello\r\n\r\n", 0, Framing::None, false },
+    { "bare line feed in the request line", "GET / HTTP/1.1\nContent-Length: 5\r\n\r\n", 0, Framing::None, false },
+    { "bare carriage return in the request line", "GET /a\rb HTTP/1.1\r\n\r\n", 0, Framing::None, false },
+    { "space in the target", "GET /a HTTP/1.1/b HTTP/1.1\r\n\r\n", 0, Framing::None, false },
+    { "tab in the request line", "GET\t/a HTTP/1.1\r\n\r\n", 0, Framing::None, false },
 };
 
 struct ResponseCase {
@@ -114,6 +118,41 @@
     CHECK(parsed.head->idleTimeoutS == 7);
 }
 
+TEST_CASE("Header values are passed on as received, so that no encoded word adds a header or a request")
+{
+    const std::string values[] = {
+        "=?utf-8?B?YQ0KDQpQT1NUIC9wYXkgSFRUUC8xLjENCkhvc3Q6IHg=?=", // decoded: "a", an empty line, and a request
+        "=?utf-8?Q?a=0D=0AX-Added:_1?=",
+        "=?utf-8?Q?caf=C3=A9?=",
+        "=?utf-8?",
+        "a=?b",
+        "x=?y?z",
+        "\"quoted, =?x?=\"",
+        "a  b\tc",
+        "\x80\xff",
+        "",
+    };
+    for (const auto& value : values) {
+        CAPTURE(value);
+        auto request = Net::parseRequestHead("GET / HTTP/1.1\r\nX-Title: \t" + value + " \r\n\r\n");
+        REQUIRE(request.head.has_value());
+        CHECK(Net::toBytes(request.head->request) == "GET / HTTP/1.1\r\nX-Title: " + value + "\r\n\r\n");
+        auto response = Net::parseResponseHead("HTTP/1.1 200 OK\r\nX-Title: " + value + "\r\nContent-Length: 0\r\n\r\n", true);
+        REQUIRE(response.head.has_value());
+        CHECK(Net::headBytes(response.head->response, true, Framing::None, 0) == "HTTP/1.1 200 OK\r\nX-Title: " + value + "\r\n\r\n");
+    }
+}
+
+TEST_CASE("No part of a message adds a line to the head that is written")
+{
+    const std::string odd("a\r\nb\nc\rd\0e", 10);
+    const std::string replaced = "a  b c d e";
+    Net::Request request { .method = "GET", .target = "/" + odd, .headers = { { "X", odd }, { odd, "y" } }, .body = {} };
+    CHECK(Net::toBytes(request) == "GET /" + replaced + " HTTP/1.1\r\nX: " + replaced + "\r\n" + replaced + ": y\r\n\r\n");
+    Net::Response response { .status = 200, .reason = odd, .headers = { { "X", odd } }, .body = {} };
+    CHECK(Net::headBytes(response, true, Framing::None, 0) == "HTTP/1.1 200 " + replaced + "\r\nX: " + replaced + "\r\n\r\n");
+}
+
 TEST_CASE("queryValue decodes a parameter and is empty if it is absent or invalid")
 {
     CHECK(Net::queryValue("/p?a=1&zone=x%20y", "zone") == "x y");
