Catalog: a follower hears of every server that left since its position

Cause: a relay that reads the registry in full at version V has no tombstones of earlier removals, but answered a follower at P < V with changes, and the follower's position moved to V. Same cause: a second full read (a server that came and left in between), and removals of rows unknown here.

Change: the catalog knows below which version, and within which gap, it can't tell removals; a follower there gets the full catalog at once. An update says whether its sender knows all removals ("removals_known"); old gateways ignore it. Data of an old relay, which does not say so, are followed by one request for the full catalog, and by a full read of the store when the gateway reads it itself. A row that is older than its removal is not taken from another gateway. Requests name the received position, so that a follower which holds removals back is not sent the full catalog again and again.

Ruled out: members, crash reports and eras (compared per relay process, or full on change); configuration (never removed).

--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Catalog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway {
 
@@ -57,10 +58,13 @@
     m_eraChanged = true;
     for (auto& [key, server] : m_servers)
         server.row.version = 0;
-    for (const auto& [key, tombstone] : m_tombstones)
-        m_departed[key] = tombstone.startedMs;
+    for (const auto& [key, tombstone] : m_tombstones) {
+        if (tombstone.startedMs)
+            m_departed[key] = *tombstone.startedMs;
+    }
     m_tombstones.clear();
     m_tombstoneFloor = 0;
+    m_snapshotGap = {};
     m_heldRemovals.clear();
     m_unconfirmed.clear();
     m_firstSnapshotVersion.reset();
@@ -150,10 +154,31 @@
     }
     for (const auto& row : rows)
         applyRow(row);
-    position = version;
+    auto before = std::exchange(position, version);
+    if (isRegistry)
+        onSnapshotApplied(before, version);
     notifyChanged();
 }
 
+// A snapshot does not tell which servers left before it. Other gateways may still hold those that were never known here.
+void Catalog::onSnapshotApplied(std::uint64_t before, std::uint64_t version)
+{
+    m_knowsRemovals = true;
+    // Removals held back have the snapshot's version, so the position given to others is the one before.
+    auto to = m_heldRemovals.empty() ? version : version - 1;
+    if (before == 0) {
+        m_tombstoneFloor = std::max(m_tombstoneFloor, to);
+        return;
+    }
+    m_tombstoneFloor = std::max(m_tombstoneFloor, m_snapshotGap.to);
+    m_snapshotGap = { .from = before, .to = to };
+}
+
+bool Catalog::knowsRemovalsSince(std::uint64_t version) const
+{
+    return version != 0 && version >= m_tombstoneFloor && !m_snapshotGap.contains(version);
+}
+
 void Catalog::applyChanges(const std::string& table, const std::vector<Platform::TableRow>& rows, std::uint64_t version)
 {
     auto before = m_position;
@@ -222,11 +247,16 @@
 void Catalog::remove(const std::string& key, std::uint64_t version)
 {
     auto it = m_servers.find(key);
-    if (it == m_servers.end() || it->second.row.version > version)
+    if (it != m_servers.end() && it->second.row.version > version)
         return;
-    m_tombstones[key] = { .version = version, .startedMs = it->second.record ? it->second.record->startedMs : 0 };
-    m_servers.erase(it);
-    m_backends.remove(key, version);
+    // Also for a row that is not known here: gateways that follow this one may know it.
+    auto& tombstone = m_tombstones[key];
+    tombstone.version = std::max(tombstone.version, version);
+    if (it != m_servers.end()) {
+        tombstone.startedMs = it->second.record ? it->second.record->startedMs : 0;
+        m_servers.erase(it);
+        m_backends.remove(key, version);
+    }
     m_newestChange = std::max(m_newestChange, version);
     while (m_tombstones.size() > maxTombstones) {
         auto oldest = std::min_element(m_tombstones.begin(), m_tombstones.end(),
@@ -271,18 +301,26 @@
             return false;
         beginEra(update.position.era);
     }
+    auto isAhead = update.position.registry > m_position.registry;
     if (update.isFull) {
         std::vector<Platform::TableRow> servers;
         for (const auto& row : update.rows) {
-            if (row.table == m_options.decoder.registryTable)
-                servers.push_back(row);
-            else
+            if (row.table != m_options.decoder.registryTable)
                 applyRow(row);
+            else if (!isRemoved(row))
+                servers.push_back(row);
         }
+        auto isUsed = update.position.registry >= m_position.registry;
         applySnapshot(m_options.decoder.registryTable, servers, update.position.registry);
+        if (isUsed)
+            m_knowsRemovals = update.knowsRemovals;
     } else {
-        for (const auto& row : update.rows)
-            applyRow(row);
+        for (const auto& row : update.rows) {
+            if (!isRemoved(row))
+                applyRow(row);
+        }
+        if (isAhead)
+            m_knowsRemovals = m_knowsRemovals && update.knowsRemovals;
     }
     m_position.registry = std::max(m_position.registry, update.position.registry);
     m_position.operators = std::max(m_position.operators, update.position.operators);
@@ -292,11 +330,18 @@
     return true;
 }
 
+// Whether a row from another gateway is older than its removal: a gateway that missed the removal still holds it.
+bool Catalog::isRemoved(const Platform::TableRow& row) const
+{
+    auto it = m_tombstones.find(row.key);
+    return row.table == m_options.decoder.registryTable && row.value && it != m_tombstones.end() && it->second.version >= row.version;
+}
+
 bool Catalog::hasChangedSince(const CatalogPosition& from) const
 {
     if (from.era != m_position.era && from.era != 0)
         return from.era < m_position.era;
-    return from.registry == 0 || from.registry < m_newestChange || (m_configuration && m_configuration->version > from.operators);
+    return !knowsRemovalsSince(from.registry) || from.registry < m_newestChange || (m_configuration && m_configuration->version > from.operators);
 }
 
 CatalogUpdate Catalog::changesSince(const CatalogPosition& from) const
@@ -307,7 +352,8 @@
     if (from.era > m_position.era)
         return update; // nothing known here is of that era
     auto isOlderEra = from.era < m_position.era && from.era != 0;
-    update.isFull = from.registry == 0 || from.registry < m_tombstoneFloor || isOlderEra;
+    update.isFull = isOlderEra || !knowsRemovalsSince(from.registry);
+    update.knowsRemovals = m_knowsRemovals;
     for (const auto& [key, server] : m_servers) {
         if (update.isFull || server.row.version > from.registry)
             update.rows.push_back(server.row);
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -45,6 +45,9 @@
 // Changes of the catalog since a position, or the full catalog, for another gateway.
 struct CatalogUpdate {
     bool isFull = false; // registry rows not in it do not exist
+    // The sender knows every removal up to its position. Gateways of versions without this field do not tell, and may keep servers that
+    // have left.
+    bool knowsRemovals = false;
     CatalogPosition position;
     Common::Duration age {}; // since the last read of the store
     std::vector<Platform::TableRow> rows;
@@ -73,7 +76,7 @@
 
     // For an update received from another gateway. Returns false, and changes nothing, if it is of an older era.
     bool apply(const CatalogUpdate&);
-    // The update for a gateway at `position`; the full catalog if `position` is too old.
+    // The update for a gateway at `position`; the full catalog if not all removals since then are known.
     CatalogUpdate changesSince(const CatalogPosition& position) const;
 
     bool hasChangedSince(const CatalogPosition&) const;
@@ -82,7 +85,12 @@
     // Whether the registry has been read since the era began.
     bool isReadInEra() const { return m_position.registry != 0; }
 
+    // That other gateways get to with an update, and from which the store is read. Removals held back come after it.
     CatalogPosition position() const;
+    // Up to which changes have been received, removals held back included.
+    const CatalogPosition& receivedPosition() const { return m_position; }
+    // Whether every server that left before the position has been removed, or is held back.
+    bool knowsRemovals() const { return m_knowsRemovals; }
     // Time since the last read of the store by this gateway or by the one that the catalog came from.
     Common::Duration age() const { return m_loop.now() - m_freshAsOf; }
     // Registry and configuration are known.
@@ -97,7 +105,13 @@
     };
     struct Tombstone {
         std::uint64_t version = 0; // of the removal
-        std::int64_t startedMs = 0; // of the incarnation that was removed
+        std::optional<std::int64_t> startedMs; // of the incarnation that was removed; empty if it was not known here
+    };
+    // Versions between two positions (exclusive), over which a snapshot of the registry led without the changes.
+    struct VersionGap {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+        bool contains(std::uint64_t version) const { return version > from && version < to; }
     };
 
     void applyRow(const Platform::TableRow&);
@@ -105,6 +119,9 @@
     void applyOperator(const Platform::TableRow&);
     void applyRemoval(const std::string& key, std::uint64_t version);
     void remove(const std::string& key, std::uint64_t version);
+    void onSnapshotApplied(std::uint64_t before, std::uint64_t version);
+    bool knowsRemovalsSince(std::uint64_t version) const;
+    bool isRemoved(const Platform::TableRow&) const;
     void holdRemovals();
     void applyHeldRemovals();
     bool contradictsKnown(const std::string& key, const ServerRecord&) const;
@@ -121,7 +138,9 @@
     std::map<std::string, ServerRow> m_servers; // by row key
     std::optional<Platform::TableRow> m_configuration;
     std::map<std::string, Tombstone> m_tombstones; // by row key
-    std::uint64_t m_tombstoneFloor = 0; // tombstones up to this version may have been discarded
+    std::uint64_t m_tombstoneFloor = 0; // removals before this version may have no tombstone
+    VersionGap m_snapshotGap; // rows that came and left within it were never known here
+    bool m_knowsRemovals = true;
     std::map<std::string, std::int64_t> m_departed; // removed in an earlier era: row key -> start time of the incarnation
     std::map<std::string, Platform::TableRow> m_unconfirmed; // rows of this era's first snapshot that are not believed yet, by key
     std::optional<std::uint64_t> m_firstSnapshotVersion; // of the registry in this era, if it is not the first era
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -109,7 +109,7 @@
 {
     UpdateRequest update {
         .member = m_members.self(),
-        .position = m_catalog.isComplete() ? m_catalog.position() : CatalogPosition(),
+        .position = m_catalog.isComplete() && !m_wantsFullCatalog ? m_catalog.receivedPosition() : CatalogPosition(),
         .membersFrom = m_membersFrom,
         .membersRevision = m_membersRevision,
         .membersStartedMs = m_membersStartedMs,
@@ -203,6 +203,7 @@
         m_membersFrom = relay;
         m_membersRevision = update.members.revision;
         m_membersStartedMs = update.members.startedMs;
+        updateFullCatalogRequest({ .relay = relay, .startedMs = update.members.startedMs, .knowsRemovals = update.catalog.knowsRemovals });
         m_crashesRevision = update.crashesRevision;
         m_crashesReported = hasReports ? crashesReported : 0;
         if (m_crashSuspects.merge(update.crashes, now) && m_crashHook)
@@ -214,6 +215,15 @@
         scheduleRequest(isFresh || !allAvoided() ? Common::Duration::zero() : pauseLeft());
 }
 
+// Decides whether the next request asks for the full catalog: once for each relay process while it is not known that all removals have
+// been received. A relay that doesn't tell whether it knows them gives at least what it holds itself.
+void RelayClient::updateFullCatalogRequest(FullCatalogSource source)
+{
+    if (m_wantsFullCatalog)
+        m_fullCatalogSource = source;
+    m_wantsFullCatalog = !m_catalog.knowsRemovals() && m_fullCatalogSource != source;
+}
+
 void RelayClient::onFailure(const std::string& relay, std::string_view cause)
 {
     m_requestPending = false;
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -60,6 +60,13 @@
     struct RelayState {
         Common::TimePoint avoidUntil;
     };
+    // The relay process that last answered a request for the full catalog, and whether it knew all removals then.
+    struct FullCatalogSource {
+        std::string relay;
+        std::int64_t startedMs = 0;
+        bool knowsRemovals = false;
+        bool operator==(const FullCatalogSource&) const = default;
+    };
 
     void sendRequest();
     void scheduleRequest(Common::Duration);
@@ -73,6 +80,7 @@
     std::string chooseRelay() const;
     // `crashesReported`: revision of the own crash reports when the request was sent.
     void onResponse(const std::string& relay, Net::ResponseHead&&, std::uint64_t crashesReported);
+    void updateFullCatalogRequest(FullCatalogSource);
     void onFailure(const std::string& relay, std::string_view cause);
 
     Net::EventLoop& m_loop;
@@ -92,6 +100,8 @@
     std::string m_membersFrom; // the relay whose member list this gateway holds
     std::uint64_t m_membersRevision = 0; // of that list; 0: none
     std::int64_t m_membersStartedMs = 0; // start of that relay's process
+    FullCatalogSource m_fullCatalogSource;
+    bool m_wantsFullCatalog = false;
     std::uint64_t m_crashesRevision = 0; // of that relay's crash reports
     std::uint64_t m_crashesReported = 0; // revision of the own reports up to which that relay has them
     Common::Duration m_wait = std::chrono::milliseconds(400);
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -182,6 +182,7 @@
     json["roster_era"] = Json::UInt64(response.relayList.era);
     if (response.isRelay) {
         json["whole"] = response.catalog.isFull;
+        json["removals_known"] = response.catalog.knowsRemovals;
         json["era"] = Json::UInt64(response.catalog.position.era);
         json["registry"] = Json::UInt64(response.catalog.position.registry);
         json["operators"] = Json::UInt64(response.catalog.position.operators);
@@ -234,6 +235,7 @@
         response.isRelay = json["relays"].asBool();
         response.relayList = { .relays = toStrings(json["roster"]), .version = json["roster_version"].asUInt64(), .era = json["roster_era"].asUInt64() };
         response.catalog.isFull = json["whole"].asBool();
+        response.catalog.knowsRemovals = json["removals_known"].asBool(); // absent in versions that do not track it
         response.catalog.position = { .era = json["era"].asUInt64(), .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() };
         response.catalog.age = Common::fromMilliseconds(json["age_ms"].asDouble());
         response.members = {
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -69,7 +69,8 @@
 {
     ++m_calls;
     auto position = m_catalog.position().registry;
-    auto request = readRequest(position, m_rereadRegistry);
+    // Changes don't tell of servers that left before the position. A follower of a gateway that doesn't either may hold such servers.
+    auto request = readRequest(position, m_rereadRegistry || !m_catalog.knowsRemovals());
     auto done = [this, request](const Platform::RowsRead& read) { onRegistryRead(read, request); };
     if (request.isFull)
         m_table.readAll(m_options.registryTable, done);
--- a/Source/UnitTests/Gateway/CatalogSyncTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogSyncTest.cpp
@@ -1,3 +1,4 @@
+#include "FakeRelay.h"
 #include "GatewayFixture.h"
 
 #include <doctest/doctest.h>
@@ -239,6 +240,33 @@
         CHECK(directory.find(gateway->daemon().callersAddress()) != std::string::npos);
 }
 
+// Guards against servers that a relay of an older version does not tell the removal of, and against a full catalog with each answer of it.
+TEST_CASE("A relay that does not tell whether it knows all removals is asked for the full catalog once")
+{
+    GatewayFixture fixture(1);
+    auto relay = fixture.thread.call([&] { return std::make_unique<UnitTests::FakeRelay>(fixture.thread.loop(), *fixture.store, 4); });
+    auto fullRequests = [&] { return fixture.thread.call([&] { return relay->fullRequests(); }); };
+    auto gateway = fixture.gateway({ relay->address() }, "127.0.0.1:18435");
+    REQUIRE(gateway->waitReady());
+    constexpr auto severalAnswers = std::chrono::milliseconds(1500);
+    std::this_thread::sleep_for(severalAnswers);
+    auto before = fullRequests();
+    fixture.thread.call([&] {
+        relay->setKnowsRemovals(false);
+        relay->setAhead(true);
+    });
+    CHECK(eventually([&] { return fullRequests() == before + 1; }));
+    std::this_thread::sleep_for(severalAnswers);
+    CHECK(fullRequests() == before + 1);
+    // The gateway at that address, now of this version.
+    fixture.thread.call([&] { relay->setKnowsRemovals(true); });
+    CHECK(eventually([&] { return fullRequests() == before + 2; }));
+    std::this_thread::sleep_for(severalAnswers);
+    CHECK(fullRequests() == before + 2);
+    gateway.reset();
+    fixture.thread.call([&] { relay.reset(); });
+}
+
 TEST_CASE("When the gateway that reads for the others stops, they still receive changes")
 {
     GatewayFixture fixture(1);
--- a/Source/UnitTests/Gateway/FakeRelay.h
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -39,6 +39,13 @@
     // The shortest time after which a request is answered; one that may be held open is held for all of its wait.
     void setDelay(Common::Duration delay) { m_delay = delay; }
 
+    // Whether its position is beyond that of each request, as after removals that it does not tell.
+    void setAhead(bool isAhead) { m_isAhead = isAhead; }
+    // Whether it says that it knows all removals; versions before that do not.
+    void setKnowsRemovals(bool knows) { m_knowsRemovals = knows; }
+    // Requests for the full catalog.
+    int fullRequests() const { return m_fullRequests; }
+
     // The members that it tells of.
     void setKnownMembers(std::vector<Gateway::Member> members) { m_knownMembers = std::move(members); }
     // Names a second relay in the store's relay list.
@@ -78,6 +85,9 @@
         auto isRelay = m_answer != RelayAnswer::NoRelay;
         Gateway::UpdateResponse response { .isRelay = isRelay, .relayList = request.value().relayList, .catalog = {}, .members = {}, .crashes = {} };
         response.catalog.position = request.value().position;
+        response.catalog.position.registry += m_isAhead ? 1 : 0;
+        response.catalog.knowsRemovals = m_knowsRemovals;
+        m_fullRequests += request.value().position.registry == 0 ? 1 : 0;
         response.catalog.age = m_answer == RelayAnswer::Fresh ? std::chrono::milliseconds(0)
             : m_answer == RelayAnswer::AlmostOutdated         ? std::chrono::milliseconds(950)
                                                               : std::chrono::seconds(60);
@@ -92,6 +102,9 @@
     int m_members;
     RelayAnswer m_answer = RelayAnswer::Fresh;
     Common::Duration m_delay = std::chrono::milliseconds(5);
+    bool m_isAhead = false;
+    bool m_knowsRemovals = true;
+    int m_fullRequests = 0;
     std::vector<Gateway::Member> m_knownMembers;
     std::vector<std::string> m_relays; // of the list in the store
     std::uint64_t m_listVersion = 0;
--- a/Source/UnitTests/Gateway/RelayMessagesTest.cpp
+++ b/Source/UnitTests/Gateway/RelayMessagesTest.cpp
@@ -37,6 +37,7 @@
         .relayList = request.relayList,
         .catalog = {
             .isFull = true,
+            .knowsRemovals = true,
             .position = { .registry = 8, .operators = 2 },
             .age = std::chrono::milliseconds(12),
             .rows = {
@@ -50,6 +51,8 @@
     };
     auto back = parseUpdateResponse(toText(response, encodeRows(response.catalog.rows)));
     REQUIRE(back.has_value());
+    CHECK(back.value().catalog.isFull);
+    CHECK(back.value().catalog.knowsRemovals);
     CHECK(back.value().catalog.rows.size() == 2);
     CHECK(back.value().catalog.rows[0].value == "v\"\n");
     CHECK(!back.value().catalog.rows[1].value);
