HttpServer: in a planned stop every connection ends after its pending requests, without a reset

After SIGTERM, connections on which another request is always pending were read until 94% of grace_s and then cut, without Connection: close.

Cause: closing was only announced with the response to the last pending request, and only idle connections were closed when the time for new requests was over. Shown by a test on HttpServer alone, without a gateway. The same test file shows that idle connections were reset instead of half-closed, that a request whose head had been read counted as idle, and that reading did not go on after it had paused.

Change: closeConnections() (was closeIdle()) ends every connection after its pending requests; what comes behind is discarded, as after any last response, until the client closes or is silent for 1 s. A first request received in part is completed.

Ruled out: cutting earlier at the limit (the servers would still be at work).

--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -326,7 +326,7 @@
     if (phase == Decisions::ShutdownPhase::Draining) {
         for (auto* server : { &m_callers, &m_forwarding }) {
             server->stopAccepting();
-            server->closeIdle();
+            server->closeConnections();
         }
     }
     if (phase == Decisions::ShutdownPhase::Stopped || phase == Decisions::ShutdownPhase::Forced) {
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpServer.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -17,8 +18,8 @@
     constexpr std::size_t readBufferBytes = 16 * 1024;
     // Maximum number of pending requests of one connection; parsing pauses when it is reached.
     constexpr std::size_t maxPipelined = 64;
-    // After the last response, incoming bytes are read and discarded for this long. Closing with unread bytes would send a reset, which
-    // could reach the client before the response.
+    // After the last response, incoming bytes are read and discarded until none has come for this long. Closing with unread bytes, or
+    // before bytes that are under way, would send a reset, at which the client may give up responses that it has not read yet.
     constexpr auto lingerTimeout = std::chrono::seconds(1);
     // Response bytes of one connection that may wait to be sent before the source of a body has to pause.
     constexpr std::size_t maxUnsentBytes = 32 * 1024;
@@ -56,7 +57,6 @@
         setTimer(m_server.m_options.limits().idleTimeout);
     }
 
-    bool isIdle() const { return m_pending.empty() && m_in.empty() && m_out.empty(); }
     std::size_t pending() const { return m_pending.size(); }
 
     // Sends the responses that are ready, in request order, up to the first one that is still pending.
@@ -82,6 +82,17 @@
             updateTimer();
     }
 
+    // Serves no request beyond the pending ones, or the one that is being received.
+    void closeAfterPending()
+    {
+        auto isReceivingFirst = m_pending.empty() && (!m_in.empty() || m_head);
+        if (m_noMoreRequests || isReceivingFirst)
+            return;
+        m_noMoreRequests = true;
+        discardInput();
+        updateTimer();
+    }
+
     // Bytes of the exchange's response that wait to be sent, those of earlier responses included.
     std::size_t unsentBytes(const Exchange& exchange) const
     {
@@ -185,7 +196,9 @@
                 return;
             if (n == 0)
                 return close();
-            if (m_lingering || m_noMoreRequests)
+            if (m_lingering)
+                return setLingerTimer();
+            if (m_noMoreRequests)
                 return;
             m_in.append(buf.data(), static_cast<std::size_t>(n));
         } catch (const Poco::Exception&) {
@@ -265,9 +278,7 @@
     // input is discarded.
     void refuse(int status)
     {
-        m_in.clear();
-        m_head.reset();
-        m_body.reset();
+        discardInput();
         m_noMoreRequests = true;
         auto exchange = std::make_shared<Exchange>(weak_from_this(), Request(), m_loop.now());
         m_pending.push_back(exchange);
@@ -290,6 +301,21 @@
         notifyRoom();
     }
 
+    // What was received behind the last request is not served. The rest is read, so that the connection can end without a reset.
+    void discardInput()
+    {
+        m_in.clear();
+        m_head.reset();
+        m_body.reset();
+        m_paused = false;
+        updateInterest();
+    }
+
+    void setLingerTimer()
+    {
+        setTimer(std::min<Common::Duration>(lingerTimeout, m_lingerUntil - m_loop.now()));
+    }
+
     // Starts the read, idle or linger timer according to the connection's state. Shuts down sending after the last response.
     void updateTimer()
     {
@@ -300,12 +326,14 @@
             return setTimer(m_server.m_options.limits().idleTimeout);
         if (m_noMoreRequests) {
             m_lingering = true;
+            m_lingerUntil = m_loop.now() + m_server.m_options.limits().idleTimeout;
+            discardInput();
             try {
                 m_socket.shutdownSend();
             } catch (const Poco::Exception&) {
                 return close();
             }
-            return setTimer(lingerTimeout);
+            return setLingerTimer();
         }
         auto limits = m_server.m_options.limits();
         auto isReading = !m_in.empty() || m_head;
@@ -351,6 +379,7 @@
     bool m_noMoreRequests = false;
     bool m_paused = false;
     bool m_lingering = false;
+    Common::TimePoint m_lingerUntil; // the client may have kept sending until then
     bool m_closed = false;
 };
 
@@ -481,13 +510,11 @@
     m_listener.close();
 }
 
-void HttpServer::closeIdle()
+void HttpServer::closeConnections()
 {
     auto connections = m_connections;
-    for (const auto& connection : connections) {
-        if (connection->isIdle())
-            connection->close();
-    }
+    for (const auto& connection : connections)
+        connection->closeAfterPending();
 }
 
 std::size_t HttpServer::inFlight() const
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -101,8 +101,9 @@
     // From now on each connection is closed after its last pending response.
     void startDraining() { m_draining = true; }
     void stopAccepting();
-    // Closes connections that have no pending request and no buffered bytes.
-    void closeIdle();
+    // Ends each connection after the requests that are pending now, whose last response says so. A request that has been received in
+    // part and has none before it is completed. Can be called again for connections that have become idle since.
+    void closeConnections();
     std::size_t connections() const { return m_connections.size(); }
     // Requests received whole whose response has not been queued for sending.
     std::size_t inFlight() const;
