Store, JSON: one odd row can't stop a reader

What others saw: one odd entry of another writer, and the machines that read the list ended or stopped following it.

Cause here: jsoncpp throws for text nested beyond 1,000, which parseJson() did not catch outside of the decoding of rows, and Poco's base64 decoder throws for other characters. The event loop catches it, but the call that was being answered never ends: the table is not read again.

Times from messages are bounded to what a duration holds.

--- a/Source/Core/Common/Clock.cpp
+++ b/Source/Core/Common/Clock.cpp
@@ -1,5 +1,7 @@
 #include "Common/Clock.h"
 
+#include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace Common {
@@ -33,7 +35,10 @@
 
 Duration fromMilliseconds(double ms)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+    // 31 years, so that a sum with the present time is still a time.
+    constexpr double maxMs = 1e12;
+    auto bounded = std::isnan(ms) ? 0.0 : std::clamp(ms, -maxMs, maxMs);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(bounded));
 }
 
 std::int64_t wallMilliseconds()
--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -15,8 +15,12 @@
         std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
         Json::Value json;
         std::string error;
-        if (!reader->parse(text.data(), text.data() + text.size(), &json, &error))
-            return std::nullopt;
+        try {
+            if (!reader->parse(text.data(), text.data() + text.size(), &json, &error))
+                return std::nullopt;
+        } catch (const Json::Exception&) {
+            return std::nullopt; // nested beyond the library's limit, which it reports only so
+        }
         return json;
     }
 
--- a/Source/UnitTests/PlatformAdapter/StoreClientTest.cpp
+++ b/Source/UnitTests/PlatformAdapter/StoreClientTest.cpp
@@ -150,3 +150,20 @@
         thread.call([&] { table = {}; });
     }
 }
+
+// Guards against one odd row that ends the process, or keeps it from following all others.
+TEST_CASE("A row whose value cannot be decoded does not affect the other rows")
+{
+    const std::string body = R"({"rows":[{"key":"odd","ver":1,"value":"!{}"},{"key":"cut","ver":2,"value":"YQ"},{"key":"usual","ver":3,"value":"YQ=="}],"ver":3})";
+    UnitTests::ScriptedServer server({ { UnitTests::ReadRequest {}, UnitTests::SendBytes { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body }, UnitTests::WaitForClient {} } });
+    PlatformStandIn::LoopThread thread;
+    std::promise<Platform::RowsRead> result;
+    auto table = thread.call([&] { return PlatformAdapter::openStore(thread.loop(), server.address()); });
+    thread.call([&] { table.readAll("t", [&](const Platform::RowsRead& read) { result.set_value(read); }); });
+    auto read = result.get_future().get();
+    CHECK(read.state == Platform::ReadState::Ok);
+    REQUIRE(read.rows.size() == 3);
+    CHECK(read.rows[0].value == "");
+    CHECK(read.rows[2].value == "a");
+    thread.call([&] { table = {}; });
+}
