RequestForwarder: a rejection is believed only with the request's own id

A late copy of a rejected load probe's response counted as the rejection of the unsafe request sent next on the connection; the server ran it.

Cause: startAttempt() accepted any rejection without a request id.

Change: such a rejection is discarded, the next response awaited, the connection not reused. 421 (no load probe gets it) and rejections by other gateways, of any version, are taken as before.

Ruled out: a copy with the request's own id (no server gets a request twice from one gateway).

Before: three rows failed.

--- a/Source/Core/Decisions/Shutdown.h
+++ b/Source/Core/Decisions/Shutdown.h
@@ -14,7 +14,7 @@
     Serving,
     Leaving, // no longer in the directory; callers with a cached answer are served as usual
     Closing, // responses carry "Connection: close"
-    Draining, // idle connections are closed, calls in flight go on
+    Draining, // connections end after the calls in flight
     Stopped, // no call is in flight
     Forced, // calls were in flight at the limit or after force()
 };
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -400,13 +400,18 @@
     std::weak_ptr<RequestForwarder> weak = weak_from_this();
     auto expectsBody = m_exchange->request().method != "HEAD";
     auto maxIdle = isSafeToRepeat() ? Common::Duration::max() : Common::Duration(maxIdleForUnsafeRequests);
-    // A late response to an earlier request on the connection has another request id; one to a load probe has none, but names the server.
-    auto matchesRequest = [id = m_id, &names = router.options().headers](const Net::ResponseHead& head) {
+    // A late response to an earlier request on the connection has another request id, one to a load probe has none. Servers repeat the id
+    // of a request that they reject, and a rejection is believed only then: a copy of a probe's would pass for that of a request
+    // which the server runs. 421 is never the response to a load probe, which names no server.
+    auto matchesRequest = [id = m_id, isPeer = attempt.isToPeer(), &names = router.options().headers](const Net::ResponseHead& head) {
         const auto& headers = head.response.headers;
         if (auto echoed = Net::findHeader(headers, names.requestId))
             return *echoed == id;
-        auto isRejection = head.response.status == Misdirected || Net::findHeader(headers, names.notExecuted);
-        return isRejection || !Net::findHeader(headers, names.instanceId);
+        if (head.response.status == Misdirected)
+            return true;
+        if (Net::findHeader(headers, names.notExecuted))
+            return isPeer || id.empty();
+        return !Net::findHeader(headers, names.instanceId);
     };
     auto limit = m_deadline - attempt.sentAt + std::chrono::seconds(1); // m_deadlineTimer fires first
     m_attempts[index].connection = attempt.backend->send(std::move(bytes), expectsBody, limit, maxIdle,
--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -129,6 +129,12 @@
 
 const std::string health = std::string("HTTP/1.1 200 OK\r\n") + Names::instanceId + ": raw\r\n" + Names::load + ": 0,0,4,100\r\nContent-Length: 0\r\n\r\n";
 
+// Of a load probe; servers give a request's id in its own rejection.
+const std::string rejectedProbe = std::string("HTTP/1.1 503 Busy\r\n") + Names::notExecuted + ": 1\r\n" + Names::instanceId + ": raw\r\nContent-Length: 0\r\n\r\n";
+const std::string rejectionWithoutIds = std::string("HTTP/1.1 503 Busy\r\n") + Names::notExecuted + ": 1\r\nContent-Length: 0\r\n\r\n";
+const std::string rejectionOfOther = std::string("HTTP/1.1 503 Busy\r\n") + Names::notExecuted + ": 1\r\n" + Names::requestId + ": other\r\nContent-Length: 0\r\n\r\n";
+const std::string ownAnswer = std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": raw1\r\nContent-Length: 5\r\n\r\nwhole";
+
 const RawCase rawCases[] = {
     { "body delimited by the end of the connection", "HTTP/1.1 200 OK\r\n\r\nwhole", "/safe/x", 200, true },
     { "body shorter than Content-Length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", "/once/x", 502, true },
@@ -136,6 +142,18 @@
     { "empty answer", "", "/once/x", 502, true },
     { "a late answer to another request comes first", std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\n" + Names::requestId + ": raw1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 200, false },
     { "a late copy of the load probe's answer comes first", health + "HTTP/1.1 200 OK\r\n" + Names::requestId + ": raw1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 200, false },
+    { "a late copy of a rejected load probe's answer comes first", rejectedProbe + ownAnswer, "/once/x", 200, false },
+    { "a late copy of a rejection without ids comes first", rejectionWithoutIds + ownAnswer, "/once/x", 200, false },
+    { "late copies of rejections come first", rejectionOfOther + rejectedProbe + ownAnswer, "/once/x", 200, false },
+    { "status line cut off", "HTTP/1.1 20", "/once/x", 502, true },
+    { "head cut off after the status line", "HTTP/1.1 200 OK\r\n", "/once/x", 502, true },
+    { "head cut off in a name", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Na", "/once/x", 502, true },
+    { "head cut off in the length", "HTTP/1.1 200 OK\r\nContent-Length: 1", "/once/x", 502, true },
+    { "head cut off before the blank line", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", "/once/x", 502, true },
+    { "head cut off after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", "/once/x", 502, true },
+    { "HTTP/1.0, body shorter than Content-Length", "HTTP/1.0 200 OK\r\nContent-Length: 9\r\n\r\nwhole", "/once/x", 502, true },
+    { "chunk cut off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho", "/once/x", 502, true },
+    { "last chunk missing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", "/once/x", 502, true },
     { "extra bytes after the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "/safe/x", 200, false },
 };
 
