--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -217,7 +217,7 @@
 
 // Decides whether the next request asks for the full catalog: once for each relay process while it is not known that all removals have
 // been received. A relay that doesn't tell whether it knows them gives at least what it holds itself.
-void RelayClient::updateFullCatalogRequest(FullCatalogSource source)
+void RelayClient::updateFullCatalogRequest(const FullCatalogSource& source)
 {
     if (m_wantsFullCatalog)
         m_fullCatalogSource = source;
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -80,7 +80,7 @@
     std::string chooseRelay() const;
     // `crashesReported`: revision of the own crash reports when the request was sent.
     void onResponse(const std::string& relay, Net::ResponseHead&&, std::uint64_t crashesReported);
-    void updateFullCatalogRequest(FullCatalogSource);
+    void updateFullCatalogRequest(const FullCatalogSource&);
     void onFailure(const std::string& relay, std::string_view cause);
 
     Net::EventLoop& m_loop;
