--- a/Source/UnitTests/PlatformAdapter/StoreClientTest.cpp
+++ b/Source/UnitTests/PlatformAdapter/StoreClientTest.cpp
@@ -136,18 +136,24 @@
     CHECK(fixture.thread.call([&] { return fixture.store->value("t", "k"); }) == "1");
 }
 
+// What a table reads from a store that responds with this body.
+static Platform::RowsRead readFrom(const std::string& body)
+{
+    UnitTests::ScriptedServer server({ { UnitTests::ReadRequest {}, UnitTests::SendBytes { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body }, UnitTests::WaitForClient {} } });
+    PlatformStandIn::LoopThread thread;
+    std::promise<Platform::RowsRead> result;
+    auto table = thread.call([&] { return PlatformAdapter::openStore(thread.loop(), server.address()); });
+    thread.call([&] { table.readAll("t", [&](const Platform::RowsRead& read) { result.set_value(read); }); });
+    auto read = result.get_future().get();
+    thread.call([&] { table = {}; });
+    return read;
+}
+
 TEST_CASE("Malformed answers of the store are reported as such")
 {
     for (const std::string body : { R"({"rows":[],"ver":1,"has_more":"yes"})", R"({"rows":[5],"ver":1})", R"({"rows":[{"key":{},"ver":1}],"ver":1})", R"({"rows":[],"ver":"x"})", "[]", "" }) {
         CAPTURE(body);
-        UnitTests::ScriptedServer server({ { UnitTests::ReadRequest {}, UnitTests::SendBytes { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body }, UnitTests::WaitForClient {} } });
-        PlatformStandIn::LoopThread thread;
-        std::promise<Platform::RowsRead> result;
-        auto table = thread.call([&] { return PlatformAdapter::openStore(thread.loop(), server.address()); });
-        thread.call([&] { table.readAll("t", [&](const Platform::RowsRead& read) { result.set_value(read); }); });
-        auto read = result.get_future().get();
-        CHECK(read.rows.empty());
-        thread.call([&] { table = {}; });
+        CHECK(readFrom(body).rows.empty());
     }
 }
 
@@ -155,15 +161,9 @@
 TEST_CASE("A row whose value cannot be decoded does not affect the other rows")
 {
     const std::string body = R"({"rows":[{"key":"odd","ver":1,"value":"!{}"},{"key":"cut","ver":2,"value":"YQ"},{"key":"usual","ver":3,"value":"YQ=="}],"ver":3})";
-    UnitTests::ScriptedServer server({ { UnitTests::ReadRequest {}, UnitTests::SendBytes { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body }, UnitTests::WaitForClient {} } });
-    PlatformStandIn::LoopThread thread;
-    std::promise<Platform::RowsRead> result;
-    auto table = thread.call([&] { return PlatformAdapter::openStore(thread.loop(), server.address()); });
-    thread.call([&] { table.readAll("t", [&](const Platform::RowsRead& read) { result.set_value(read); }); });
-    auto read = result.get_future().get();
+    auto read = readFrom(body);
     CHECK(read.state == Platform::ReadState::Ok);
     REQUIRE(read.rows.size() == 3);
     CHECK(read.rows[0].value == "");
     CHECK(read.rows[2].value == "a");
-    thread.call([&] { table = {}; });
 }
