Placement: the cost of a new connection falls with the time since the last contact

Cause: a gateway that was failed by a server, or hedged because of it, ranks it behind others for some 20 s (failure share, 4 s time constant, 600 ms for a certain failure). After 4 s its last connection to the server is closed as idle, and from then on the ranking adds 60 ms for a new connection, without end. Where a request takes 10 ms and others have room, the server is never asked again. Five gateways in one test process, one server slow for 0.7 s: no request and no load probe in 40 s, with and without a limit named on probes. A stall of the test's servers (one thread) is such a moment for all gateways at once.

Change: the 60 ms decay with the time since the gateway last sent something to the server, with a time constant of 0.5 s for each gateway of the fleet, so that the new connections of all gateways to one server stay at about one a second. The decision is Decisions::newConnectionCostMs, with a table.

--- a/Source/Core/Decisions/Placement.cpp
+++ b/Source/Core/Decisions/Placement.cpp
@@ -3,10 +3,16 @@
 #include <algorithm>
 #include <limits>
 
+#include "Decisions/Decay.h"
+
 namespace Decisions {
 
 namespace {
 
+    constexpr double maxNewConnectionMs = 60;
+    // Time constant of the decay, for each gateway.
+    constexpr auto newConnectionMemory = std::chrono::milliseconds(500);
+
     // Slots needed for the server's current requests and one more.
     int requiredSlots(const ServerSignal& signal)
     {
@@ -46,6 +52,11 @@
         + signal.failureShare * options.failureCostMs + (signal.healthy ? 0 : options.unhealthyCostMs);
 }
 
+double newConnectionCostMs(Common::Duration sinceContact, int gatewayCount)
+{
+    return maxNewConnectionMs * decay(sinceContact, newConnectionMemory * std::max(1, gatewayCount));
+}
+
 bool startsAtUsualSpeed(const ServerSignal& signal, const PlacementOptions& options)
 {
     constexpr double maxSlowdown = 1.3; // of processing and of response times: within their ordinary spread
--- a/Source/Core/Decisions/Placement.h
+++ b/Source/Core/Decisions/Placement.h
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <span>
 
+#include "Common/Clock.h"
+
 namespace Decisions {
 
 // Load and health of one backend server, as known when a request is placed.
@@ -35,6 +37,11 @@
 // signals should be only a few milliseconds old.
 double placementCostMs(const ServerSignal&, double workMs, const PlacementOptions&);
 
+// Ranking penalty, in milliseconds, for a server to which no free connection is open. Falls with the time since the last contact, so
+// that a server which was slow once is tried again also while others serve all requests. It falls more slowly the more gateways there
+// are, since each of them opens its own connections.
+double newConnectionCostMs(Common::Duration sinceContact, int gatewayCount);
+
 // Expected response time alone, in milliseconds.
 double expectedResponseMs(const ServerSignal&, double workMs, const PlacementOptions&);
 
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -43,6 +43,7 @@
     : m_loop(loop)
     , m_record(std::move(record))
     , m_options(std::move(options))
+    , m_lastContact(loop.now())
     , m_coldUntil(loop.now() + std::chrono::milliseconds(m_record.warmupLeftMs))
 {
 }
@@ -220,6 +221,7 @@
 {
     const auto& [connection, reused] = acquired;
     m_busy.insert(connection);
+    m_lastContact = m_loop.now();
     std::weak_ptr<Backend> weak = weak_from_this();
     std::weak_ptr<Net::ClientConnection> weakConnection = connection;
     ServerContact contact { .failure = {}, .isNewConnection = !reused, .sentAt = m_loop.now() };
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -70,6 +70,8 @@
     bool isAvailable(Common::TimePoint now) const { return isUsable() && !m_pause.isActive(now) && m_limit.allows(now); }
     // Until the end of the pause that the server asked for; zero without one.
     Common::Duration pauseLeft(Common::TimePoint now) const { return m_pause.timeLeft(now); }
+    // When a request or load probe was last sent to it; at first, when it became known.
+    Common::TimePoint lastContact() const { return m_lastContact; }
     const Decisions::ServerLimit& limit() const { return m_limit; }
     // Called when the gateways that share the limit have changed.
     void updateLimitShare();
@@ -150,6 +152,7 @@
     std::deque<std::shared_ptr<Net::ClientConnection>> m_free;
     std::unordered_set<std::shared_ptr<Net::ClientConnection>> m_busy;
     std::optional<LoadReport> m_report;
+    Common::TimePoint m_lastContact;
     Common::TimePoint m_coldUntil;
     Common::TimePoint m_suspectUntil;
     Common::TimePoint m_statisticsUpdatedAt;
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -42,8 +42,6 @@
     constexpr double rankJitter = 0.8;
     // Servers that did not answer their last probes rank behind nearly all others.
     constexpr double suspectPenaltyFactor = 20;
-    // Ranking penalty for a server to which no free connection is open.
-    constexpr double newConnectionMs = 60;
     // A response counts as slow, and is logged, when it took longer than this share of the route's latency goal.
     constexpr double slowShareOfGoal = 1.0;
 
@@ -112,7 +110,7 @@
     for (auto& backend : candidates) {
         auto spread = 1 + rankJitter * Common::randomUnit(router.loop().hooks());
         auto suspectFactor = backend->isSuspect(now) ? suspectPenaltyFactor : 1;
-        auto connectMs = backend->hasFreeConnection() ? 0 : newConnectionMs;
+        auto connectMs = backend->hasFreeConnection() ? 0 : Decisions::newConnectionCostMs(now - backend->lastContact(), router.gatewayCount());
         ranked.emplace_back(
             connectMs + spread * suspectFactor * Decisions::placementCostMs(backend->signal(now), serviceTimeMs, router.options().placement),
             std::move(backend));
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -60,6 +60,7 @@
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
     // Number of gateways that share the retry and probe budgets. Called about once a second.
     void setGatewayCount(int gatewayCount);
+    int gatewayCount() const { return m_gatewayCount; }
 
     void serve(const std::shared_ptr<Net::Exchange>&);
     // Serves a request that another gateway has forwarded, or its load probe.
--- a/Source/UnitTests/Decisions/PlacementTest.cpp
+++ b/Source/UnitTests/Decisions/PlacementTest.cpp
@@ -76,3 +76,29 @@
     CHECK(Decisions::expectedResponseMs(signal, workMs, options) == doctest::Approx(workMs));
     CHECK(Decisions::placementCostMs(signal, workMs, options) > workMs + options.failureCostMs);
 }
+
+TEST_CASE("A server without an open connection ranks behind others for a while, longer the more gateways there are")
+{
+    struct Row {
+        std::string name;
+        Common::Duration sinceContact;
+        int gatewayCount;
+        double minMs;
+        double maxMs;
+    };
+    using std::chrono::seconds;
+    const Row rows[] = {
+        { "just used", seconds(0), 5, 60, 60 },
+        { "connection just closed by its idle timeout", seconds(4), 22, 40, 50 },
+        { "five gateways, unused for ten seconds", seconds(10), 5, 0, 1.5 },
+        { "hundreds of gateways, unused for a minute", seconds(60), 475, 45, 50 },
+        { "a gateway alone", seconds(4), 1, 0, 0.1 },
+        { "the number of gateways is not known yet", seconds(4), 0, 0, 0.1 },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.name);
+        auto ms = Decisions::newConnectionCostMs(row.sinceContact, row.gatewayCount);
+        CHECK(ms >= row.minMs);
+        CHECK(ms <= row.maxMs);
+    }
+}
