ClientConnection: a connection is read again after a response that ended while reading was paused

Cause: RequestForwarder pauses the reading of a long response while its caller takes it slowly. If the last part arrived in the same read, finish() handed the connection back to the pool with m_paused still set: the next request on it was sent, and its response never read, up to the deadline.

Change: finish() resumes reading.

Test: Net/ClientConnectionTest; without the line the second request had no response after 10 s, with it 200.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -318,6 +318,8 @@
     // stays unsent. The connection can't be reused in either case.
     if (endsConnection || m_hasStaleResponse || !m_in.empty() || !m_out.empty())
         close();
+    // The next request's response must be read, even if this one's caller took it slowly.
+    setReading(true);
     if (isPassedOn)
         handlers.completed();
     else if (handlers.answered)
