OutputBuffer: the memory of a long output is given back

Cause: clear() freed a long buffer by `m_bytes = {}`. For a std::string that is an assignment of an empty initializer list, which keeps the capacity; so does a move from a string of up to 15 characters. heaptrack: 218 of 229 MB were held by OutputBuffer::append. A buffer that is not empty kept the capacity of its longest output as well.

Change: both places swap with a string of what is left.

--- a/Source/Core/Net/OutputBuffer.h
+++ b/Source/Core/Net/OutputBuffer.h
@@ -25,19 +25,30 @@
         if (empty())
             clear();
         else if (m_sent >= minDropBytes && m_sent >= size())
-            m_bytes.erase(0, std::exchange(m_sent, 0));
+            drop();
     }
     void clear()
     {
         m_sent = 0;
-        // Frees the memory of a long output; connections may then be idle for a long time.
+        // Frees the memory of a long output; connections may then be idle for a long time. An assignment would keep it.
         if (m_bytes.capacity() > maxKeptCapacity)
-            m_bytes = {};
+            std::string().swap(m_bytes);
         else
             m_bytes.clear();
     }
+    std::size_t capacity() const { return m_bytes.capacity(); }
 
 private:
+    void drop()
+    {
+        // A copy takes what is left, not what was needed at most.
+        if (m_bytes.capacity() > maxKeptCapacity)
+            std::string(unsent()).swap(m_bytes);
+        else
+            m_bytes.erase(0, m_sent);
+        m_sent = 0;
+    }
+
     static constexpr std::size_t minDropBytes = 16 * 1024;
     static constexpr std::size_t maxKeptCapacity = 16 * 1024;
 
