Gateway: long request bodies are handed on while they arrive; one memory budget

Four bodies of 32 MB ended a gateway of 217 MB. A caller that pipelines and does not read was sent responses without a bound.

Change: - A body of more than 64 KB is placed when its start is there. The rest is handed on while it arrives, with back pressure; Decisions/BodyForwarding says what may still be done: sent again only while nothing behind the start has gone, never hedged, not counted as a response time. The server gets the end of the body only with its last byte. Responses that come early reach the caller. A silent body ends after header_timeout_ms. - Net/MemoryBudget counts what callers', forwarding and servers' connections hold: buffer_share (default 0.2) of memory_mb, from the platform's settings.

A smaller receive buffer was suspected and is not the cause.

Old beside new: see docs/design/platform.md; not run with old processes.

--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -26,6 +26,8 @@
     SettingsRejected = 1006,
     UnexpectedError = 1007,
     AcceptFailed = 1008,
+    MemoryShort = 1009,
+    MemoryFree = 1010,
     CallFailed = 2000,
     CallAttempt = 2001,
     CallAnswered = 2002,
--- a/Source/Core/Decisions/Refusal.cpp
+++ b/Source/Core/Decisions/Refusal.cpp
@@ -12,6 +12,8 @@
     constexpr double startupRetryAfterMs = 300;
     // By then, a server that did not answer has been replaced or has recovered.
     constexpr double outageRetryAfterMs = 100;
+    // Bodies that are under way take a second or so of a gateway's link.
+    constexpr double memoryRetryAfterMs = 1000;
     // A request that ends servers stays blocked for minutes.
     constexpr double blockedRetryAfterMs = 60000;
     // Retries after a pause are spread over this share of its remaining time.
@@ -31,6 +33,8 @@
         return Common::fromMilliseconds(std::max(minRetryAfterMs, inputs.pauseLeftMs) * (1 + inputs.jitter));
     if (inputs.reason == RefusalReason::Blocked)
         return Common::fromMilliseconds(blockedRetryAfterMs);
+    if (inputs.reason == RefusalReason::Memory)
+        return Common::fromMilliseconds(memoryRetryAfterMs * (0.5 + inputs.jitter));
     auto base = inputs.excessMs;
     if (inputs.reason == RefusalReason::NotConfigured)
         base = startupRetryAfterMs;
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -252,7 +252,8 @@
             .completed = [releaseWhenDone, completed = std::move(handlers.completed)] {
                 releaseWhenDone();
                 completed(); },
-            .maxBodyBytes = handlers.maxBodyBytes });
+            .maxBodyBytes = handlers.maxBodyBytes,
+            .hasRoom = std::move(handlers.hasRoom) });
     return connection;
 }
 
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Common/MetricsPage.h"
+#include "Gateway/RequestIdentity.h"
 
 namespace Gateway {
 
@@ -47,6 +48,12 @@
         };
     }
 
+    std::size_t bufferBytes(const Settings::GatewaySettings& settings)
+    {
+        constexpr double bytesPerMb = 1024 * 1024;
+        return static_cast<std::size_t>(settings.bufferShare * settings.memoryMb * bytesPerMb);
+    }
+
     Net::Response textResponse(int status, std::string body)
     {
         return { .status = status, .reason = {}, .headers = { { "Content-Type", "text/plain" } }, .body = std::move(body) };
@@ -67,6 +74,7 @@
 Daemon::Daemon(DaemonOptions options)
     : m_options(std::move(options))
     , m_loop(m_options.hooks)
+    , m_budget(bufferBytes(m_options.settings))
     , m_writer({ .descriptor = m_options.logDescriptor })
     , m_log({
           .process = m_options.settings.node,
@@ -80,14 +88,14 @@
           {
               .headers = m_options.platform.headers,
               .failureDomain = m_options.settings.failureDomain,
-              .client = { .deadPeerTimeout = peerSilenceLimit, .sourceHost = m_options.settings.backendSource },
+              .client = { .deadPeerTimeout = peerSilenceLimit, .sourceHost = m_options.settings.backendSource, .budget = &m_budget },
           })
     , m_members(selfMember(m_options.settings))
     , m_peers(m_loop, m_members,
           {
               .headers = m_options.platform.headers,
               .failureDomain = m_options.settings.failureDomain,
-              .client = { .deadPeerTimeout = peerSilenceLimit },
+              .client = { .deadPeerTimeout = peerSilenceLimit, .budget = &m_budget },
           })
     , m_router(m_loop, m_log, m_backends, m_peers,
           {
@@ -98,6 +106,7 @@
                   .window = std::chrono::milliseconds(m_options.settings.retryWindowMs) },
               .probesPerServer = m_options.settings.probesPerServer,
               .crashRecorded = [this] { m_catalogSync.onCrashRecorded(); },
+              .budget = &m_budget,
           })
     , m_catalog(m_loop, m_log, m_backends, m_router,
           {
@@ -128,6 +137,8 @@
 {
     auto options = serverOptions(m_log, m_options.settings.callers, [this](const std::shared_ptr<Net::Exchange>& exchange) { m_router.serve(exchange); });
     options.limits = [this] { return m_router.configuration() ? m_router.configuration()->limits : Net::ServerLimits(); };
+    options.heldBodyBytes = heldBodyBytes;
+    options.budget = &m_budget;
     return options;
 }
 
@@ -139,6 +150,8 @@
         limits.headBytes += forwardedHeadBytes;
         return limits;
     };
+    options.heldBodyBytes = heldBodyBytes;
+    options.budget = &m_budget;
     return options;
 }
 
@@ -182,6 +195,8 @@
     m_backends.closeIdleConnections();
     m_peers.closeIdleConnections();
     m_router.crashSuspects().expire(m_loop.now());
+    m_budget.wake();
+    logMemory();
     m_router.setGatewayCount(m_catalogSync.gatewayCount());
     m_backends.setGateways(m_members.self().control, m_members.servingInOwnDomain(), m_members.size());
     m_catalogComplete = m_catalog.isComplete();
@@ -193,6 +208,16 @@
     m_loop.after(m_catalogComplete ? Common::Duration(housekeepingInterval) : Common::Duration(startupPollInterval), [this] { doHousekeeping(); });
 }
 
+void Daemon::logMemory()
+{
+    auto isShort = !m_budget.takesLargeBodies();
+    if (isShort == m_isMemoryShort)
+        return;
+    m_isMemoryShort = isShort;
+    m_log.log(isShort ? EventId::MemoryShort : EventId::MemoryFree,
+        { { "used", std::to_string(m_budget.used()) }, { "limit", std::to_string(m_budget.limit()) }, { "reads_paused", std::to_string(m_budget.waits()) } });
+}
+
 void Daemon::updateServingState()
 {
     if (m_members.self().serving == isReady())
@@ -237,6 +262,12 @@
     page.counter("answered_total", static_cast<double>(counters.answered));
     page.counter("refused_total", static_cast<double>(counters.refused));
     page.counter("refused_blocked_total", static_cast<double>(counters.blocked));
+    page.counter("refused_memory_total", static_cast<double>(counters.refusedForMemory));
+    page.counter("long_bodies_total", static_cast<double>(counters.longBodies));
+    page.counter("reads_paused_total", static_cast<double>(m_budget.waits()));
+    page.gauge("buffered_bytes", static_cast<double>(m_budget.used()));
+    page.gauge("buffered_bytes_peak", static_cast<double>(m_budget.peak()));
+    page.gauge("buffered_bytes_limit", static_cast<double>(m_budget.limit()));
     page.counter("failed_total", static_cast<double>(counters.failed));
     page.counter("cut_responses_total", static_cast<double>(counters.cut));
     page.counter("unknown_route_total", static_cast<double>(counters.unknownRoute));
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -75,6 +75,7 @@
     Net::ServerOptions callerServerOptions();
     Net::ServerOptions forwardingServerOptions();
     void doHousekeeping();
+    void logMemory();
     void updateServingState();
     void beginShutdown();
     void advanceShutdown();
@@ -83,6 +84,7 @@
 
     DaemonOptions m_options;
     Net::EventLoop m_loop;
+    Net::MemoryBudget m_budget;
     Common::LogWriter m_writer;
     Common::EventLog m_log;
     Backends m_backends;
@@ -103,6 +105,7 @@
     bool m_catalogComplete = false; // and the probe and retry budgets are set from it
     bool m_shuttingDown = false;
     bool m_shutdownClean = true;
+    bool m_isMemoryShort = false; // as logged last
 };
 
 }
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -61,6 +61,7 @@
     , m_service(std::move(service))
     , m_id(Net::findHeader(m_exchange->request().headers, router.options().headers.requestId).value_or(""))
     , m_identity(requestIdentity(m_exchange->request()))
+    , m_body(m_exchange->isBodyWhole())
     , m_deadline(deadline)
     , m_origin(origin)
 {
@@ -78,6 +79,17 @@
         if (auto self = weak.lock())
             self->abandon();
     });
+    if (!m_body.isWhole()) {
+        ++m_router.counters().longBodies;
+        m_exchange->onBody([weak] {
+            if (auto self = weak.lock())
+                self->onBody();
+        });
+    }
+    if (!m_router.hasMemory(m_body.isWhole())) {
+        ++m_router.counters().refusedForMemory;
+        return refuse(RefusalReason::Memory, 0);
+    }
     if (m_router.crashSuspects().refuses(m_identity, m_router.loop().now())) {
         ++m_router.counters().blocked;
         return refuse(RefusalReason::Blocked, 0);
@@ -334,6 +346,8 @@
 {
     if (m_openAttempts > 0)
         return; // an earlier attempt may still be answered
+    if (!m_body.maySendAgain())
+        return giveUp("another gateway returned the request when a part of its body had been sent", RefusalReason::Shed, 0);
     if (probePeers())
         return;
     if (!m_hasProbedServers)
@@ -344,14 +358,18 @@
 std::string RequestForwarder::requestBytes(const Net::Header& extra) const
 {
     const auto& names = m_router.options().headers;
-    Net::Request request = m_exchange->request();
+    const auto& received = m_exchange->request();
+    Net::Request request { .method = received.method, .target = received.target, .headers = received.headers, .body = {} };
     std::erase_if(request.headers, [&](const auto& header) {
         return Net::equalsIgnoringCase(header.name, names.deadline) || Net::equalsIgnoringCase(header.name, names.expectInstance)
             || Net::equalsIgnoringCase(header.name, forwardedHeader);
     });
     request.headers.push_back({ names.deadline, std::to_string(std::max(1L, static_cast<long>(timeLeftMs()))) });
     request.headers.push_back(extra);
-    return Net::toBytes(request);
+    if (m_body.isWhole())
+        return Net::headBytes(request, Net::Framing::Length, received.body.size()) += received.body;
+    auto isChunked = m_exchange->bodyFraming() == Net::Framing::Chunked;
+    return Net::headBytes(request, m_exchange->bodyFraming(), m_exchange->requestBodyLength()) += isChunked ? Net::chunkBytes(received.body) : received.body;
 }
 
 void RequestForwarder::send(const std::shared_ptr<Backend>& backend, double expectedMs)
@@ -412,6 +430,14 @@
         return !Net::findHeader(headers, names.instanceId);
     };
     auto limit = m_deadline - attempt.sentAt + std::chrono::seconds(1); // m_deadlineTimer fires first
+    std::function<void()> hasRoom;
+    if (!m_body.isWhole()) {
+        m_bodyTaker = index;
+        hasRoom = [weak] {
+            if (auto self = weak.lock())
+                self->handOnBody();
+        };
+    }
     m_attempts[index].connection = attempt.backend->send(std::move(bytes), expectsBody, limit, maxIdle,
         { .answered = [weak, index](Net::ResponseHead&& head) {
              if (auto self = weak.lock())
@@ -428,7 +454,46 @@
                     self->onResponsePart(index, std::move(part)); },
             .completed = [weak, index] {
                 if (auto self = weak.lock())
-                    self->onResponseCompleted(index); } });
+                    self->onResponseCompleted(index); },
+            .hasRoom = std::move(hasRoom) });
+    handOnBody();
+}
+
+void RequestForwarder::onBody()
+{
+    if (m_ended)
+        return;
+    auto keepAlive = shared_from_this();
+    auto fault = m_exchange->bodyFault();
+    if (!fault)
+        return handOnBody();
+    if (m_passedOn)
+        return cutResponse("the caller did not complete the request's body");
+    fail(*fault, "the request's body is invalid, too large or has stalled");
+}
+
+void RequestForwarder::handOnBody()
+{
+    if (m_ended || !m_bodyTaker || !m_attempts[*m_bodyTaker].connection)
+        return;
+    auto connection = m_attempts[*m_bodyTaker].connection;
+    auto isChunked = m_exchange->bodyFraming() == Net::Framing::Chunked;
+    while (connection->hasRoom()) {
+        auto part = m_exchange->takeBody();
+        if (!part.empty()) {
+            m_body.onHandedOn();
+            std::string().swap(m_exchange->request().body);
+            connection->append(isChunked ? Net::chunkBytes(part) : part);
+            continue;
+        }
+        if (m_exchange->isBodyReceived()) {
+            m_bodyTaker.reset();
+            if (isChunked)
+                connection->append(Net::lastChunk);
+            connection->endBody();
+        }
+        return;
+    }
 }
 
 RequestForwarder::Attempt RequestForwarder::finishAttempt(std::size_t index)
@@ -515,6 +580,8 @@
     if (isServerFailure(response.status))
         return attempt.backend->recordFailure();
     m_router.crashSuspects().recordAnswer(m_identity);
+    if (!m_body.isResponseTimed())
+        return;
     auto tookMs = Common::toMilliseconds(took);
     attempt.backend->recordAnswer(tookMs, attempt.expectedMs);
     auto factor = attempt.expectedMs / std::max(1.0, m_router.expectedServiceTimeMs(m_route));
@@ -657,7 +724,7 @@
         return; // another attempt may still be answered
     m_router.loop().cancel(m_hedgeTimer);
     auto& router = m_router;
-    auto isRetryAllowed = m_attemptCount < m_route.maxAttempts && timeLeftMs() > minTimeLeftMs && router.crashSuspects().mayRetry(m_identity);
+    auto isRetryAllowed = m_body.maySendAgain() && m_attemptCount < m_route.maxAttempts && timeLeftMs() > minTimeLeftMs && router.crashSuspects().mayRetry(m_identity);
     if (isRetryAllowed && router.retryBudget(m_service).take(router.loop().now())) {
         ++router.counters().retries;
         auto fields = logFields("again");
@@ -681,7 +748,7 @@
 
 void RequestForwarder::armHedgeTimer()
 {
-    if (m_attemptCount >= m_route.maxAttempts || m_hedgeTimer != 0)
+    if (m_attemptCount >= m_route.maxAttempts || m_hedgeTimer != 0 || !m_body.mayHedge())
         return;
     auto expectedMs = m_attempts.back().expectedMs;
     auto dueMs = std::max(minHedgeDelayMs, hedgeDelayFactor * expectedMs);
@@ -743,8 +810,8 @@
     auto& router = m_router;
     auto pauseLeft = router.backends().pauseLeft(m_service);
     auto limitLeft = router.backends().limitLeft(m_service);
-    // A blocked request is refused whatever the servers' state.
-    if (reason != RefusalReason::Blocked)
+    // These are refused whatever the servers' state.
+    if (reason != RefusalReason::Blocked && reason != RefusalReason::Memory)
         reason = pauseLeft ? RefusalReason::Paused : limitLeft ? RefusalReason::Limited
                                                                : reason;
     auto timeLeft = pauseLeft ? pauseLeft : limitLeft;
@@ -760,6 +827,7 @@
         : reason == RefusalReason::Limited            ? "the limits of all servers are used up"
         : reason == RefusalReason::Shed               ? "shed"
         : reason == RefusalReason::Blocked            ? "servers ended under it"
+        : reason == RefusalReason::Memory             ? "the memory for requests and responses is used up"
         : reason == RefusalReason::NoReport           ? "no server answered a load probe"
                                                       : "the service has no usable server";
     auto isUnreachable = m_attemptCount == 0 && (reason == RefusalReason::NoReport || reason == RefusalReason::NoServer);
@@ -848,6 +916,7 @@
     }
     m_exchange->onClientClosed({});
     m_exchange->onRoom({});
+    m_exchange->onBody({});
     m_router.onRequestFinished(shared_from_this());
 }
 
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "Decisions/BodyForwarding.h"
 #include "Gateway/Backends.h"
 #include "Gateway/RequestRouter.h"
 #include "Net/HttpServer.h"
@@ -80,6 +81,10 @@
     void onResponsePart(std::size_t attempt, std::string&&);
     void onResponseCompleted(std::size_t attempt);
     void pauseWhileBacklogged();
+    // More of the caller's body has come, or it can't be completed.
+    void onBody();
+    // Hands on what has come of the body to the attempt that takes it, as far as that has room.
+    void handOnBody();
     void cutResponse(const char* cause);
     void learnFromResponse(const Attempt&, const Net::Response&);
     // Takes what the answer to a forwarded request says of the server that gave it.
@@ -108,7 +113,7 @@
     // Ends the wait for probe results after `timeout`.
     void startProbeTimer(Common::Duration timeout);
     double timeLeftMs() const;
-    // The request with the time that is left and `extra`.
+    // The request, of a long body the start, with the time that is left and `extra`.
     std::string requestBytes(const Net::Header& extra) const;
     std::vector<Common::EventField> logFields(const char* outcome) const;
 
@@ -118,6 +123,8 @@
     std::string m_service;
     std::string m_id;
     std::uint64_t m_identity; // see requestIdentity()
+    Decisions::BodyForwarding m_body;
+    std::optional<std::size_t> m_bodyTaker; // the attempt that gets the rest of the body
     Common::TimePoint m_deadline;
     RequestOrigin m_origin;
     CandidateScope m_scope = CandidateScope::OwnDomain;
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -90,6 +90,11 @@
     serviceTimeMs += serviceTimeGain * (tookMs / std::max(1.0, factor) - serviceTimeMs);
 }
 
+bool RequestRouter::hasMemory(bool isBodyWhole) const
+{
+    return !m_options.budget || (isBodyWhole ? m_options.budget->takesRequests() : m_options.budget->takesLargeBodies());
+}
+
 void RequestRouter::onRequestFinished(const std::shared_ptr<RequestForwarder>& forwarder)
 {
     m_forwarders.erase(forwarder);
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -22,6 +22,8 @@
     constexpr std::size_t maxHeadBytes = 64 * 1024;
     // Before one final response.
     constexpr int maxInterimResponses = 16;
+    // Request bytes that may wait to be sent before the source of a body given in parts has to pause.
+    constexpr std::size_t maxUnsentBytes = 32 * 1024;
     // Reads of one connection before others get their turn.
     constexpr int maxReadsPerEvent = 4;
 
@@ -59,6 +61,7 @@
 ClientConnection::ClientConnection(EventLoop& loop, const ClientOptions& options)
     : m_loop(loop)
     , m_options(options)
+    , m_account(options.budget)
     , m_lastUsed(loop.now())
 {
 }
@@ -111,6 +114,7 @@
     m_out.assign(std::move(bytes));
     m_started = false;
     m_handlers = std::move(handlers);
+    m_isBodyOpen = static_cast<bool>(m_handlers.hasRoom);
     std::weak_ptr<ClientConnection> weak = weak_from_this();
     m_requestTimer = m_loop.after(limit, [weak] {
         if (auto self = weak.lock())
@@ -118,6 +122,33 @@
     });
     if (m_connected)
         writeOut();
+    updateAccount();
+}
+
+void ClientConnection::append(std::string_view bytes)
+{
+    if (m_closed || m_hasWriteFailed)
+        return;
+    m_out.append(bytes);
+    if (m_connected)
+        writeOut();
+    updateAccount();
+}
+
+void ClientConnection::endBody()
+{
+    m_isBodyOpen = false;
+}
+
+bool ClientConnection::hasRoom() const
+{
+    return m_connected && !m_closed && !m_hasWriteFailed && m_out.size() <= maxUnsentBytes;
+}
+
+void ClientConnection::updateAccount()
+{
+    if (!m_closed)
+        m_account.set(m_out.size() + m_in.size() + (m_body ? m_body->heldBytes() : 0));
 }
 
 void ClientConnection::close()
@@ -125,6 +156,7 @@
     if (m_closed)
         return;
     m_closed = true;
+    m_account.set(0);
     m_handlers = {};
     m_loop.cancel(m_connectTimer);
     m_loop.cancel(m_requestTimer);
@@ -143,8 +175,12 @@
         return;
     if (ready.writable && !m_out.empty())
         writeOut();
+    // A copy, since the hook may end the request.
+    if (auto notify = m_isBodyOpen && hasRoom() ? m_handlers.hasRoom : std::function<void()>())
+        notify();
     if (ready.readable && !m_closed)
         readIn();
+    updateAccount();
 }
 
 bool ClientConnection::finishConnect()
@@ -187,15 +223,27 @@
     } catch (const Poco::Exception&) {
         // Deferred because send() must not call its handlers before it returns to the caller.
         m_out.clear();
+        m_hasWriteFailed = true;
         std::weak_ptr<ClientConnection> weak = weak_from_this();
         m_loop.defer([weak] {
             if (auto self = weak.lock())
-                self->fail(FailureKind::Reset);
+                self->onWriteFailed();
         });
     }
     updateInterest();
 }
 
+// The peer may have responded before it closed the connection. What has come of the response is read first.
+void ClientConnection::onWriteFailed()
+{
+    auto keep = shared_from_this();
+    auto before = m_receivedBytes;
+    if (!m_closed)
+        readIn();
+    if (!m_closed && m_busy && m_receivedBytes == before)
+        fail(FailureKind::Reset);
+}
+
 void ClientConnection::readIn()
 {
     std::array<char, readBufferBytes> buf;
@@ -209,6 +257,7 @@
         if (n < 0)
             return;
         m_in.append(buf.data(), static_cast<std::size_t>(n));
+        m_receivedBytes += static_cast<std::size_t>(n);
         // The peer closed the idle connection, or sent bytes although no request is pending.
         if (!m_busy)
             return fail(FailureKind::Closed);
@@ -316,10 +365,12 @@
     auto handlers = std::exchange(m_handlers, {});
     // Bytes after the response belong to no request. If the response came before the whole request was written, the rest of the request
     // stays unsent. The connection can't be reused in either case.
-    if (endsConnection || m_hasStaleResponse || !m_in.empty() || !m_out.empty())
+    if (endsConnection || m_hasStaleResponse || !m_in.empty() || !m_out.empty() || m_isBodyOpen || m_hasWriteFailed)
         close();
+    m_isBodyOpen = false;
     // The next request's response must be read, even if this one's caller took it slowly.
     setReading(true);
+    updateAccount();
     if (isPassedOn)
         handlers.completed();
     else if (handlers.answered)
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -10,6 +10,7 @@
 #include "Net/BodyDecoder.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpMessage.h"
+#include "Net/MemoryBudget.h"
 #include "Net/OutputBuffer.h"
 
 namespace Net {
@@ -42,6 +43,8 @@
     std::function<void(std::string&&)> continued = {};
     std::function<void()> completed = {};
     std::size_t maxBodyBytes = 0; // of a body that is not passed on in parts; 0: ClientOptions::maxResponseBytes
+    // If set, the request's body is given in parts by append(), up to endBody(); called whenever there is room again.
+    std::function<void()> hasRoom = {};
 };
 
 struct ClientOptions {
@@ -52,6 +55,7 @@
     std::string sourceHost = {}; // IP address that the connection comes from; empty: the kernel chooses
     std::size_t maxResponseBytes = 8 * 1024 * 1024; // of a body that is not passed on in parts; a larger one fails the request with TooLarge
     std::size_t maxHeldBytes = 32 * 1024; // of a body, before it is passed on in parts
+    MemoryBudget* budget = nullptr; // must outlive the connection; null: none
 };
 
 // Client connection that carries one request at a time. close() and destruction of the last owner drop a pending request without
@@ -66,6 +70,12 @@
 
     // Sends the request, once connected. `limit` bounds the time from this call to the complete response.
     void send(std::string bytes, bool expectsBody, Common::Duration limit, ClientHandlers);
+    // More bytes of the request, which hasRoom() should allow.
+    void append(std::string_view bytes);
+    // The request is complete.
+    void endBody();
+    // Whether the connection stands and few bytes wait to be sent.
+    bool hasRoom() const;
     void close();
     // While false, nothing is read, so that the peer has to wait.
     void setReading(bool);
@@ -89,6 +99,7 @@
     void onReady(Readiness);
     bool finishConnect();
     void writeOut();
+    void onWriteFailed();
     void readIn();
     void consume();
     bool consumeHead();
@@ -97,9 +108,11 @@
     void finish();
     void fail(FailureKind);
     void updateInterest();
+    void updateAccount();
 
     EventLoop& m_loop;
     ClientOptions m_options;
+    MemoryAccount m_account;
     Poco::Net::StreamSocket m_socket;
     ClientHandlers m_handlers;
     OutputBuffer m_out;
@@ -116,6 +129,8 @@
     bool m_busy = false;
     bool m_closed = false;
     bool m_bytesSent = false;
+    bool m_isBodyOpen = false; // more of the request is to come
+    bool m_hasWriteFailed = false; // the peer takes no more bytes, but may have responded before
     bool m_expectsBody = true;
     bool m_started = false; // the response being read is passed on in parts
     bool m_paused = false; // nothing is read
@@ -123,6 +138,7 @@
     std::size_t m_discardedBytes = 0; // of the response being read
     int m_interimResponses = 0; // since the last final response
     std::uint64_t m_responses = 0; // that completed
+    std::uint64_t m_receivedBytes = 0;
     bool m_hasStaleResponse = false; // such a response was received: the connection must not be reused
 };
 
--- a/Source/Core/Net/HttpMessage.cpp
+++ b/Source/Core/Net/HttpMessage.cpp
@@ -275,7 +275,7 @@
     return { .head = std::move(head) };
 }
 
-std::string toBytes(const Request& request)
+std::string headBytes(const Request& request, Framing framing, std::size_t length)
 {
     std::string bytes;
     appendText(bytes, request.method);
@@ -283,9 +283,17 @@
     appendText(bytes, request.target);
     bytes += " HTTP/1.1\r\n";
     appendFields(bytes, request.headers);
-    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
-        bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    return bytes + "\r\n" + request.body;
+    auto hasLength = length > 0 || (request.method != "GET" && request.method != "HEAD");
+    if (framing == Framing::Chunked)
+        bytes += "Transfer-Encoding: chunked\r\n";
+    else if (hasLength)
+        bytes += "Content-Length: " + std::to_string(length) + "\r\n";
+    return bytes += "\r\n";
+}
+
+std::string toBytes(const Request& request)
+{
+    return headBytes(request, Framing::Length, request.body.size()) += request.body;
 }
 
 std::string headBytes(const Response& response, bool keepAlive, Framing framing, std::size_t length)
--- a/Source/Core/Net/HttpMessage.h
+++ b/Source/Core/Net/HttpMessage.h
@@ -88,6 +88,7 @@
 std::string toBytes(const Request&);
 std::string toBytes(const Response&, bool keepAlive, bool withBody = true);
 // The head alone, for a body of that framing; `length` counts with Framing::Length.
+std::string headBytes(const Request&, Framing, std::size_t length);
 std::string headBytes(const Response&, bool keepAlive, Framing, std::size_t length);
 // One chunk of a chunked body, and the end of such a body.
 std::string chunkBytes(std::string_view);
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -25,6 +25,15 @@
     constexpr std::size_t maxUnsentBytes = 32 * 1024;
     // It goes on when this many are left.
     constexpr std::size_t resumeUnsentBytes = maxUnsentBytes / 2;
+    // Bytes of a body that were received and not taken, beyond which nothing is read.
+    constexpr std::size_t maxUntakenBytes = 32 * 1024;
+    // Of the socket of a connection that carries a body that is passed on: the kernel may hold megabytes of it otherwise.
+    constexpr int largeBodyReceiveBufferBytes = 128 * 1024;
+    // What a connection and a pending request take beside their bytes, as counted to the memory budget.
+    constexpr std::size_t connectionOverheadBytes = 2 * 1024;
+    constexpr std::size_t exchangeOverheadBytes = 12 * 1024;
+    // An input buffer that has grown beyond this is freed when it is empty.
+    constexpr std::size_t maxKeptInputBytes = 4 * 1024;
     // Maximum number of connections accepted in one loop iteration, so that a burst of connections does not delay requests.
     constexpr int maxAcceptsPerIteration = 16;
 
@@ -42,6 +51,7 @@
         : m_server(server)
         , m_loop(server.m_loop)
         , m_socket(socket)
+        , m_account(server.m_options.budget)
     {
     }
 
@@ -55,6 +65,7 @@
                 self->onReady(ready);
         });
         setTimer(m_server.m_options.limits().idleTimeout);
+        updateAccount();
     }
 
     std::size_t pending() const { return m_pending.size(); }
@@ -69,6 +80,8 @@
             if (!exchange->m_complete)
                 break;
             m_pending.pop_front();
+            if (exchange == m_receiving)
+                stopReceiving();
         }
         write();
         if (m_closed)
@@ -78,8 +91,19 @@
             updateInterest();
             parse();
         }
-        if (!m_closed)
-            updateTimer();
+        if (m_closed)
+            return;
+        updateTimer();
+        updateAccount();
+    }
+
+    // Called when the served side has taken what was received of a body.
+    void onBodyTaken()
+    {
+        if (m_closed)
+            return;
+        updateInterest();
+        updateAccount();
     }
 
     // Serves no request beyond the pending ones, or the one that is being received.
@@ -89,7 +113,8 @@
         if (m_noMoreRequests || isReceivingFirst)
             return;
         m_noMoreRequests = true;
-        discardInput();
+        if (!m_receiving)
+            discardInput();
         updateTimer();
     }
 
@@ -118,6 +143,8 @@
             return;
         auto keep = shared_from_this();
         m_closed = true;
+        m_receiving.reset();
+        m_account.set(0);
         m_loop.cancel(m_timer);
         m_loop.unwatch(m_socket);
         try {
@@ -149,7 +176,9 @@
                 : exchange.m_request.acceptsChunks                ? Framing::Chunked
                                                                   : Framing::UntilClose;
             auto isLast = m_pending.size() == 1;
-            m_noMoreRequests = m_noMoreRequests || exchange.m_framing == Framing::UntilClose || (m_server.m_draining && isLast);
+            // The rest of a body that is not read can't be told from the next request.
+            auto isBodyCut = !exchange.m_isBodyReceived;
+            m_noMoreRequests = m_noMoreRequests || isBodyCut || exchange.m_framing == Framing::UntilClose || (m_server.m_draining && isLast);
             auto keepAlive = !(m_noMoreRequests && isLast) && exchange.m_framing != Framing::UntilClose;
             m_out.append(headBytes(response, keepAlive, exchange.m_framing, isWhole ? response.body.size() : exchange.m_bodyLength.value_or(0)));
         }
@@ -163,7 +192,45 @@
             m_out.append(lastChunk);
     }
 
-    void updateInterest() { m_loop.setInterest(m_socket, !m_paused, !m_out.empty()); }
+    bool isReading() const
+    {
+        return !m_paused && !m_isWaitingForMemory && !(m_receiving && m_receiving->m_bodyRest.size() > maxUntakenBytes);
+    }
+
+    void updateInterest() { m_loop.setInterest(m_socket, isReading(), !m_out.empty()); }
+
+    void updateAccount()
+    {
+        auto n = connectionOverheadBytes + m_in.size() + (m_body ? m_body->heldBytes() : 0) + m_out.size();
+        for (const auto& exchange : m_pending)
+            n += exchange->heldBytes();
+        m_account.set(n);
+    }
+
+    // A request that waits for one before it on its connection only takes memory.
+    std::size_t maxPending() const
+    {
+        const auto* budget = m_server.m_options.budget;
+        return budget && !budget->takesLargeBodies() ? 1 : maxPipelined;
+    }
+
+    void waitForMemory()
+    {
+        if (m_isWaitingForMemory || m_account.mayRead())
+            return;
+        m_isWaitingForMemory = true;
+        updateInterest();
+        std::weak_ptr<ServerConnection> weak = weak_from_this();
+        m_server.m_options.budget->onRoom([weak, &loop = m_loop] {
+            loop.defer([weak] {
+                auto self = weak.lock();
+                if (!self || self->m_closed)
+                    return;
+                self->m_isWaitingForMemory = false;
+                self->updateInterest();
+            });
+        });
+    }
 
     // Tells the source of the response that is being sent that it may go on.
     void notifyRoom()
@@ -198,21 +265,34 @@
                 return close();
             if (m_lingering)
                 return setLingerTimer();
-            if (m_noMoreRequests)
+            if (m_noMoreRequests && !m_receiving)
                 return;
             m_in.append(buf.data(), static_cast<std::size_t>(n));
         } catch (const Poco::Exception&) {
             return close();
         }
         parse();
-        if (!m_closed)
-            updateTimer();
+        if (m_closed)
+            return;
+        if (m_in.empty() && m_in.capacity() > maxKeptInputBytes)
+            std::string().swap(m_in);
+        updateTimer();
+        updateAccount();
+        waitForMemory();
     }
 
     void parse()
     {
-        while (!m_closed && !m_noMoreRequests && !m_in.empty()) {
-            if (m_pending.size() >= maxPipelined) {
+        while (!m_closed && !m_in.empty()) {
+            if (m_receiving) {
+                if (!receiveBody())
+                    break;
+                continue;
+            }
+            if (m_noMoreRequests)
+                break;
+            // A caller that does not read its responses gets no further ones.
+            if (m_pending.size() >= maxPending() || m_out.size() > maxUnsentBytes) {
                 m_paused = true;
                 updateInterest();
                 break;
@@ -220,6 +300,11 @@
             if (!m_head && !parseHead())
                 break;
             auto state = m_body->feed(m_in);
+            auto heldBodyBytes = m_server.m_options.heldBodyBytes;
+            if (state == BodyDecoder::State::NeedsMore && heldBodyBytes > 0 && m_body->heldBytes() >= heldBodyBytes) {
+                begin();
+                continue;
+            }
             if (state == BodyDecoder::State::NeedsMore)
                 break;
             if (state != BodyDecoder::State::Complete) {
@@ -245,6 +330,7 @@
             return false;
         }
         m_in.erase(0, *size);
+        m_headBytes = *size;
         m_head = std::move(parsed.head);
         m_body.emplace(m_head->framing, m_head->length, limits.bodyBytes);
         if (m_body->state() == BodyDecoder::State::TooLarge) {
@@ -262,18 +348,89 @@
     {
         auto request = std::move(m_head->request);
         request.body = m_body->takeBody();
-        m_head.reset();
-        m_body.reset();
-        m_readTimerArmed = false;
-        m_noMoreRequests = !request.keepAlive;
         auto exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request), m_loop.now());
+        exchange->m_headBytes = m_headBytes;
+        exchange->m_bodyFraming = m_head->framing;
+        exchange->m_requestBodyLength = m_head->length;
+        exchange->m_isBodyWhole = exchange->m_isBodyReceived = m_body->state() == BodyDecoder::State::Complete;
         exchange->m_headOnly = exchange->m_request.method == "HEAD";
+        m_head.reset();
+        m_readTimerArmed = false;
         m_pending.push_back(exchange);
         // While a request is pending, its own deadline counts.
         m_loop.cancel(m_timer);
+        if (exchange->m_isBodyWhole) {
+            m_body.reset();
+            m_noMoreRequests = !exchange->m_request.keepAlive;
+        } else {
+            m_receiving = exchange;
+            m_receivedBytes = exchange->m_request.body.size();
+            limitReceiveBuffer();
+        }
         m_server.m_options.serve(exchange);
     }
 
+    void limitReceiveBuffer()
+    {
+        try {
+            m_socket.setReceiveBufferSize(largeBodyReceiveBufferBytes);
+        } catch (const Poco::Exception&) {
+            // The client closed the connection first; the next read shows it.
+        }
+    }
+
+    // Takes what has come of a body that is passed on. Returns whether the next request may follow.
+    bool receiveBody()
+    {
+        auto exchange = m_receiving;
+        auto state = m_body->feed(m_in);
+        auto part = m_body->takeBody();
+        m_receivedBytes += part.size();
+        if (state == BodyDecoder::State::Malformed || state == BodyDecoder::State::TooLarge || m_receivedBytes > m_server.m_options.limits().bodyBytes) {
+            failBody(state == BodyDecoder::State::Malformed ? BadRequest : ContentTooLarge);
+            return false;
+        }
+        exchange->m_bodyRest += part;
+        exchange->m_isBodyReceived = state == BodyDecoder::State::Complete;
+        if (exchange->m_isBodyReceived)
+            endBody(*exchange);
+        updateInterest();
+        // A copy, since the hook may be replaced while it runs.
+        if (auto hook = exchange->m_bodyHook)
+            hook();
+        return exchange->m_isBodyReceived;
+    }
+
+    void endBody(const Exchange& exchange)
+    {
+        m_receiving.reset();
+        m_body.reset();
+        // A planned stop may have begun while the body was received.
+        m_noMoreRequests = m_noMoreRequests || !exchange.m_request.keepAlive;
+        if (m_noMoreRequests)
+            discardInput();
+    }
+
+    // The body can't be completed: tells the served side, which responds with the status.
+    void failBody(int status)
+    {
+        auto exchange = m_receiving;
+        stopReceiving();
+        exchange->m_bodyFault = status;
+        if (auto hook = exchange->m_bodyHook)
+            hook();
+        else
+            exchange->respond(m_server.m_options.refuse(status));
+    }
+
+    // The rest of the body is not needed any more.
+    void stopReceiving()
+    {
+        m_receiving.reset();
+        m_noMoreRequests = true;
+        discardInput();
+    }
+
     // Responds to a request that is invalid, too large or not complete in time. The message boundary is lost, so the rest of the
     // input is discarded.
     void refuse(int status)
@@ -319,6 +476,9 @@
     // Starts the read, idle or linger timer according to the connection's state. Shuts down sending after the last response.
     void updateTimer()
     {
+        // A body that is passed on may take as long as its request's deadline allows, but must not stall.
+        if (m_receiving)
+            return setTimer(m_server.m_options.limits().readTimeout);
         if (m_lingering || !m_pending.empty())
             return;
         // A client that takes no byte of the last response for the idle timeout is gone.
@@ -357,6 +517,8 @@
     {
         m_timer = 0;
         auto keep = shared_from_this();
+        if (m_receiving)
+            return isReading() ? failBody(RequestTimeout) : updateTimer();
         if (!m_pending.empty())
             return;
         if (!m_lingering && m_out.empty() && (!m_in.empty() || m_head)) {
@@ -371,13 +533,18 @@
     Poco::Net::StreamSocket m_socket;
     std::string m_in;
     OutputBuffer m_out;
+    MemoryAccount m_account;
+    std::size_t m_headBytes = 0; // of the request that is being received
+    std::shared_ptr<Exchange> m_receiving; // its body is passed on while it arrives
+    std::size_t m_receivedBytes = 0; // of that body
     std::optional<RequestHead> m_head;
     std::optional<BodyDecoder> m_body;
     std::deque<std::shared_ptr<Exchange>> m_pending;
     EventLoop::TimerId m_timer = 0;
     bool m_readTimerArmed = false;
     bool m_noMoreRequests = false;
-    bool m_paused = false;
+    bool m_paused = false; // for the time being no further request is taken
+    bool m_isWaitingForMemory = false;
     bool m_lingering = false;
     Common::TimePoint m_lingerUntil; // the client may have kept sending until then
     bool m_closed = false;
@@ -390,6 +557,19 @@
 {
 }
 
+std::string Exchange::takeBody()
+{
+    auto bytes = std::exchange(m_bodyRest, {});
+    if (auto connection = bytes.empty() ? nullptr : m_connection.lock())
+        connection->onBodyTaken();
+    return bytes;
+}
+
+std::size_t Exchange::heldBytes() const
+{
+    return exchangeOverheadBytes + m_headBytes + m_request.body.size() + m_bodyRest.size() + (m_response ? m_response->body.size() : 0);
+}
+
 void Exchange::respond(Response response)
 {
     if (m_response || m_clientClosed)
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -15,6 +15,7 @@
 #include "Net/BodyDecoder.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpMessage.h"
+#include "Net/MemoryBudget.h"
 
 namespace Net {
 
@@ -38,6 +39,20 @@
     Common::TimePoint received() const { return m_received; }
     // Whether the client closed the connection, so that a response can no longer be delivered.
     bool isClientClosed() const { return m_clientClosed; }
+    // Whether the whole body is in request().body. Otherwise that is its start, and takeBody() gives the rest while it arrives.
+    bool isBodyWhole() const { return m_isBodyWhole; }
+    Framing bodyFraming() const { return m_bodyFraming; }
+    // With Framing::Length.
+    std::size_t requestBodyLength() const { return m_requestBodyLength; }
+    // Bytes behind the start of the body that have come since the last call. While many are not taken, nothing is read.
+    std::string takeBody();
+    // Whether all of the body has been received; takeBody() may still have bytes of it.
+    bool isBodyReceived() const { return m_isBodyReceived; }
+    // The status to respond with if the body is invalid, too large or stalls, so that it can't be completed.
+    std::optional<int> bodyFault() const { return m_bodyFault; }
+    // Sets a hook that is called whenever more of the body has come, at its end, and when it can't be completed.
+    void onBody(std::function<void()> hook) { m_bodyHook = std::move(hook); }
+
     // Sets a hook that is called once if the connection closes before the response is given.
     void onClientClosed(std::function<void()> hook) { m_clientClosedHook = std::move(hook); }
     // Sets the response. Only the first call has an effect.
@@ -59,9 +74,19 @@
 private:
     friend class ServerConnection;
 
+    std::size_t heldBytes() const;
+
     std::weak_ptr<ServerConnection> m_connection;
     Request m_request;
     Common::TimePoint m_received;
+    std::size_t m_headBytes = 0; // of the request
+    Framing m_bodyFraming = Framing::None;
+    std::size_t m_requestBodyLength = 0;
+    std::string m_bodyRest; // received behind the start of the body and not taken
+    bool m_isBodyWhole = true;
+    bool m_isBodyReceived = true;
+    std::optional<int> m_bodyFault;
+    std::function<void()> m_bodyHook;
     std::function<void()> m_clientClosedHook;
     std::function<void()> m_roomHook;
     std::optional<Response> m_response; // its body holds what is not yet passed to the connection
@@ -84,6 +109,9 @@
     Common::Duration deadPeerTimeout = std::chrono::seconds(4);
     std::function<void(const std::string& error)> acceptFailed = [](const std::string&) {};
     int sendBufferBytes = 0; // of each connection's socket; 0: the kernel's default
+    // A request with a longer body is served once this much of it has come, and the rest is passed on while it arrives. 0: never.
+    std::size_t heldBodyBytes = 0;
+    MemoryBudget* budget = nullptr; // must outlive the server; null: none
 };
 
 // Accepts connections and parses requests, with pipelining. Responses are sent in request order on each connection.
@@ -105,7 +133,7 @@
     // part and has none before it is completed. Can be called again for connections that have become idle since.
     void closeConnections();
     std::size_t connections() const { return m_connections.size(); }
-    // Requests received whole whose response has not been queued for sending.
+    // Requests, with or without all of their body, whose response has not been queued for sending.
     std::size_t inFlight() const;
 
 private:
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -43,6 +43,8 @@
         if (!settings.backendSource.empty() && !Common::isAddress(settings.backendSource + ":1"))
             reader.fail("backend_source", "expected an IP address, found '" + settings.backendSource + "'");
         settings.capacity = reader.number("capacity", 0.001, 1024, settings.capacity);
+        settings.memoryMb = reader.number("memory_mb", 32, 1024 * 1024, settings.memoryMb);
+        settings.bufferShare = reader.number("buffer_share", 0.01, 0.5, settings.bufferShare);
         settings.bootstrap = reader.boolean("bootstrap", settings.bootstrap);
         settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
         settings.graceMs = readMilliseconds(reader, "grace", 100, settings.graceMs);
--- a/Source/UnitTests/Gateway/LargeResponseTest.cpp
+++ b/Source/UnitTests/Gateway/LargeResponseTest.cpp
@@ -1,37 +1,16 @@
-#include "GatewayFixture.h"
+#include "ScriptedFleet.h"
 
 #include <doctest/doctest.h>
 
 #include <fmt/format.h>
 #include <utility>
 
-#include "Backends/ScriptedServer.h"
 #include "Fakes/SlowCaller.h"
 
 namespace {
 
 using namespace UnitTests;
 
-// No byte repeats at a short distance, so that a lost or doubled piece shows.
-std::string bodyOf(std::size_t bytes)
-{
-    std::string body;
-    for (std::size_t i = 0; body.size() < bytes; ++i)
-        body += fmt::format("{:x}.", i);
-    body.resize(bytes);
-    return body;
-}
-
-std::string chunked(const std::string& body, std::size_t chunkBytes)
-{
-    std::string bytes;
-    for (std::size_t at = 0; at < body.size(); at += chunkBytes) {
-        auto chunk = body.substr(at, chunkBytes);
-        bytes += fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk);
-    }
-    return bytes + "0\r\n\r\n";
-}
-
 std::string answer(Net::Framing framing, const std::string& body)
 {
     auto head = std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": big\r\n";
@@ -42,37 +21,6 @@
     return head + "\r\n" + body;
 }
 
-const std::string health = std::string("HTTP/1.1 200 OK\r\n") + Names::instanceId + ": raw\r\n" + Names::load + ": 0,0,4,100\r\nContent-Length: 0\r\n\r\n";
-
-// A gateway whose only server follows `steps` after it has answered a load probe and read a request.
-class ScriptedFleet {
-public:
-    explicit ScriptedFleet(const Script& steps)
-        : server({ script(steps) })
-        , fixture(0)
-    {
-        fixture.thread.call([&] {
-            auto value = PlatformStandIn::Server(fixture.thread.loop(), fixture.runs, { .id = "raw" }).registryValue();
-            auto at = value.find("127.0.0.1:");
-            value.replace(at, value.find('"', at) - at, server.address());
-            fixture.store->put(Names::registryTable, "raw", value);
-        });
-        gateway = fixture.gateway();
-        REQUIRE(gateway->waitReady());
-    }
-
-    static Script script(const Script& steps)
-    {
-        Script whole { ReadRequest {}, SendBytes { health }, ReadRequest {} };
-        whole.insert(whole.end(), steps.begin(), steps.end());
-        return whole;
-    }
-
-    ScriptedServer server;
-    GatewayFixture fixture;
-    std::unique_ptr<RunningGateway> gateway;
-};
-
 struct SizeCase {
     std::size_t bytes;
     Net::Framing framing;
@@ -243,7 +191,7 @@
 {
     auto body = bodyOf(300'000);
     auto second = std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": next\r\nContent-Length: 4\r\n\r\ndone";
-    ScriptedFleet fleet({ SendBytes { answer(Net::Framing::Length, body) }, ReadRequest {}, SendBytes { health }, ReadRequest {}, SendBytes { second }, WaitForClient {} });
+    ScriptedFleet fleet({ SendBytes { answer(Net::Framing::Length, body) }, ReadRequest {}, SendBytes { healthAnswer() }, ReadRequest {}, SendBytes { second }, WaitForClient {} });
     CallerConnection caller(fleet.gateway->daemon().callersAddress());
     caller.send(requestBytes("GET", "/safe/x", "big"));
     CHECK((caller.receive().body == body));
--- a/Source/UnitTests/Settings/GatewaySettingsTest.cpp
+++ b/Source/UnitTests/Settings/GatewaySettingsTest.cpp
@@ -75,3 +75,23 @@
         CHECK(errors.front().key == "gateway.backend_source");
     }
 }
+
+TEST_CASE("Memory limits of a gateway have defaults and bounds")
+{
+    std::vector<Common::FileError> errors;
+    auto settings = parse("", "", "", errors);
+    REQUIRE(settings);
+    CHECK(settings->memoryMb == 512);
+    CHECK(settings->bufferShare == 0.2);
+    settings = parse("memory_mb = 217.5\nbuffer_share = 0.1", "", "", errors);
+    REQUIRE(settings);
+    CHECK(settings->memoryMb == 217.5);
+    CHECK(settings->bufferShare == 0.1);
+    for (const std::string line : { "memory_mb = 16", "memory_mb = \"217\"", "buffer_share = 0", "buffer_share = 0.9" }) {
+        CAPTURE(line);
+        errors.clear();
+        CHECK(!parse(line, "", "", errors));
+        REQUIRE(!errors.empty());
+        CHECK(errors.front().key == "gateway." + line.substr(0, line.find(' ')));
+    }
+}
