--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -39,11 +39,13 @@
     std::string method;
     std::string target;
     std::size_t paddingBytes = 0;
+    std::size_t bodyBytes = 0;
 };
 
 const AnswerCase answerCases[] = {
     { "safe", "GET", "/safe/x" },
-    { "not safe to repeat", "POST", "/once/x" },
+    { "not safe to repeat", "POST", "/once/x", 0, 4 },
+    { "body that is handed on while it arrives", "POST", "/once/x", 0, 900'000 },
     { "beyond what a gateway holds", "GET", "/safe/x", 3'000'000 },
 };
 
@@ -64,12 +66,15 @@
         CallerConnection caller(fleet.gateway(0).daemon().callersAddress());
         for (int i = 0; i < 20; ++i) {
             auto id = row.name + std::to_string(i);
-            caller.send(requestBytes(row.method, row.target, id, 5000, row.method == "POST" ? "body" : ""));
+            auto body = std::string(row.bodyBytes / 2, 'b') + std::string(row.bodyBytes - row.bodyBytes / 2, static_cast<char>('a' + i));
+            caller.send(requestBytes(row.method, row.target, id, 5000, body));
             auto response = caller.receive();
             CHECK(response.status == 200);
             CHECK(response.body == "answer to " + id + std::string(row.paddingBytes, 'x'));
             CHECK(!Net::findHeader(response.headers, Gateway::forwardedHeader));
             CHECK(fleet.runs(id) == 1);
+            if (row.bodyBytes > 0)
+                CHECK(fleet.fixture().thread.call([&] { return std::any_of(fleet.fixture().servers.begin(), fleet.fixture().servers.end(), [&](const auto& it) { return it->lastBody() == body; }); }));
         }
     }
 }
--- a/Source/UnitTests/Gateway/LongBodyTest.cpp
+++ b/Source/UnitTests/Gateway/LongBodyTest.cpp
@@ -26,6 +26,15 @@
     return at == std::string::npos ? -1 : std::stod(page.substr(page.find(' ', at + 1) + 1));
 }
 
+// Puts the fixture's configuration with each `from` replaced, as version 2.
+void configure(GatewayFixture& fixture, const std::string& from, const std::string& to)
+{
+    auto value = PlatformStandIn::configurationValue(2, "service");
+    for (auto at = value.find(from); at != std::string::npos; at = value.find(from, at + to.size()))
+        value.replace(at, from.size(), to);
+    fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, value); });
+}
+
 struct SizeCase {
     std::size_t bytes;
     std::size_t chunkBytes; // 0: sent with Content-Length
@@ -77,12 +86,7 @@
 {
     constexpr std::size_t largeBytes = 40 * 1024 * 1024;
     GatewayFixture fixture(1);
-    fixture.thread.call([&] {
-        auto value = PlatformStandIn::configurationValue(2, "service");
-        const std::string limit = "1048576";
-        value.replace(value.find(limit), limit.size(), std::to_string(largeBytes));
-        fixture.store->put(Names::operatorTable, Names::configurationKey, value);
-    });
+    configure(fixture, "\"max_body_bytes\":1048576", "\"max_body_bytes\":" + std::to_string(largeBytes));
     auto gateway = fixture.gateway();
     REQUIRE(gateway->waitReady());
     REQUIRE(eventually([&] { return metric(*gateway, "configuration_version") == 2; }));
@@ -186,6 +190,30 @@
     }
 }
 
+TEST_CASE("A planned stop completes a long body that is under way, and its connection ends after the response")
+{
+    GatewayFixture fixture(1);
+    configure(fixture, "\"timeout_ms\":1000", "\"timeout_ms\":5000");
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    REQUIRE(eventually([&] { return metric(*gateway, "configuration_version") == 2; }));
+    auto body = bodyOf(longBytes);
+    CallerConnection caller(gateway->daemon().callersAddress());
+    caller.send(headOf("stop", lengthOf(longBytes)) + body.substr(0, longBytes / 2));
+    REQUIRE(eventually([&] { return metric(*gateway, "requests_in_flight") == 1; }));
+    gateway->daemon().shutDown();
+    // Past the time in which new connections are accepted, with a pause shorter than header_timeout_ms.
+    for (std::size_t at = longBytes / 2; at < longBytes; at += longBytes / 8) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        caller.send(body.substr(at, longBytes / 8));
+    }
+    CHECK(caller.receive().status == 200);
+    CHECK(caller.closes());
+    CHECK(fixture.runs.runs("stop") == 1);
+    CHECK(fixture.thread.call([&] { return fixture.servers[0]->lastBody() == body; }));
+    CHECK(gateway->join());
+}
+
 TEST_CASE("Requests with the same long body have the same identity, however much of it has come when they are served")
 {
     auto body = bodyOf(longBytes);
