Soak: gateways of an older version beside new ones, replaced back and forth; long bodies

All promises are checked as without it. One in 16 requests that must not repeat has a body of 200,000 bytes, which gateways hand on while it arrives; the draws of the existing seeds do not change.

--- a/Source/Core/Soak/GatewayProcess.h
+++ b/Source/Core/Soak/GatewayProcess.h
@@ -29,6 +29,8 @@
     GatewayProcess& operator=(const GatewayProcess&) = delete;
 
     void start();
+    // From the next start on.
+    void setProgram(const std::string& program) { m_options.program = program; }
     // Sends a signal; nothing where the process has ended.
     void signal(int number);
     // The exit status of a process that has ended since the last call.
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -191,12 +191,13 @@
             constexpr int endOfPorts = 32000; // below the ports that the kernel hands out
             auto portRange = static_cast<std::uint64_t>(endOfPorts - firstPort - m_options.gateways * portsEach);
             auto port = firstPort + static_cast<int>((m_options.seed * 131 + static_cast<std::uint64_t>(::getpid())) % portRange);
+            auto beginsOld = !m_options.oldProgram.empty() && m_options.seed % 2 == 0;
             std::vector<std::string> seeds;
             for (int i = 0; i < std::min(2, m_options.gateways); ++i)
                 seeds.push_back("127.0.0.1:" + std::to_string(port + i * portsEach + 3));
             for (int i = 0; i < m_options.gateways; ++i) {
                 auto store = m_thread.call([&] { return m_storeProxies[static_cast<std::size_t>(i)]->address(); });
-                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = domainOf(i), .port = port + i * portsEach, .backendSource = sourceHost(static_cast<std::size_t>(i)), .seeds = seeds }));
+                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = beginsOld ? m_options.oldProgram : m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = domainOf(i), .port = port + i * portsEach, .backendSource = sourceHost(static_cast<std::size_t>(i)), .seeds = seeds }));
                 m_gateways.back()->start();
             }
             m_expected.resize(m_gateways.size());
@@ -232,6 +233,9 @@
             constexpr int faultsOfDrills = 3;
             constexpr int cuts = 5;
             auto fault = below(faults + (m_options.drills ? faultsOfDrills : 0) + (m_options.cuts ? cuts : 0));
+            constexpr int chanceOfUpgrade = 3; // one in so many
+            if (!m_options.oldProgram.empty() && below(chanceOfUpgrade) == 0)
+                return replaceGateway(gateway);
             if (fault >= faults && m_options.drills && fault < faults + faultsOfDrills)
                 return startDrill(fault - faults, server, until);
             if (fault >= faults)
@@ -446,6 +450,18 @@
                 m_active.push_back({ Clock::now() + length, [this, index] { m_gateways[index]->signal(SIGCONT); } });
         }
 
+        // A planned replacement by the other version.
+        void replaceGateway(std::size_t index)
+        {
+            auto& gateway = *m_gateways[index];
+            auto isOld = gateway.options().program == m_options.oldProgram;
+            gateway.setProgram(isOld ? m_options.program : m_options.oldProgram);
+            note(fmt::format("{} is replaced by the {} version", gateway.options().name, isOld ? "newer" : "older"));
+            ++m_replaced;
+            m_expected[index] = true;
+            gateway.signal(SIGTERM);
+        }
+
         void note(const std::string& what)
         {
             m_history.push_back(fmt::format("{:.3f} {}", std::chrono::duration<double>(Clock::now() - m_begun).count(), what));
@@ -552,7 +568,7 @@
             std::string statuses;
             for (const auto& [status, n] : m_statuses)
                 statuses += fmt::format("{}\"{}\":{}", statuses.empty() ? "" : ",", status, n);
-            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"in_cuts\":{},\"served_in_cuts\":{},\"beside_cuts\":{},\"served_beside_cuts\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_inCuts.sent, m_inCuts.ok, m_besideCuts.sent, m_besideCuts.ok, m_broken.size());
+            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"replaced\":{},\"in_cuts\":{},\"served_in_cuts\":{},\"beside_cuts\":{},\"served_beside_cuts\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_replaced, m_inCuts.sent, m_inCuts.ok, m_besideCuts.sent, m_besideCuts.ok, m_broken.size());
         }
 
         SoakOptions m_options;
@@ -580,6 +596,7 @@
         std::vector<std::string> m_history;
         Clock::time_point m_begun = Clock::now();
         int m_version = 0;
+        int m_replaced = 0; // gateways, by the other version
     };
 
 }
--- a/Source/Core/Soak/Soak.h
+++ b/Source/Core/Soak/Soak.h
@@ -18,6 +18,9 @@
     bool drills = false; // also restores the store from copies, and lets servers leave or ask for pauses
     bool cuts = false; // also cuts gateways off from all servers
     std::string program; // path of the shipped binary
+    // That of an older version: gateways are replaced by one of the other version, back and forth. Even seeds begin with the older version
+    // on all, odd ones with the newer one. Empty: none.
+    std::string oldProgram;
     std::string folder; // for settings and logs; removed when the run was good
 };
 
--- a/Source/Core/Soak/SoakCallers.cpp
+++ b/Source/Core/Soak/SoakCallers.cpp
@@ -20,6 +20,9 @@
     using Poco::Net::HTTPClientSession;
 
     constexpr int ok = 200;
+    // One request in so many has a body that gateways hand on while it arrives.
+    constexpr int longBodyPeriod = 16;
+    constexpr std::size_t longBodyBytes = 200'000;
 
     std::unique_ptr<HTTPClientSession> connectTo(const std::string& address)
     {
@@ -39,6 +42,8 @@
         request.set(Names::requestId, outcome.id);
         request.set(Names::deadline, std::to_string(options.deadlineMs));
         std::string body = outcome.once ? "body of " + outcome.id : "";
+        if (outcome.once && outcome.hasLongBody)
+            body.resize(longBodyBytes, 'x');
         if (outcome.once)
             request.setContentLength64(static_cast<Poco::Int64>(body.size()));
         try {
@@ -94,7 +99,7 @@
             gateway = m_options.gateways[random() % m_options.gateways.size()];
             session = connectTo(gateway);
         }
-        Outcome outcome { .id = std::to_string(number) + "-" + std::to_string(n), .once = random() % 2 == 0, .status = 0, .wrongBody = false, .connected = false, .gateway = gateway, .sent = Common::TimePoint(std::chrono::steady_clock::now()), .ended = {} };
+        Outcome outcome { .id = std::to_string(number) + "-" + std::to_string(n), .once = random() % 2 == 0, .hasLongBody = n % longBodyPeriod == longBodyPeriod / 2, .status = 0, .wrongBody = false, .connected = false, .gateway = gateway, .sent = Common::TimePoint(std::chrono::steady_clock::now()), .ended = {} };
         if (!exchange(*session, m_options, outcome))
             session.reset();
         outcome.ended = Common::TimePoint(std::chrono::steady_clock::now());
--- a/Source/Core/Soak/SoakCallers.h
+++ b/Source/Core/Soak/SoakCallers.h
@@ -15,6 +15,7 @@
 struct Outcome {
     std::string id;
     bool once = false; // must not run twice
+    bool hasLongBody = false; // of those that must not repeat
     int status = 0; // 0: the connection ended without an answer
     bool wrongBody = false; // a success with other bytes than the server's
     bool connected = false; // the request was written
