Soak: a second SIGTERM to a gateway that is stopping counts as the forced stop that it is

In each history the gateway had got two SIGTERM within 50 to 350 ms (a replacement and another one or signal 15), and the second one forces the stop, as documented; the requests cut end within it.

Change: a gateway that is stopping is not replaced again; a drawn second SIGTERM is a disturbance of that gateway, as SIGKILL is.

Ruled out: the older version's part in it (the cuts happened at gateways of both versions).

--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -439,7 +439,9 @@
             constexpr std::array signals { SIGTERM, SIGTERM, SIGKILL, SIGSTOP, SIGHUP };
             auto number = signals[static_cast<std::size_t>(below(signals.size()))];
             note(fmt::format("{} gets signal {}", gateway.options().name, number));
-            if (number == SIGKILL || number == SIGSTOP)
+            // A second SIGTERM forces the stop.
+            auto isForced = number == SIGTERM && m_expected[index];
+            if (number == SIGKILL || number == SIGSTOP || isForced)
                 disturb(gateway.callers(), length + milliseconds(restartDelayMs));
             // Until the loader has handed over to main(), no program can keep a hang-up from ending it.
             auto endsByHangUp = number == SIGHUP && gateway.age() < loadTime;
@@ -453,6 +455,8 @@
         // A planned replacement by the other version.
         void replaceGateway(std::size_t index)
         {
+            if (m_expected[index])
+                return; // it is stopping already, and a second SIGTERM would force that
             auto& gateway = *m_gateways[index];
             auto isOld = gateway.options().program == m_options.oldProgram;
             gateway.setProgram(isOld ? m_options.program : m_options.oldProgram);
