Read-through: 408 only where nothing may have run; memory_mb 0 and small; usual terms; doubles joined

- A streamed body that stalls, after an attempt whose connection was lost with only the held start sent, was answered 408, which promises "not run".
It is 502 now, as for every other request that may have run.
Test "A body that stalls is answered 408 only if ...": 408 for 502 without the change.
- memory_mb below 32 was an error, with which a gateway of a small machine, or of a platform that names 0 for no limit, would not have started.
- Bodies are "streamed", not "handed on"; onPartForwarded, forwardBody, m_bodyAttempt, roomForBody. responseMatcher() split from startAttempt().
- Tests: CatalogParts for the fixtures of CatalogTest and StoreReaderTest; RequestPathTest uses ScriptedFleet's rows and answers; a row for the Retry-After of a refusal for memory.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -27,7 +27,7 @@
         EventRow { SettingsRejected, "settings-rejected", Severity::Error, "The settings file has errors; the old settings stay in force." },
         EventRow { UnexpectedError, "unexpected-error", Severity::Error, "A handler failed with an error that it does not expect; what it worked on is given up, the process goes on." },
         EventRow { AcceptFailed, "accept-failed", Severity::Warning, "A connection could not be accepted, mostly for lack of file descriptors; accepting goes on after a short pause." },
-        EventRow { MemoryShort, "memory-short", Severity::Warning, "Requests and responses that pass through take half of their memory; requests with long bodies are refused." },
+        EventRow { MemoryShort, "memory-short", Severity::Warning, "Requests and responses under way take half of the memory allowed for them; requests with long bodies are refused." },
         EventRow { MemoryFree, "memory-free", Severity::Info, "Requests with long bodies are taken again." },
         EventRow { CallFailed, "call-failed", Severity::Warning, "A call ended without a backend server's answer." },
         EventRow { CallAttempt, "call-attempt", Severity::Info, "A request was sent to a backend server." },
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -253,7 +253,7 @@
                 releaseWhenDone();
                 completed(); },
             .maxBodyBytes = handlers.maxBodyBytes,
-            .hasRoom = std::move(handlers.hasRoom) });
+            .roomForBody = std::move(handlers.roomForBody) });
     return connection;
 }
 
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Daemon.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "Common/MetricsPage.h"
 #include "Gateway/RequestIdentity.h"
@@ -51,6 +52,8 @@
     std::size_t bufferBytes(const Settings::GatewaySettings& settings)
     {
         constexpr double bytesPerMb = 1024 * 1024;
+        if (settings.memoryMb <= 0)
+            return std::numeric_limits<std::size_t>::max();
         return static_cast<std::size_t>(settings.bufferShare * settings.memoryMb * bytesPerMb);
     }
 
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -405,21 +405,12 @@
         requestBytes({ forwardedHeader, toHeaderValue(forwarded) }));
 }
 
-void RequestForwarder::startAttempt(const Attempt& attempt, std::string bytes)
+std::function<bool(const Net::ResponseHead&)> RequestForwarder::responseMatcher(bool isPeer) const
 {
-    auto& router = m_router;
-    auto keepAlive = shared_from_this();
-    auto index = m_attempts.size();
-    attempt.backend->beginRequest();
-    m_attempts.push_back(attempt);
-    ++m_openAttempts;
-    std::weak_ptr<RequestForwarder> weak = weak_from_this();
-    auto expectsBody = m_exchange->request().method != "HEAD";
-    auto maxIdle = isSafeToRepeat() ? Common::Duration::max() : Common::Duration(maxIdleForUnsafeRequests);
     // A late response to an earlier request on the connection has another request id, one to a load probe has none. Servers repeat the id
     // of a request that they reject, and a rejection is believed only then: a copy of a probe's would pass for that of a request
     // which the server runs. 421 is never the response to a load probe, which names no server.
-    auto matchesRequest = [id = m_id, isPeer = attempt.isToPeer(), &names = router.options().headers](const Net::ResponseHead& head) {
+    return [id = m_id, isPeer, &names = m_router.options().headers](const Net::ResponseHead& head) {
         const auto& headers = head.response.headers;
         if (auto echoed = Net::findHeader(headers, names.requestId))
             return *echoed == id;
@@ -429,13 +420,25 @@
             return isPeer || id.empty();
         return !Net::findHeader(headers, names.instanceId);
     };
+}
+
+void RequestForwarder::startAttempt(const Attempt& attempt, std::string bytes)
+{
+    auto keepAlive = shared_from_this();
+    auto index = m_attempts.size();
+    attempt.backend->beginRequest();
+    m_attempts.push_back(attempt);
+    ++m_openAttempts;
+    std::weak_ptr<RequestForwarder> weak = weak_from_this();
+    auto expectsBody = m_exchange->request().method != "HEAD";
+    auto maxIdle = isSafeToRepeat() ? Common::Duration::max() : Common::Duration(maxIdleForUnsafeRequests);
     auto limit = m_deadline - attempt.sentAt + std::chrono::seconds(1); // m_deadlineTimer fires first
-    std::function<void()> hasRoom;
+    std::function<void()> roomForBody;
     if (!m_body.isWhole()) {
-        m_bodyTaker = index;
-        hasRoom = [weak] {
+        m_bodyAttempt = index;
+        roomForBody = [weak] {
             if (auto self = weak.lock())
-                self->handOnBody();
+                self->forwardBody();
         };
     }
     m_attempts[index].connection = attempt.backend->send(std::move(bytes), expectsBody, limit, maxIdle,
@@ -445,7 +448,7 @@
             .failed = [weak, index](Net::ClientFailure failure) {
                 if (auto self = weak.lock())
                     self->onFailure(index, failure); },
-            .matchesRequest = matchesRequest,
+            .matchesRequest = responseMatcher(attempt.isToPeer()),
             .started = [weak, index](Net::ResponseHead&& head) {
                 if (auto self = weak.lock())
                     self->onResponseStarted(index, std::move(head)); },
@@ -455,8 +458,8 @@
             .completed = [weak, index] {
                 if (auto self = weak.lock())
                     self->onResponseCompleted(index); },
-            .hasRoom = std::move(hasRoom) });
-    handOnBody();
+            .roomForBody = std::move(roomForBody) });
+    forwardBody();
 }
 
 void RequestForwarder::onBody()
@@ -466,28 +469,29 @@
     auto keepAlive = shared_from_this();
     auto fault = m_exchange->bodyFault();
     if (!fault)
-        return handOnBody();
+        return forwardBody();
     if (m_passedOn)
         return cutResponse("the caller did not complete the request's body");
-    fail(*fault, "the request's body is invalid, too large or has stalled");
+    // 408 promises that no server has run the request.
+    fail(m_mayHaveExecuted ? BadGateway : *fault, "the request's body is invalid, too large or has stalled");
 }
 
-void RequestForwarder::handOnBody()
+void RequestForwarder::forwardBody()
 {
-    if (m_ended || !m_bodyTaker || !m_attempts[*m_bodyTaker].connection)
+    if (m_ended || !m_bodyAttempt || !m_attempts[*m_bodyAttempt].connection)
         return;
-    auto connection = m_attempts[*m_bodyTaker].connection;
+    auto connection = m_attempts[*m_bodyAttempt].connection;
     auto isChunked = m_exchange->bodyFraming() == Net::Framing::Chunked;
     while (connection->hasRoom()) {
         auto part = m_exchange->takeBody();
         if (!part.empty()) {
-            m_body.onHandedOn();
+            m_body.onPartForwarded();
             std::string().swap(m_exchange->request().body);
             connection->append(isChunked ? Net::chunkBytes(part) : part);
             continue;
         }
         if (m_exchange->isBodyReceived()) {
-            m_bodyTaker.reset();
+            m_bodyAttempt.reset();
             if (isChunked)
                 connection->append(Net::lastChunk);
             connection->endBody();
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -73,6 +73,8 @@
     void placeRequest();
     void send(const std::shared_ptr<Backend>&, double expectedMs);
     void startAttempt(const Attempt&, std::string bytes);
+    // Tells whether a response that comes over an attempt's connection answers this request.
+    std::function<bool(const Net::ResponseHead&)> responseMatcher(bool isPeer) const;
     void onAnswer(std::size_t attempt, Net::ResponseHead&&);
     void onFailure(std::size_t attempt, Net::ClientFailure);
     void retryOrGiveUpAfterFailure();
@@ -83,8 +85,8 @@
     void pauseWhileBacklogged();
     // More of the caller's body has come, or it can't be completed.
     void onBody();
-    // Hands on what has come of the body to the attempt that takes it, as far as that has room.
-    void handOnBody();
+    // Sends what has come of the body to the attempt that it is streamed to, as far as that has room.
+    void forwardBody();
     void cutResponse(const char* cause);
     void learnFromResponse(const Attempt&, const Net::Response&);
     // Takes what the answer to a forwarded request says of the server that gave it.
@@ -124,7 +126,7 @@
     std::string m_id;
     std::uint64_t m_identity; // see requestIdentity()
     Decisions::BodyForwarding m_body;
-    std::optional<std::size_t> m_bodyTaker; // the attempt that gets the rest of the body
+    std::optional<std::size_t> m_bodyAttempt; // the attempt that the body is streamed to
     Common::TimePoint m_deadline;
     RequestOrigin m_origin;
     CandidateScope m_scope = CandidateScope::OwnDomain;
--- a/Source/Core/Gateway/RequestIdentity.h
+++ b/Source/Core/Gateway/RequestIdentity.h
@@ -8,7 +8,7 @@
 namespace Gateway {
 
 // Bytes of a body that are held before the request is served, so that it can be sent again, and that count for its identity. The rest
-// of a longer body is handed on while it arrives.
+// of a longer body is streamed.
 inline constexpr std::size_t heldBodyBytes = 64 * 1024;
 
 // Digest of what stays the same when a request comes again: host, target and the first heldBodyBytes of the body. The method, the
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -40,10 +40,10 @@
     std::uint64_t answered = 0;
     std::uint64_t refused = 0; // answered with 503, not executed by any server
     std::uint64_t blocked = 0; // of the refused ones: requests that end the servers that run them
-    std::uint64_t failed = 0; // answered with 502 or 504
+    std::uint64_t failed = 0; // answered with 502 or 504, or with 400, 408 or 413 in the middle of a streamed request body
     std::uint64_t cut = 0; // of the failed ones: broken off in the middle of the response
     std::uint64_t refusedForMemory = 0; // of the refused ones
-    std::uint64_t longBodies = 0; // requests whose body was handed on while it arrived, refused ones included
+    std::uint64_t longBodies = 0; // requests whose body was streamed, refused ones included
     std::uint64_t unknownRoute = 0; // answered with 404
     std::uint64_t abandoned = 0; // the caller disconnected first
     std::uint64_t attempts = 0; // requests sent to servers, retries included
@@ -75,7 +75,7 @@
     Backends& backends() { return m_backends; }
     PeerGateways& peers() { return m_peers; }
     const RequestRouterOptions& options() const { return m_options; }
-    // Whether the memory budget allows one more request. `isBodyWhole`: its body is not handed on while it arrives.
+    // Whether the memory budget allows one more request. `isBodyWhole`: its body is not streamed.
     bool hasMemory(bool isBodyWhole) const;
     RequestCounters& counters() { return m_counters; }
     const RequestCounters& counters() const { return m_counters; }
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -114,7 +114,7 @@
     m_out.assign(std::move(bytes));
     m_started = false;
     m_handlers = std::move(handlers);
-    m_isBodyOpen = static_cast<bool>(m_handlers.hasRoom);
+    m_isBodyOpen = static_cast<bool>(m_handlers.roomForBody);
     std::weak_ptr<ClientConnection> weak = weak_from_this();
     m_requestTimer = m_loop.after(limit, [weak] {
         if (auto self = weak.lock())
@@ -176,7 +176,7 @@
     if (ready.writable && !m_out.empty())
         writeOut();
     // A copy, since the hook may end the request.
-    if (auto notify = m_isBodyOpen && hasRoom() ? m_handlers.hasRoom : std::function<void()>())
+    if (auto notify = m_isBodyOpen && hasRoom() ? m_handlers.roomForBody : std::function<void()>())
         notify();
     if (ready.readable && !m_closed)
         readIn();
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -44,7 +44,7 @@
     std::function<void()> completed = {};
     std::size_t maxBodyBytes = 0; // of a body that is not passed on in parts; 0: ClientOptions::maxResponseBytes
     // If set, the request's body is given in parts by append(), up to endBody(); called whenever there is room again.
-    std::function<void()> hasRoom = {};
+    std::function<void()> roomForBody = {};
 };
 
 struct ClientOptions {
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -14,6 +14,7 @@
 
     constexpr int maxTimeMs = 3'600'000;
     constexpr int maxCount = 1'000'000;
+    constexpr double maxMemoryMb = 1024 * 1024;
 
     // A time limit as NAME_ms or NAME_s. The platform's bounds may have fractions.
     int readMilliseconds(TomlReader& reader, const std::string& name, int lowMs, int fallbackMs)
@@ -43,7 +44,7 @@
         if (!settings.backendSource.empty() && !Common::isAddress(settings.backendSource + ":1"))
             reader.fail("backend_source", "expected an IP address, found '" + settings.backendSource + "'");
         settings.capacity = reader.number("capacity", 0.001, 1024, settings.capacity);
-        settings.memoryMb = reader.number("memory_mb", 32, 1024 * 1024, settings.memoryMb);
+        settings.memoryMb = reader.number("memory_mb", 0, maxMemoryMb, settings.memoryMb);
         settings.bufferShare = reader.number("buffer_share", 0.01, 0.5, settings.bufferShare);
         settings.bootstrap = reader.boolean("bootstrap", settings.bootstrap);
         settings.directoryTtlMs = static_cast<int>(reader.integer("directory_ttl_ms", 100, maxTimeMs, settings.directoryTtlMs));
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -24,7 +24,7 @@
     std::string store; // ip:port of the platform's store
     int serverHeartbeatMs = 1500; // interval at which backend servers renew their registry rows
     double capacity = 1; // processor share of this gateway, in processors
-    double memoryMb = 512; // limit of this process's memory, in MB of 2^20 bytes; the platform ends it beyond that
+    double memoryMb = 512; // limit of this process's memory, in MB of 2^20 bytes; 0: none
     double bufferShare = 0.2; // of it, for requests and responses that pass through
     bool bootstrap = false; // all gateways of the deployment start for the first time
     int directoryTtlMs = 3000; // how long callers may cache a directory response
--- a/Source/Core/Soak/SoakCallers.cpp
+++ b/Source/Core/Soak/SoakCallers.cpp
@@ -20,7 +20,7 @@
     using Poco::Net::HTTPClientSession;
 
     constexpr int ok = 200;
-    // One request in so many has a body that gateways hand on while it arrives.
+    // One request in so many has a body that gateways stream.
     constexpr int longBodyPeriod = 16;
     constexpr std::size_t longBodyBytes = 200'000;
 
--- a/Source/UnitTests/Decisions/BodyForwardingTest.cpp
+++ b/Source/UnitTests/Decisions/BodyForwardingTest.cpp
@@ -15,9 +15,9 @@
     CHECK(started.maySendAgain());
     CHECK(!started.mayHedge());
     CHECK(!started.isResponseTimed());
-    started.onHandedOn();
+    started.onPartForwarded();
     CHECK(!started.maySendAgain());
 
-    whole.onHandedOn();
+    whole.onPartForwarded();
     CHECK(whole.maySendAgain());
 }
--- a/Source/UnitTests/Decisions/RefusalTest.cpp
+++ b/Source/UnitTests/Decisions/RefusalTest.cpp
@@ -28,6 +28,7 @@
     { "all servers pause: never before the first one is back", RefusalReason::Paused, 3000, 0, 800, 1000, 800 },
     { "all servers pause for longer than callers wait: the true time", RefusalReason::Paused, 300, 0, 2000, 2500, 2000 },
     { "all servers pause, the end is near: the minimum", RefusalReason::Paused, 3000, 0, 30, 30, 5 },
+    { "memory used up: spread around a second, however little time is left", RefusalReason::Memory, 300, 0, 500, 1500 },
     { "at most a third of the time left, which is what callers honour", RefusalReason::Busy, 300, 400, 30, 100 },
 };
 
--- a/Source/UnitTests/Gateway/CatalogTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogTest.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/Catalog.h"
+#include "CatalogParts.h"
 
 #include <set>
 
@@ -34,16 +34,10 @@
     return { .table = registry, .key = key, .value = {}, .version = version };
 }
 
-// The catalog of one gateway. The time stands still.
-class CatalogFixture {
+class CatalogFixture : public UnitTests::CatalogParts {
 public:
     CatalogFixture()
-        : loop({ .now = [] { return Common::TimePoint(std::chrono::hours(2)); }, .random = [] { return std::uint64_t(0); } })
-        , log({ .process = "test", .format = Common::LogFormat::Off })
-        , backends(loop, log, {})
-        , peers(loop, members, {})
-        , router(loop, log, backends, peers, {})
-        , catalog(loop, log, backends, router, { .decoder = decoder() })
+        : CatalogParts(decoder())
     {
     }
 
@@ -63,14 +57,6 @@
             keys.insert(server.key);
         return keys;
     }
-
-    Net::EventLoop loop;
-    Common::EventLog log;
-    Gateway::Backends backends;
-    Gateway::Members members { {} };
-    Gateway::PeerGateways peers;
-    Gateway::RequestRouter router;
-    Gateway::Catalog catalog;
 };
 
 // What a relay knows when a follower, which holds a and b as of version 10, comes to it.
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -45,7 +45,7 @@
 const AnswerCase answerCases[] = {
     { "safe", "GET", "/safe/x" },
     { "not safe to repeat", "POST", "/once/x", 0, 4 },
-    { "body that is handed on while it arrives", "POST", "/once/x", 0, 900'000 },
+    { "streamed body", "POST", "/once/x", 0, 900'000 },
     { "beyond what a gateway holds", "GET", "/safe/x", 3'000'000 },
 };
 
--- a/Source/UnitTests/Gateway/LongBodyTest.cpp
+++ b/Source/UnitTests/Gateway/LongBodyTest.cpp
@@ -199,6 +199,30 @@
     }
 }
 
+TEST_CASE("A body that stalls is answered 408 only if no server may have run the request")
+{
+    // It closes each connection when the head has come.
+    ScriptedServer raw({ { ReadRequest {}, SendBytes { healthAnswer() }, ReadRequest {}, CloseConnection {} } });
+    LongBodyFixture fixture(1);
+    fixture.thread.call([&] { fixture.store->put(Names::registryTable, "raw", registeredAt(fixture, raw.address())); });
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    auto lost = 0;
+    for (int i = 0; i < 8; ++i) {
+        auto id = "stalls-" + std::to_string(i);
+        auto head = headOf(id, lengthOf(longBytes));
+        head.replace(head.find("/once/"), 6, "/safe/");
+        CallerConnection caller(gateway->daemon().callersAddress());
+        caller.send(head + bodyOf(heldBodyBytes)); // no more, so that it can be sent again
+        auto status = caller.receive().status;
+        auto reachedRaw = raw.hasReceived(id + "\r\n");
+        lost += reachedRaw ? 1 : 0;
+        CHECK(status == (reachedRaw ? 502 : 408));
+        CHECK(fixture.runs.runs(id) == 0);
+    }
+    CHECK(lost > 0);
+}
+
 TEST_CASE("A planned stop completes a long body that is under way, and its connection ends after the response")
 {
     LongBodyFixture fixture(1);
--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -1,15 +1,14 @@
-#include "GatewayFixture.h"
+#include "ScriptedFleet.h"
 
 #include <doctest/doctest.h>
 
-#include "Backends/ScriptedServer.h"
-
 namespace {
 
 using PlatformStandIn::ServerMode;
 using UnitTests::CallerConnection;
 using UnitTests::eventually;
 using UnitTests::GatewayFixture;
+using UnitTests::registeredAt;
 using UnitTests::requestBytes;
 using UnitTests::RunningGateway;
 namespace Names = PlatformAdapter::Names;
@@ -137,7 +136,7 @@
     bool closes; // the connection after the answer
 };
 
-const std::string health = std::string("HTTP/1.1 200 OK\r\n") + Names::instanceId + ": raw\r\n" + Names::load + ": 0,0,4,100\r\nContent-Length: 0\r\n\r\n";
+const std::string health = UnitTests::healthAnswer();
 
 // Of a load probe; servers give a request's id in its own rejection.
 const std::string rejectedProbe = std::string("HTTP/1.1 503 Busy\r\n") + Names::notExecuted + ": 1\r\n" + Names::instanceId + ": raw\r\nContent-Length: 0\r\n\r\n";
@@ -167,15 +166,6 @@
     { "extra bytes after the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "/safe/x", 200, false },
 };
 
-// Registry row of a server with the id "raw" at the given address.
-std::string registeredAt(GatewayFixture& fixture, const std::string& address)
-{
-    auto value = PlatformStandIn::Server(fixture.thread.loop(), fixture.runs, { .id = "raw" }).registryValue();
-    auto at = value.find("127.0.0.1:");
-    value.replace(at, value.find('"', at) - at, address);
-    return value;
-}
-
 // A server that answers load probes late must not change the outcome, so the gateway's clock is slow: with the system's, its limit for
 // the first answer to a load probe, 60 ms, expired on a busy machine, and the request was refused.
 TEST_CASE("Unusual and malformed server responses")
--- a/Source/UnitTests/Gateway/StoreReaderTest.cpp
+++ b/Source/UnitTests/Gateway/StoreReaderTest.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "CatalogParts.h"
 #include "platform/Binding.h"
 
 namespace {
@@ -36,28 +37,17 @@
     }
 };
 
-class ReaderFixture {
+class ReaderFixture : public UnitTests::CatalogParts {
 public:
     ReaderFixture()
-        : loop({ .now = [] { return Common::TimePoint(std::chrono::hours(2)); }, .random = [] { return std::uint64_t(0); } })
-        , log({ .process = "test", .format = Common::LogFormat::Off })
-        , backends(loop, log, {})
-        , peers(loop, members, {})
-        , router(loop, log, backends, peers, {})
-        , catalog(loop, log, backends, router, { .decoder = decoder })
+        : CatalogParts(PlatformAdapter::binding().decoder)
+        , decoder(PlatformAdapter::binding().decoder)
         , reader(loop, log, catalog, store.hooks(), { .registryTable = decoder.registryTable, .operatorTable = decoder.operatorTable })
     {
     }
 
-    Gateway::CatalogDecoder decoder = PlatformAdapter::binding().decoder;
+    Gateway::CatalogDecoder decoder;
     FakeStore store;
-    Net::EventLoop loop;
-    Common::EventLog log;
-    Gateway::Backends backends;
-    Gateway::Members members { {} };
-    Gateway::PeerGateways peers;
-    Gateway::RequestRouter router;
-    Gateway::Catalog catalog;
     Gateway::StoreReader reader;
 };
 
--- a/Source/UnitTests/Settings/GatewaySettingsTest.cpp
+++ b/Source/UnitTests/Settings/GatewaySettingsTest.cpp
@@ -87,7 +87,13 @@
     REQUIRE(settings);
     CHECK(settings->memoryMb == 217.5);
     CHECK(settings->bufferShare == 0.1);
-    for (const std::string line : { "memory_mb = 16", "memory_mb = \"217\"", "buffer_share = 0", "buffer_share = 0.9" }) {
+    // Small machines and platforms without a limit.
+    for (const auto& [line, memoryMb] : { std::pair("memory_mb = 0", 0.0), std::pair("memory_mb = 8", 8.0) }) {
+        settings = parse(line, "", "", errors);
+        REQUIRE(settings);
+        CHECK(settings->memoryMb == memoryMb);
+    }
+    for (const std::string line : { "memory_mb = -1", "memory_mb = \"217\"", "buffer_share = 0", "buffer_share = 0.9" }) {
         CAPTURE(line);
         errors.clear();
         CHECK(!parse(line, "", "", errors));
