--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -8,7 +8,6 @@
 using UnitTests::CallerConnection;
 using UnitTests::eventually;
 using UnitTests::GatewayFixture;
-using UnitTests::registeredAt;
 using UnitTests::requestBytes;
 using UnitTests::RunningGateway;
 namespace Names = PlatformAdapter::Names;
