HTTP heads: one grammar for every head that is read

Cause: names were checked for white space and control bytes, not for tokens, and statuses for 100 to 999, so that a response with status 600 or a field X(Odd) was passed on. Chunk sizes accepted blanks behind them, and trailers were not looked at. Messages of HTTP/1.0 could be chunked.

Change: Net/MessageSyntax holds the grammar of status lines, names and values (RFC 9110, 9112), docs/HTTP-SYNTAX.md its table. It holds for requests, responses, trailers, and answers of the store, relays and other gateways. What breaks it is logged (call-malformed, server-malformed) with what was got, but for header lines of callers, and counted. 101 is malformed: no request asks for it.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -39,6 +39,7 @@
         EventRow { CallAbandoned, "call-abandoned", Severity::Info, "The caller closed the connection before the answer; the call was cancelled." },
         EventRow { CallBlocked, "call-blocked", Severity::Error, "Several backend servers ended under the same request; it is refused from now on." },
         EventRow { CallForwarded, "call-forwarded", Severity::Info, "A request is handed to another entry, since no server of its service answers this one." },
+        EventRow { CallMalformed, "call-malformed", Severity::Info, "A caller sent a request that is no valid HTTP/1.1 message; it is answered with 400." },
         EventRow { RecordApplied, "record-applied", Severity::Info, "A record of a newer revision is in force." },
         EventRow { RecordNotUnderstood, "record-not-understood", Severity::Warning, "A record holds no form that this entry supports; the old one stays in force." },
         EventRow { RecordRejected, "record-rejected", Severity::Error, "A stored record could not be read; the old one stays in force." },
@@ -77,6 +78,7 @@
         EventRow { ServerCrashed, "server-crashed", Severity::Warning, "A backend server ended while it ran a request." },
         EventRow { ServersUnreachable, "servers-unreachable", Severity::Warning, "No backend server of a service answers this entry, or none over a new connection; other entries may still reach them." },
         EventRow { ServersReachable, "servers-reachable", Severity::Info, "A backend server of a service answers this entry again." },
+        EventRow { ServerMalformed, "server-malformed", Severity::Warning, "A backend server or another entry sent a response that is no valid HTTP/1.1 message; it is not passed on." },
     };
 
     constexpr std::array severityNames {
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -38,6 +38,7 @@
     CallAbandoned = 2007,
     CallBlocked = 2008,
     CallForwarded = 2009,
+    CallMalformed = 2010,
     RecordApplied = 3000,
     RecordNotUnderstood = 3001,
     RecordRejected = 3002,
@@ -76,6 +77,7 @@
     ServerCrashed = 5012,
     ServersUnreachable = 5013,
     ServersReachable = 5014,
+    ServerMalformed = 5015,
 };
 
 enum class Severity {
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -225,9 +225,9 @@
     std::weak_ptr<Backend> weak = weak_from_this();
     std::weak_ptr<Net::ClientConnection> weakConnection = connection;
     ServerContact contact { .failure = {}, .isNewConnection = !reused, .sentAt = m_loop.now() };
-    auto onContact = [weak, contact](std::optional<Net::FailureKind> failure) {
+    auto onContact = [weak, contact](std::optional<Net::ClientFailure> failure) {
         auto outcome = contact;
-        outcome.failure = failure;
+        outcome.failure = std::move(failure);
         if (auto self = weak.lock())
             self->reportContact(outcome);
     };
@@ -244,7 +244,7 @@
              answered(std::move(head)); },
             .failed = [onContact, releaseWhenDone, failed = std::move(handlers.failed)](Net::ClientFailure failure) {
                 releaseWhenDone();
-                onContact(failure.kind);
+                onContact(failure);
                 failed(failure); },
             .matchesRequest = std::move(handlers.matchesRequest),
             .started = std::move(handlers.started),
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -19,7 +19,7 @@
 
 // Outcome of one request or load probe, as far as it tells of the path to the server.
 struct ServerContact {
-    std::optional<Net::FailureKind> failure; // nullopt: the server answered
+    std::optional<Net::ClientFailure> failure; // nullopt: the server answered
     bool isNewConnection = false;
     Common::TimePoint sentAt;
 };
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -30,7 +30,7 @@
     // Whether bytes came from the server, be they no valid response.
     bool hasAnswered(const ServerContact& contact)
     {
-        return !contact.failure || *contact.failure == Net::FailureKind::Malformed || *contact.failure == Net::FailureKind::TooLarge;
+        return !contact.failure || contact.failure->kind == Net::FailureKind::Malformed || contact.failure->kind == Net::FailureKind::TooLarge;
     }
 
 }
@@ -195,6 +195,8 @@
     auto& path = m_paths[record.service];
     auto lastAnswer = path.evidence.lastAnswer();
     m_failedContacts += contact.failure ? 1 : 0;
+    if (contact.failure && contact.failure->kind == Net::FailureKind::Malformed)
+        onMalformed(record, contact.failure->detail);
     path.evidence.record({ .server = Common::hash(record.id), .answered = hasAnswered(contact), .isNewConnection = contact.isNewConnection, .sentAt = contact.sentAt }, now);
     auto state = path.evidence.state([&] { return usableCount(record.service); }, now);
     if (state == path.logged)
@@ -209,7 +211,7 @@
             { { "service", record.service },
                 { "connections", isAll ? "all" : "new" },
                 { "failed_servers", std::to_string(isAll ? path.evidence.failedServers(now) : path.evidence.failedServersOfNewConnections(now)) },
-                { "fault", contact.failure ? std::string(Net::failureName(*contact.failure)) : "" },
+                { "fault", contact.failure ? std::string(Net::failureName(contact.failure->kind)) : "" },
                 { "new_connection", contact.isNewConnection ? "true" : "false" },
                 { "last_answer_ms", lastAnswer ? fmt::format("{:.0f}", Common::toMilliseconds(now - *lastAnswer)) : "none" } });
         scheduleTries();
@@ -217,6 +219,12 @@
     path.loggedAt = now;
 }
 
+void Backends::onMalformed(const ServerRecord& record, const std::string& detail)
+{
+    ++m_malformedResponses;
+    m_log.log(Common::EventId::ServerMalformed, { { "server", record.id }, { "service", record.service }, { "address", record.address }, { "detail", detail } });
+}
+
 void Backends::scheduleTries()
 {
     if (m_tryTimer != 0)
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -55,6 +55,7 @@
     // Services whose servers this gateway does not reach, or not over new connections.
     std::size_t unreachableServices() const;
     std::uint64_t failedContacts() const { return m_failedContacts; }
+    std::uint64_t malformedResponses() const { return m_malformedResponses; }
     std::size_t size() const { return m_backends.size(); }
     std::size_t limitedCount() const;
     std::uint64_t connectionsOpened() const;
@@ -72,6 +73,7 @@
     void onLimitChanged(const ServerRecord&, std::optional<double> perSecond, double share);
     bool hasLeft(const ServerRecord&) const;
     void onContact(const ServerRecord&, const ServerContact&);
+    void onMalformed(const ServerRecord&, const std::string& detail);
     // While servers of a service are not reachable, tries a few of them, so that requests need not find out.
     void scheduleTries();
     void tryUnreachable();
@@ -94,6 +96,7 @@
     std::map<std::string, ServicePath, std::less<>> m_paths; // by service
     Net::EventLoop::TimerId m_tryTimer = 0;
     std::uint64_t m_failedContacts = 0; // requests and load probes that a server did not answer
+    std::uint64_t m_malformedResponses = 0;
     std::uint64_t m_connectionsOpenedByRemoved = 0;
     // Servers that the registry has dropped. It may list the same incarnation again, and then what it said of itself still holds.
     struct Removed {
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -68,6 +68,7 @@
             .address = address,
             .limits = [] { return Net::ServerLimits { .bodyBytes = maxControlBodyBytes }; },
             .serve = std::move(serve),
+            .malformed = [&log, address](const std::string& detail) { log.log(EventId::CallMalformed, { { "address", address }, { "detail", detail } }); },
             .acceptFailed = [&log, address](const std::string& error) { log.log(EventId::AcceptFailed, { { "address", address }, { "error", error } }); },
         };
     }
@@ -139,6 +140,10 @@
 Net::ServerOptions Daemon::callerServerOptions()
 {
     auto options = serverOptions(m_log, m_options.settings.callers, [this](const std::shared_ptr<Net::Exchange>& exchange) { m_router.serve(exchange); });
+    options.malformed = [this, logMalformed = std::move(options.malformed)](const std::string& detail) {
+        ++m_malformedRequests;
+        logMalformed(detail);
+    };
     options.limits = [this] { return m_router.configuration() ? m_router.configuration()->limits : Net::ServerLimits(); };
     options.heldBodyBytes = heldBodyBytes;
     options.budget = &m_budget;
@@ -287,6 +292,8 @@
     page.gauge("caller_connections", static_cast<double>(m_callers.connections()));
     page.gauge("backend_servers", static_cast<double>(m_backends.size()));
     page.gauge("limited_servers", static_cast<double>(m_backends.limitedCount()));
+    page.counter("malformed_requests_total", static_cast<double>(m_malformedRequests));
+    page.counter("malformed_responses_total", static_cast<double>(m_backends.malformedResponses()));
     page.counter("failed_contacts_total", static_cast<double>(m_backends.failedContacts()));
     page.gauge("unreachable_services", static_cast<double>(m_backends.unreachableServices()));
     page.gauge("crash_suspects", static_cast<double>(m_router.crashSuspects().size()));
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -106,6 +106,7 @@
     bool m_shuttingDown = false;
     bool m_shutdownClean = true;
     bool m_isMemoryShort = false; // as logged last
+    std::uint64_t m_malformedRequests = 0; // of callers
 };
 
 }
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -158,7 +158,7 @@
     m_requestPending = true;
     m_connection->send(Net::toBytes(request), true, wait + timeoutMargin(),
         { .answered = [this, relay, reported = m_crashSuspects.revision()](Net::ResponseHead&& head) { onResponse(relay, std::move(head), reported); },
-            .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureName(failure.kind)); } });
+            .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureText(failure)); } });
 }
 
 void RelayClient::onResponse(const std::string& relay, Net::ResponseHead&& head, std::uint64_t crashesReported)
--- a/Source/Core/Net/BodyDecoder.cpp
+++ b/Source/Core/Net/BodyDecoder.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "Net/MessageSyntax.h"
+
 namespace Net {
 
 namespace {
@@ -97,7 +99,7 @@
         m_state = State::Complete;
     } else {
         m_trailerBytes += line.size();
-        if (m_trailerBytes > maxTrailerBytes)
+        if (m_trailerBytes > maxTrailerBytes || !isFieldLine(line))
             m_state = State::Malformed;
     }
     return true;
@@ -105,12 +107,14 @@
 
 bool BodyDecoder::readChunkSize(std::string_view line)
 {
-    auto digits = line.substr(0, line.find(';'));
-    while (!digits.empty() && (digits.back() == ' ' || digits.back() == '\t'))
+    // White space is only allowed before an extension (RFC 9112, 7.1.1).
+    auto extension = line.find(';');
+    auto digits = line.substr(0, extension);
+    while (extension != std::string_view::npos && !digits.empty() && (digits.back() == ' ' || digits.back() == '\t'))
         digits.remove_suffix(1);
     constexpr int hexadecimal = 16;
     auto [rest, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), m_remaining, hexadecimal);
-    if (digits.empty() || ec != std::errc() || rest != digits.data() + digits.size())
+    if (digits.empty() || ec != std::errc() || rest != digits.data() + digits.size() || !isFieldValue(line))
         return false;
     m_step = m_remaining == 0 ? ChunkStep::Trailer : ChunkStep::Data;
     return true;
--- a/Source/Core/Net/BodyDecoder.h
+++ b/Source/Core/Net/BodyDecoder.h
@@ -9,6 +9,9 @@
 
 namespace Net {
 
+// Detail of State::Malformed, for logs.
+inline constexpr std::string_view malformedBody = "expected a chunk or a trailer field, got other bytes";
+
 // Incrementally decodes a message body according to its framing. Trailer fields are discarded.
 class BodyDecoder {
 public:
--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -44,6 +44,12 @@
     return Common::nameOf(failureNames, kind);
 }
 
+std::string failureText(const ClientFailure& failure)
+{
+    auto text = std::string(failureName(failure.kind));
+    return failure.detail.empty() ? text : text + ": " + failure.detail;
+}
+
 void configureSocket(Poco::Net::StreamSocket& socket, Common::Duration deadPeerTimeout, int sendBufferBytes)
 {
     auto ms = static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(deadPeerTimeout).count());
@@ -280,7 +286,7 @@
             return;
         auto state = m_body->feed(m_in);
         if (state != BodyDecoder::State::NeedsMore && state != BodyDecoder::State::Complete)
-            return fail(state == BodyDecoder::State::TooLarge ? FailureKind::TooLarge : FailureKind::Malformed);
+            return state == BodyDecoder::State::TooLarge ? fail(FailureKind::TooLarge) : fail(FailureKind::Malformed, std::string(malformedBody));
         if (m_discarding) {
             m_discardedBytes += m_body->takeBody().size();
             if (m_discardedBytes > maxBodyBytes())
@@ -312,23 +318,24 @@
 bool ClientConnection::consumeHead()
 {
     constexpr int firstFinalStatus = 200;
+    constexpr int switchingProtocols = 101;
+    auto reject = [this](std::string detail) {
+        fail(FailureKind::Malformed, std::move(detail));
+        return false;
+    };
     Parsed<ResponseHead> parsed;
     do { // interim responses (1xx) are skipped
-        if (m_interimResponses > maxInterimResponses) {
-            fail(FailureKind::Malformed);
-            return false;
-        }
+        if (m_interimResponses > maxInterimResponses)
+            return reject("expected a final response, got too many interim ones");
         auto size = headSize(m_in);
-        if (!size) {
-            if (m_in.size() > maxHeadBytes)
-                fail(FailureKind::Malformed);
-            return false;
-        }
+        if (!size)
+            return m_in.size() > maxHeadBytes && reject("expected a head of at most 64 KB, got a longer one");
         parsed = parseResponseHead(std::string_view(m_in).substr(0, *size), m_expectsBody);
-        if (!parsed.head) {
-            fail(FailureKind::Malformed);
-            return false;
-        }
+        if (!parsed.head)
+            return reject(std::move(parsed.detail));
+        // No request asks for another protocol, and what follows would be one.
+        if (parsed.head->response.status == switchingProtocols)
+            return reject("expected HTTP/1.1, got a switch to another protocol");
         m_in.erase(0, *size);
         ++m_interimResponses;
     } while (parsed.head->response.status < firstFinalStatus);
@@ -377,7 +384,7 @@
         handlers.answered(std::move(head));
 }
 
-void ClientConnection::fail(FailureKind kind)
+void ClientConnection::fail(FailureKind kind, std::string detail)
 {
     if (m_closed)
         return;
@@ -386,7 +393,7 @@
     auto idleCloseHook = m_busy ? std::function<void()>() : std::exchange(m_idleCloseHook, {});
     close();
     if (handlers.failed)
-        handlers.failed({ .kind = kind, .bytesSent = m_bytesSent });
+        handlers.failed({ .kind = kind, .bytesSent = m_bytesSent, .detail = std::move(detail) });
     if (idleCloseHook)
         idleCloseHook();
 }
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -25,13 +25,16 @@
     RequestTimedOut, // the time limit of the request expired
 };
 
-std::string_view failureName(FailureKind);
-
 struct ClientFailure {
     FailureKind kind = FailureKind::Refused;
     bool bytesSent = false; // false: no byte of the request was written to the socket
+    std::string detail = {}; // with Malformed: what was found and what was expected
 };
 
+std::string_view failureName(FailureKind);
+// The kind and, if there is one, the detail.
+std::string failureText(const ClientFailure&);
+
 struct ClientHandlers {
     std::function<void(ResponseHead&&)> answered;
     std::function<void(ClientFailure)> failed;
@@ -106,7 +109,7 @@
     std::size_t maxBodyBytes() const { return m_handlers.maxBodyBytes != 0 ? m_handlers.maxBodyBytes : m_options.maxResponseBytes; }
     void passOnBody();
     void finish();
-    void fail(FailureKind);
+    void fail(FailureKind, std::string detail = {});
     void updateInterest();
     void updateAccount();
 
--- a/Source/Core/Net/HttpMessage.cpp
+++ b/Source/Core/Net/HttpMessage.cpp
@@ -55,12 +55,14 @@
     };
 
     // RFC 9112, 6.3, but stricter: ambiguous framing is rejected, since two parsers could disagree on where the body ends (request smuggling).
-    BodyFraming bodyFraming(const Headers& all)
+    BodyFraming bodyFraming(const Headers& all, int minorVersion)
     {
         BodyFraming rule;
         for (const auto& header : all) {
             if (equalsIgnoringCase(header.name, "Transfer-Encoding")) {
-                rule.valid = rule.valid && rule.framing == Framing::None && equalsIgnoringCase(trimWhitespace(header.value), "chunked");
+                // HTTP/1.0 has no chunks: such a body's end is where the sender and a proxy of that version may disagree (RFC 9112, 6.1).
+                auto isKnown = minorVersion > 0 && equalsIgnoringCase(trimWhitespace(header.value), "chunked");
+                rule.valid = rule.valid && rule.framing == Framing::None && isKnown;
                 rule.framing = Framing::Chunked;
             } else if (equalsIgnoringCase(header.name, "Content-Length")) {
                 auto text = trimWhitespace(header.value);
@@ -76,11 +78,11 @@
         return rule;
     }
 
-    bool isPersistent(const std::string& version, const Headers& all)
+    bool isPersistent(int minorVersion, const Headers& all)
     {
         if (headerHasToken(all, "Connection", "close"))
             return false;
-        return version == Poco::Net::HTTPMessage::HTTP_1_1 || headerHasToken(all, "Connection", "keep-alive");
+        return minorVersion > 0 || headerHasToken(all, "Connection", "keep-alive");
     }
 
     // Drops hop-by-hop headers and the headers named by the Connection header.
@@ -105,34 +107,44 @@
         return c == '\r' || c == '\n' || c == '\0';
     }
 
-    bool hasDelimiter(std::string_view text)
+    std::string_view startLineOf(std::string_view head)
     {
-        return std::any_of(text.begin(), text.end(), isDelimiter);
+        return head.substr(0, head.find("\r\n"));
     }
 
-    // The fields of a head, values as received: Poco decodes encoded words (RFC 2047) in values, which may yield line breaks. nullopt for
-    // lines without a colon, names with white space and bare CR, LF or NUL, the start line included.
-    std::optional<Headers> parseFields(std::string_view head)
+    // The fields of a head, values as received: Poco decodes encoded words (RFC 2047) in values, which may yield line breaks. nullopt and
+    // the line in `malformed` if one has no colon, no token for a name, or control characters.
+    std::optional<Headers> parseFields(std::string_view head, std::string_view& malformed)
     {
         Headers fields;
         auto lineEnd = head.find("\r\n");
-        if (hasDelimiter(head.substr(0, lineEnd)))
-            return std::nullopt;
         for (auto rest = head.substr(lineEnd + 2); rest.size() > 2; rest.remove_prefix(std::min(lineEnd + 2, rest.size()))) {
             lineEnd = rest.find("\r\n");
             auto line = rest.substr(0, lineEnd);
-            auto colon = line.find(':');
-            if (colon == 0 || colon == std::string_view::npos)
-                return std::nullopt;
-            auto name = line.substr(0, colon);
-            auto isNameInvalid = std::any_of(name.begin(), name.end(), [](char c) { return c <= ' ' || c == '\x7f'; });
-            if (isNameInvalid || hasDelimiter(line))
+            if (!isFieldLine(line)) {
+                malformed = line;
                 return std::nullopt;
-            fields.push_back({ .name = std::string(name), .value = std::string(trimWhitespace(line.substr(colon + 1))) });
+            }
+            auto colon = line.find(':');
+            fields.push_back({ .name = std::string(line.substr(0, colon)), .value = std::string(trimWhitespace(line.substr(colon + 1))) });
         }
         return fields;
     }
 
+    std::string unexpected(std::string_view what, std::string_view got)
+    {
+        return std::string(what) + ", got '" + excerpt(got) + "'";
+    }
+
+    constexpr std::string_view expectedField = "expected a field line with a token for a name and no control characters";
+
+    constexpr std::string_view expectedFraming = "expected one Content-Length or chunked alone (not in HTTP/1.0), got other framing";
+
+    std::size_t countOf(const Headers& headers, std::string_view name)
+    {
+        return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [&](const auto& it) { return equalsIgnoringCase(it.name, name); }));
+    }
+
     // Appends text to a message head. Delimiters are replaced, so that no value can end its line, wherever it comes from.
     void appendText(std::string& bytes, std::string_view text)
     {
@@ -155,12 +167,11 @@
         return text.find("too long") != std::string::npos ? ParseFault::HeadTooLarge : ParseFault::Malformed;
     }
 
-    // Parses the start line into a Poco message. The fields are left out: Poco limits their number and size, whatever the configuration
-    // allows.
-    template <typename Message>
-    std::optional<ParseFault> parseStartLine(Message& message, std::string_view bytes)
+    // Parses the request line into a Poco message. The fields are left out: Poco limits their number and size, whatever the
+    // configuration allows.
+    std::optional<ParseFault> parseRequestLine(Poco::Net::HTTPRequest& message, std::string_view line)
     {
-        auto head = std::string(bytes.substr(0, bytes.find("\r\n"))).append(headTerminator);
+        auto head = std::string(line).append(headTerminator);
         try {
             Poco::MemoryInputStream stream(head.data(), static_cast<std::streamsize>(head.size()));
             message.read(stream);
@@ -170,6 +181,18 @@
         return std::nullopt;
     }
 
+    // Whether Poco has read the line as any other parser would: it accepts other white space and further words. A server that reads the
+    // line otherwise would serve another path.
+    bool isPlainRequestLine(const Poco::Net::HTTPRequest& message, std::string_view line)
+    {
+        const auto& target = message.getURI();
+        const auto& version = message.getVersion();
+        constexpr std::string_view anyVersion = "HTTP/1.x";
+        auto isKnownVersion = version.size() == anyVersion.size() && version.starts_with("HTTP/1.") && version.back() >= '0' && version.back() <= '9';
+        return line == message.getMethod() + " " + target + " " + version && isToken(message.getMethod()) && isKnownVersion
+            && target.starts_with('/') && isFieldValue(target);
+    }
+
     std::optional<int> parseIdleTimeout(const Headers& all)
     {
         auto value = findHeader(all, "Keep-Alive");
@@ -224,27 +247,32 @@
 
 Parsed<RequestHead> parseRequestHead(std::string_view bytes)
 {
-    auto fields = parseFields(bytes);
-    if (!fields)
-        return {};
+    auto line = startLineOf(bytes);
     Poco::Net::HTTPRequest message;
-    if (auto fault = parseStartLine(message, bytes))
-        return { .head = {}, .fault = *fault };
-    auto rule = bodyFraming(*fields);
-    const auto& target = message.getURI();
-    // Poco accepts other white space and further words. A server that reads the line otherwise would serve another path.
-    if (bytes.substr(0, bytes.find("\r\n")) != message.getMethod() + " " + target + " " + message.getVersion())
-        return {};
-    if (!rule.valid || target.empty() || target.front() != '/' || !message.getVersion().starts_with("HTTP/1."))
-        return {};
+    if (auto fault = parseRequestLine(message, line))
+        return { .head = {}, .fault = *fault, .detail = unexpected("expected a request line", line) };
+    if (!isPlainRequestLine(message, line))
+        return { .head = {}, .detail = unexpected("expected a token, a path and HTTP/1.x, with single spaces between", line) };
+    std::string_view malformed;
+    auto fields = parseFields(bytes, malformed);
+    // The line may hold a secret of the caller, and the detail is logged.
+    if (!fields)
+        return { .head = {}, .detail = std::string(expectedField) + ", got one of " + std::to_string(malformed.size()) + " bytes" };
+    auto minorVersion = message.getVersion().back() - '0';
+    auto rule = bodyFraming(*fields, minorVersion);
+    if (!rule.valid)
+        return { .head = {}, .detail = std::string(expectedFraming) };
+    // Which host is meant would depend on the parser (RFC 9112, 3.2).
+    if (countOf(*fields, "Host") > 1)
+        return { .head = {}, .detail = "expected one Host field, got several" };
     RequestHead head;
     head.request = {
         .method = message.getMethod(),
-        .target = target,
+        .target = message.getURI(),
         .headers = endToEndHeaders(*fields),
         .body = {},
-        .keepAlive = isPersistent(message.getVersion(), *fields),
-        .acceptsChunks = message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1,
+        .keepAlive = isPersistent(minorVersion, *fields),
+        .acceptsChunks = minorVersion > 0,
     };
     head.framing = rule.framing;
     head.length = rule.length;
@@ -254,21 +282,22 @@
 
 Parsed<ResponseHead> parseResponseHead(std::string_view bytes, bool hasBody)
 {
-    auto fields = parseFields(bytes);
+    auto line = startLineOf(bytes);
+    auto statusLine = parseStatusLine(line);
+    if (!statusLine)
+        return { .head = {}, .detail = unexpected("expected HTTP/1.x and a status from 100 to 599", line) };
+    std::string_view malformed;
+    auto fields = parseFields(bytes, malformed);
     if (!fields)
-        return {};
-    Poco::Net::HTTPResponse message;
-    if (auto fault = parseStartLine(message, bytes))
-        return { .head = {}, .fault = *fault };
-    auto rule = bodyFraming(*fields);
-    auto status = static_cast<int>(message.getStatus());
-    if (!rule.valid || status < 100 || status > 999 || !message.getVersion().starts_with("HTTP/1."))
-        return {};
+        return { .head = {}, .detail = unexpected(expectedField, malformed) };
+    auto rule = bodyFraming(*fields, statusLine->minorVersion);
+    if (!rule.valid)
+        return { .head = {}, .detail = std::string(expectedFraming) };
     ResponseHead head;
-    head.response = { .status = status, .reason = message.getReason(), .headers = endToEndHeaders(*fields), .body = {} };
-    head.keepAlive = isPersistent(message.getVersion(), *fields);
+    head.response = { .status = statusLine->status, .reason = std::string(statusLine->reason), .headers = endToEndHeaders(*fields), .body = {} };
+    head.keepAlive = isPersistent(statusLine->minorVersion, *fields);
     head.idleTimeoutS = parseIdleTimeout(*fields);
-    if (hasBody && mayHaveBody(status)) {
+    if (hasBody && mayHaveBody(statusLine->status)) {
         head.framing = rule.framing == Framing::None ? Framing::UntilClose : rule.framing;
         head.length = rule.length;
     }
--- a/Source/Core/Net/HttpMessage.h
+++ b/Source/Core/Net/HttpMessage.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Net/HttpStatus.h"
+#include "Net/MessageSyntax.h"
 
 namespace Net {
 
@@ -73,13 +74,14 @@
 struct Parsed {
     std::optional<Head> head; // nullopt: see `fault`
     ParseFault fault = ParseFault::Malformed;
+    std::string detail = {}; // of a fault: what was found and what was expected
 };
 
 // Size of a message head including the blank line that ends it; nullopt while the head is incomplete.
 std::optional<std::size_t> headSize(std::string_view);
 
-// Parse a complete head. Ambiguous framing (Content-Length with Transfer-Encoding, differing Content-Length values, unknown transfer
-// codings) is malformed.
+// Parse a complete head by the rules of docs/HTTP-SYNTAX.md. Ambiguous framing (Content-Length with Transfer-Encoding, differing
+// Content-Length values, unknown transfer codings) is malformed.
 Parsed<RequestHead> parseRequestHead(std::string_view);
 // `hasBody` is false for the response to a HEAD request.
 Parsed<ResponseHead> parseResponseHead(std::string_view, bool hasBody);
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -307,6 +307,8 @@
             }
             if (state == BodyDecoder::State::NeedsMore)
                 break;
+            if (state == BodyDecoder::State::Malformed)
+                m_server.m_options.malformed(std::string(malformedBody));
             if (state != BodyDecoder::State::Complete) {
                 refuse(state == BodyDecoder::State::TooLarge ? ContentTooLarge : BadRequest);
                 break;
@@ -326,6 +328,8 @@
         }
         auto parsed = parseRequestHead(std::string_view(m_in).substr(0, *size));
         if (!parsed.head) {
+            if (parsed.fault == ParseFault::Malformed)
+                m_server.m_options.malformed(parsed.detail);
             refuse(parsed.fault == ParseFault::HeadTooLarge ? HeaderTooLarge : BadRequest);
             return false;
         }
@@ -417,6 +421,8 @@
         auto exchange = m_receiving;
         stopReceiving();
         exchange->m_bodyFault = status;
+        if (status == BadRequest)
+            m_server.m_options.malformed(std::string(malformedBody));
         if (auto hook = exchange->m_bodyHook)
             hook();
         else
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -106,6 +106,8 @@
     std::function<Response(int status)> refuse = [](int status) {
         return Response { .status = status, .reason = {}, .headers = {}, .body = {} };
     };
+    // Called with what was got and what was expected when a request is refused since it is malformed.
+    std::function<void(const std::string& detail)> malformed = [](const std::string&) {};
     Common::Duration deadPeerTimeout = std::chrono::seconds(4);
     std::function<void(const std::string& error)> acceptFailed = [](const std::string&) {};
     int sendBufferBytes = 0; // of each connection's socket; 0: the kernel's default
--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -162,6 +162,13 @@
     { "HTTP/1.0, body shorter than Content-Length", "HTTP/1.0 200 OK\r\nContent-Length: 9\r\n\r\nwhole", "/once/x", 502, true },
     { "chunk cut off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho", "/once/x", 502, true },
     { "last chunk missing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", "/once/x", 502, true },
+    { "status 000", "HTTP/1.1 000 Zero\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
+    { "status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
+    { "switch to another protocol", "HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
+    { "blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
+    { "control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
+    { "name that is no token", "HTTP/1.1 200 OK\r\nX(Odd): 1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
+    { "length beside chunks", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "/once/x", 502, false },
     { "extra bytes after the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "/safe/x", 200, false },
 };
 
