HttpClient: a reset is never the end of a body without a length

Cause: when a write fails with a reset, it takes the error from the socket, and reading reports an orderly end behind the bytes that came before. A body without a length counted as whole then.

Change: such a body is whole only if no write failed, the socket holds no error, and the request was written whole or the response announced its close.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -273,12 +273,30 @@
         if (m_closed || m_responses != responses)
             return;
         if (n == 0)
-            return m_body && m_body->end() == BodyDecoder::State::Complete ? finish() : fail(FailureKind::Closed);
+            return onStreamEnd();
         if (m_paused || n < static_cast<int>(buf.size()))
             return;
     }
 }
 
+void ClientConnection::onStreamEnd()
+{
+    if (isBodyEndedByClose())
+        return finish();
+    fail(m_hasWriteFailed ? FailureKind::Reset : FailureKind::Closed);
+}
+
+// Whether the end of the stream is the end of a body without a length. A reset ends the stream as well: once a write has taken its error
+// from the socket, reading reports an orderly end. A server that closes before it has read the whole request may have ended in
+// the middle of the response, unless it has announced that it closes.
+bool ClientConnection::isBodyEndedByClose()
+{
+    if (!m_body || m_body->end() != BodyDecoder::State::Complete)
+        return false;
+    auto isRequestWritten = m_out.empty() && !m_isBodyOpen;
+    return !m_hasWriteFailed && m_socket.impl()->socketError() == 0 && (isRequestWritten || m_head->announcesClose);
+}
+
 void ClientConnection::consume()
 {
     while (m_busy && !m_closed) {
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -109,6 +109,9 @@
     std::size_t maxBodyBytes() const { return m_handlers.maxBodyBytes != 0 ? m_handlers.maxBodyBytes : m_options.maxResponseBytes; }
     void passOnBody();
     void finish();
+    // The peer has closed the connection, as far as reading tells.
+    void onStreamEnd();
+    bool isBodyEndedByClose();
     void fail(FailureKind, std::string detail = {});
     void updateInterest();
     void updateAccount();
--- a/Source/Core/Net/HttpMessage.cpp
+++ b/Source/Core/Net/HttpMessage.cpp
@@ -296,6 +296,7 @@
     ResponseHead head;
     head.response = { .status = statusLine->status, .reason = std::string(statusLine->reason), .headers = endToEndHeaders(*fields), .body = {} };
     head.keepAlive = isPersistent(statusLine->minorVersion, *fields);
+    head.announcesClose = headerHasToken(*fields, "Connection", "close");
     head.idleTimeoutS = parseIdleTimeout(*fields);
     if (hasBody && mayHaveBody(statusLine->status)) {
         head.framing = rule.framing == Framing::None ? Framing::UntilClose : rule.framing;
--- a/Source/Core/Net/HttpMessage.h
+++ b/Source/Core/Net/HttpMessage.h
@@ -55,6 +55,7 @@
     Framing framing = Framing::None;
     std::size_t length = 0; // with Framing::Length
     bool keepAlive = true;
+    bool announcesClose = false; // the peer said that it reads and sends nothing after this response
     std::optional<int> idleTimeoutS; // timeout parameter of the Keep-Alive header
 };
 
--- a/Source/UnitTests/Backends/ScriptedServer.h
+++ b/Source/UnitTests/Backends/ScriptedServer.h
@@ -31,9 +31,11 @@
 };
 struct CloseConnection { };
 struct ResetConnection { };
+struct ShutdownSend { }; // ends the stream in good order; the connection stays open for reading
 struct WaitForClient { }; // says nothing until the client leaves
+struct DiscardInput { }; // the same, for clients that send megabytes
 
-using Step = std::variant<ReadRequest, SendBytes, Trickle, Flood, Delay, CloseConnection, ResetConnection, WaitForClient>;
+using Step = std::variant<ReadRequest, SendBytes, Trickle, Flood, Delay, CloseConnection, ResetConnection, ShutdownSend, WaitForClient, DiscardInput>;
 using Script = std::vector<Step>;
 
 // A TCP server on loopback that follows a script for each connection, the last one for all later connections, and counts
@@ -164,12 +166,23 @@
         socket.close();
     }
 
+    static void run(const ShutdownSend&, Poco::Net::StreamSocket& socket) { socket.shutdownSend(); }
+
     void run(const WaitForClient&, Poco::Net::StreamSocket& socket) const
     {
         while (true)
             readByte(socket);
     }
 
+    void run(const DiscardInput&, Poco::Net::StreamSocket& socket) const
+    {
+        std::vector<char> buf(64 * 1024);
+        while (!m_stopping) {
+            if (socket.poll(Poco::Timespan(pollMicroseconds), Poco::Net::Socket::SELECT_READ) && socket.receiveBytes(buf.data(), static_cast<int>(buf.size())) <= 0)
+                return;
+        }
+    }
+
     static constexpr int pollMicroseconds = 2000;
 
     std::vector<Script> m_scripts;
--- /dev/null
+++ b/Source/UnitTests/Net/ResponseEndTest.cpp
@@ -0,0 +1,81 @@
+#include "Net/HttpClient.h"
+
+#include <optional>
+
+#include <doctest/doctest.h>
+
+#include "Backends/ScriptedServer.h"
+#include "Gateway/GatewayFixture.h"
+
+namespace {
+
+using namespace UnitTests;
+
+// More than the kernel's buffers on both sides hold, so that a part is still to be written when the response ends.
+constexpr std::size_t unwritableBytes = 12 * 1024 * 1024;
+constexpr std::size_t heldBytes = 1000; // of a response that is answered whole
+constexpr std::size_t passedOnBytes = 100'000; // of one that is passed on in parts
+
+const std::string plainHead = "HTTP/1.1 200 OK\r\n\r\n";
+const std::string closingHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+const std::string oldHead = "HTTP/1.0 200 OK\r\n\r\n";
+
+struct EndCase {
+    std::string what;
+    std::size_t requestBytes; // of the body
+    std::string head;
+    Step end;
+    bool isWhole;
+};
+
+const EndCase endCases[] = {
+    { "whole request, orderly end", 0, plainHead, ShutdownSend {}, true },
+    { "whole request, orderly end, HTTP/1.0", 0, oldHead, ShutdownSend {}, true },
+    { "whole request, connection closed", 0, plainHead, CloseConnection {}, true },
+    { "whole request, reset", 0, plainHead, ResetConnection {}, false },
+    { "whole request, announced close, reset", 0, closingHead, ResetConnection {}, false },
+    { "request still being written, reset", unwritableBytes, plainHead, ResetConnection {}, false },
+    { "request still being written, announced close, reset", unwritableBytes, closingHead, ResetConnection {}, false },
+    { "request still being written, HTTP/1.0, reset", unwritableBytes, oldHead, ResetConnection {}, false },
+    { "request still being written, closed with unread bytes", unwritableBytes, plainHead, CloseConnection {}, false },
+    { "request still being written, orderly end", unwritableBytes, plainHead, ShutdownSend {}, false },
+    { "request still being written, announced close, orderly end", unwritableBytes, closingHead, ShutdownSend {}, true },
+};
+
+}
+
+// A response without a length ends with its connection. Guards against a part of one that passes for the whole: after a write has
+// failed with the reset, reading reports an orderly end.
+TEST_CASE("The end of a connection is the end of a body only if nothing failed and the request was not cut off")
+{
+    for (const auto& row : endCases) {
+        for (std::size_t bodyBytes : { heldBytes, passedOnBytes }) {
+            CAPTURE(row.what);
+            CAPTURE(bodyBytes);
+            ScriptedServer server({ { ReadRequest {}, SendBytes { row.head + std::string(bodyBytes, 'x') }, Delay { std::chrono::milliseconds(5) }, row.end, DiscardInput {} } });
+            PlatformStandIn::LoopThread thread;
+            std::shared_ptr<Net::ClientConnection> connection;
+            std::optional<bool> isWhole;
+            std::size_t received = 0;
+            thread.call([&] {
+                connection = Net::ClientConnection::open(thread.loop(), server.address(), {});
+                auto request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(row.requestBytes) + "\r\n\r\n" + std::string(row.requestBytes, 'y');
+                connection->send(std::move(request), true, std::chrono::seconds(10),
+                    { .answered = [&](Net::ResponseHead&& head) {
+                         received = head.response.body.size();
+                         isWhole = true; },
+                        .failed = [&](Net::ClientFailure) { isWhole = false; },
+                        .started = [&](Net::ResponseHead&& head) { received += head.response.body.size(); },
+                        .continued = [&](std::string&& part) { received += part.size(); },
+                        .completed = [&] { isWhole = true; } });
+            });
+            CHECK(eventually([&] { return thread.call([&] { return isWhole.has_value(); }); }));
+            thread.call([&] {
+                CHECK(isWhole == row.isWhole);
+                if (row.isWhole)
+                    CHECK(received == bodyBytes);
+                connection.reset();
+            });
+        }
+    }
+}
