Configuration: organisations with API keys, public routes, warm-up rates

The configuration may hold organisations, each with API keys, a priority and an allowance. Keys are kept as digests in a flat table, so that a look-up costs the same whatever their number and 100,000 of them take a few megabytes. Invalid ones are an error that names the organisation; the last good configuration stays.

Nothing acts on them yet.

--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -19,6 +19,7 @@
     std::string registryTable; // one row for each server; key: server name
     std::string operatorTable; // written by the operators
     std::string configurationKey; // row of operatorTable
+    std::string evacuationPrefix = {}; // of the keys of operatorTable's rows that name a failure domain to be evacuated
     std::function<Common::Result<ServerRecord>(const std::string& key, const std::string& value)> server;
     std::function<Common::Result<Configuration>(const std::string& value)> configuration;
 };
--- a/Source/Core/Gateway/Configuration.h
+++ b/Source/Core/Gateway/Configuration.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "Gateway/Organisations.h"
 #include "Net/HttpServer.h"
 #include "Records/ServiceRecord.h"
 
@@ -28,6 +29,7 @@
     Common::Duration goal = std::chrono::seconds(1); // latency goal: a later response is worth little to the caller
     int priority = 0; // 0 is the most urgent
     int maxAttempts = 1; // servers that one request may be sent to, retries and hedges included
+    bool isPublic = false; // callers need no API key, also where the configuration has organisations
     std::vector<RoutePart> parts;
 };
 
@@ -35,6 +37,7 @@
     std::string name;
     std::string healthPath = "/health";
     int maxConnections = 300; // to each server, from all gateways together
+    double warmupPerSecond = 0; // requests a second that a cold server takes from all gateways together; 0: no limit
 };
 
 // The operators' configuration at one version.
@@ -43,6 +46,7 @@
     std::vector<Route> routes;
     std::map<std::string, Service, std::less<>> services;
     Net::ServerLimits limits;
+    Organisations organisations; // empty: callers need no API keys
 
     // The route with the request's host and the longest prefix of its path; nullptr if none matches.
     const Route* find(std::string_view host, std::string_view path) const;
--- /dev/null
+++ b/Source/Core/Gateway/Organisations.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Common/Hash.h"
+#include "Common/Result.h"
+
+namespace Gateway {
+
+// An organisation whose callers identify themselves by API keys.
+struct Organisation {
+    std::string name; // what backend servers are told
+    std::optional<int> priority; // of its requests; empty: that of the route
+    double ratePerSecond = 0; // of its allowance, over all gateways; 0: no limit
+    double burst = 0; // requests beyond the rate
+
+    bool hasAllowance() const { return ratePerSecond > 0; }
+    bool operator==(const Organisation&) const = default;
+};
+
+struct OrganisationEntry {
+    Organisation organisation;
+    std::vector<std::string> keys;
+};
+
+// The organisations of one configuration, by API key. Immutable. Keeps digests of the keys, not the keys: 24 bytes a key and
+// 7 tenths of the slots in use.
+class Organisations {
+public:
+    Organisations() = default;
+    // `seed` of the digests: random, so that callers can't construct keys with the same digest. Errors name the organisation, never a key: RecordInvalid for
+    // a key that is empty, longer than 256 bytes, not made of visible ASCII characters, or listed twice.
+    static Common::Result<Organisations> make(std::vector<OrganisationEntry>, std::uint64_t seed);
+
+    bool empty() const { return m_organisations.empty(); }
+    const std::vector<Organisation>& all() const { return m_organisations; }
+    // The organisation that holds the key; nullptr if none does. Takes the same time whatever the number of keys.
+    const Organisation* find(std::string_view key) const;
+    // nullptr if there is none of that name.
+    const Organisation* named(std::string_view name) const;
+    std::size_t keyCount() const { return m_keyCount; }
+
+private:
+    struct Slot {
+        Common::Digest digest;
+        std::uint32_t organisation = 0; // index in m_organisations, plus 1; 0: the slot is free
+    };
+
+    std::size_t slotOf(const Common::Digest&) const;
+
+    std::vector<Organisation> m_organisations; // by ascending name
+    std::vector<Slot> m_slots; // open addressing; the size is a power of two
+    std::size_t m_keyCount = 0;
+    std::uint64_t m_seed = 0;
+};
+
+}
--- a/Source/Core/Gateway/WireHeaders.h
+++ b/Source/Core/Gateway/WireHeaders.h
@@ -14,6 +14,9 @@
     std::string leaving; // "1": the server is about to leave and must get no new requests
     std::string retryAfter; // on a 503: seconds for which the server wants no requests
     std::string limit; // requests a second that the server takes from all gateways together
+    std::string apiKey; // identifies the caller's organisation; never sent to a server
+    std::string organisation; // name of the caller's organisation, for the server
+    std::string warmupLeft; // on a response of a server: milliseconds for which it stays cold
     std::string load; // load report: running, waiting, slots and, optionally, the work factor in percent
 };
 
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -59,11 +59,12 @@
         reader.finish();
     }
 
-    void readRetryAndProbeBounds(TomlReader& reader, GatewaySettings& settings)
+    void readBounds(TomlReader& reader, GatewaySettings& settings)
     {
         settings.retryRatio = reader.number("retry_ratio", 0, 10, settings.retryRatio);
         settings.retrySlack = reader.number("retry_slack", 0, maxCount, settings.retrySlack);
         settings.retryWindowMs = readMilliseconds(reader, "retry_window", 100, settings.retryWindowMs);
+        settings.revokeMs = readMilliseconds(reader, "revoke", 0, settings.revokeMs);
         settings.probesPerServer = reader.number("probes_per_server", 0, maxCount, settings.probesPerServer);
         reader.finish();
     }
@@ -92,7 +93,12 @@
 
     const auto* bounds = root.table("bounds");
     TomlReader boundsReader(bounds ? *bounds : none, file, "bounds", errors);
-    readRetryAndProbeBounds(boundsReader, settings);
+    readBounds(boundsReader, settings);
+
+    const auto* hedging = root.table("hedging");
+    TomlReader hedgingReader(hedging ? *hedging : none, file, "hedging", errors);
+    settings.hedgeShare = hedgingReader.number("extra_share", 0, 1, settings.hedgeShare);
+    hedgingReader.finish();
 
     const auto* log = root.table("log");
     TomlReader logReader(log ? *log : none, file, "log", errors);
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -34,6 +34,8 @@
     double retryRatio = 0.2; // attempts beyond the first per request, for each service and over all gateways
     double retrySlack = 75; // attempts beyond the first per window that are allowed in addition, over all gateways
     int retryWindowMs = 10000; // window over which both limits are counted
+    int revokeMs = 0; // after this time a revoked API key must not work any more at any gateway; 0: no such limit
+    double hedgeShare = 0; // hedged attempts per request, for each service and over all gateways; 0: no hedging beyond the retry budget
     double probesPerServer = 60; // load probes per second to each server, over all gateways
     Common::LogFormat logFormat = Common::LogFormat::Json;
     int logLinesPerSecond = 20; // per kind of event
