Gateway: callers are identified by API keys, revoked ones are refused in time

Change: where the configuration has organisations, a request on a route that is not public needs one key of one of them, else 401. The server gets the organisation's name instead of the key, on a hop to another gateway too; the organisation's priority goes before the route's. A request that waits while the configuration changes is identified again before it is sent.

Each gateway knows an upper bound on the age of its configuration: from the moment at which the store was asked, over each relay (configuration_age_ms, held_ms in updates), by CLOCK_BOOTTIME. Beyond revoke_ms it refuses keys with 503, is not ready and is not named to callers. An unknown key is answered 503 instead of 401 while it may be a new one.

Relays of versions before this send no age; their followers refuse keys where revoke_ms is set. Versions before this ignore the new fields.

--- a/Source/Core/Common/Clock.cpp
+++ b/Source/Core/Common/Clock.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <random>
 
+#include <ctime>
+
 namespace Common {
 
 Hooks systemHooks()
@@ -13,9 +15,18 @@
         .random = [] {
             thread_local std::mt19937_64 generator(std::random_device {}());
             return generator(); },
+        .bootTime = [] {
+            timespec time {};
+            clock_gettime(CLOCK_BOOTTIME, &time);
+            return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)); },
     };
 }
 
+TimePoint bootTime(const Hooks& hooks)
+{
+    return hooks.bootTime ? hooks.bootTime() : hooks.now();
+}
+
 std::uint64_t randomBelow(const Hooks& hooks, std::uint64_t bound)
 {
     // The modulo bias is below 1e-12 for the pool sizes in use.
--- a/Source/Core/Common/Clock.h
+++ b/Source/Core/Common/Clock.h
@@ -13,8 +13,13 @@
 struct Hooks {
     std::function<TimePoint()> now;
     std::function<std::uint64_t()> random; // uniform over 64 bits
+    // As now(), but counts the time for which the machine was suspended. Empty: now() does.
+    std::function<TimePoint()> bootTime = {};
 };
 
+// Reads bootTime, or now if there is none.
+TimePoint bootTime(const Hooks&);
+
 // The system's monotonic clock and a random number generator per thread.
 Hooks systemHooks();
 
--- a/Source/Core/Decisions/Refusal.cpp
+++ b/Source/Core/Decisions/Refusal.cpp
@@ -38,7 +38,7 @@
     auto base = inputs.excessMs;
     if (inputs.reason == RefusalReason::NotConfigured)
         base = startupRetryAfterMs;
-    else if (inputs.reason == RefusalReason::NoServer || inputs.reason == RefusalReason::NoReport)
+    else if (inputs.reason == RefusalReason::NoServer || inputs.reason == RefusalReason::NoReport || inputs.reason == RefusalReason::Outdated)
         base = outageRetryAfterMs;
     auto spread = std::max(minRetryAfterMs, base) * (0.5 + inputs.jitter);
     return Common::fromMilliseconds(std::max(minRetryAfterMs, std::min(spread, inputs.timeLeftMs * maxShareOfTimeLeft)));
--- a/Source/Core/Decisions/Refusal.h
+++ b/Source/Core/Decisions/Refusal.h
@@ -14,6 +14,7 @@
     Limited, // the limits of all servers of the service are used up, or they pause
     Shed, // servers shed the request and no further attempt is allowed
     Blocked, // the request ends the servers that run it
+    Outdated, // the configuration is too old to tell whether the API key is valid
     Memory, // the gateway's memory for requests and responses is used up
 };
 
--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -47,6 +47,16 @@
     m_freshAsOf = std::max(m_freshAsOf, asOf);
 }
 
+void Catalog::confirmConfiguration(Common::TimePoint bootTime)
+{
+    m_configurationConfirmed = std::max(m_configurationConfirmed.value_or(bootTime), bootTime);
+}
+
+std::optional<Common::Duration> Catalog::configurationAge() const
+{
+    return m_configurationConfirmed ? std::optional(Common::bootTime(m_loop.hooks()) - *m_configurationConfirmed) : std::nullopt;
+}
+
 void Catalog::beginEra(std::uint64_t era)
 {
     auto before = m_position;
@@ -325,6 +335,8 @@
     m_position.registry = std::max(m_position.registry, update.position.registry);
     m_position.operators = std::max(m_position.operators, update.position.operators);
     markFresh(m_loop.now() - update.age);
+    if (update.configurationAge)
+        confirmConfiguration(Common::bootTime(m_loop.hooks()) - *update.configurationAge);
     if (!update.rows.empty())
         notifyChanged();
     return true;
@@ -349,6 +361,7 @@
     CatalogUpdate update;
     update.position = position();
     update.age = age();
+    update.configurationAge = configurationAge();
     if (from.era > m_position.era)
         return update; // nothing known here is of that era
     auto isOlderEra = from.era < m_position.era && from.era != 0;
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -51,6 +51,8 @@
     bool knowsRemovals = false;
     CatalogPosition position;
     Common::Duration age {}; // since the last read of the store
+    // Upper bound on the time since the store confirmed the configuration in it; nullopt: not known, or not told by older versions.
+    std::optional<Common::Duration> configurationAge = {};
     std::vector<Platform::TableRow> rows;
 };
 
@@ -66,6 +68,10 @@
     void applyChanges(const std::string& table, const std::vector<Platform::TableRow>&, std::uint64_t version);
     // The catalog was in line with the store at `asOf`, when the read that confirmed it began.
     void markFresh(Common::TimePoint asOf);
+    // The store held no newer configuration than the one known here when it was asked, at `bootTime`.
+    void confirmConfiguration(Common::TimePoint bootTime);
+    // Upper bound on the time since then; nullopt: it was never confirmed, or not since the era of the store's data has changed.
+    std::optional<Common::Duration> configurationAge() const;
     // The store's data were restored from an older copy. Positions start anew, and both tables have to be read in full. Servers that
     // are missing in the copy are kept for removalGracePeriod; rows that contradict what is known of an incarnation (it has left,
     // or is draining) are not believed until the server renews them.
@@ -151,6 +157,7 @@
     Common::TimePoint m_holdUntil; // until which removals are held back
     Net::EventLoop::TimerId m_holdTimer = 0;
     Common::TimePoint m_freshAsOf;
+    std::optional<Common::TimePoint> m_configurationConfirmed; // boot time
     std::uint64_t m_newestChange = 0; // version of the newest registry change that is not just a heartbeat
     bool m_registryKnown = false;
     std::function<void()> m_changeHandler;
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -111,6 +111,9 @@
               .probesPerServer = m_options.settings.probesPerServer,
               .crashRecorded = [this] { m_catalogSync.onCrashRecorded(); },
               .budget = &m_budget,
+              .configurationAge = [this] { return m_catalog.configurationAge(); },
+              .revokeTime = m_options.settings.revokeMs > 0 ? std::optional<Common::Duration>(std::chrono::milliseconds(m_options.settings.revokeMs)) : std::nullopt,
+              .applyTime = std::chrono::milliseconds(m_options.settings.applyMs),
           })
     , m_catalog(m_loop, m_log, m_backends, m_router,
           {
@@ -208,6 +211,7 @@
     m_router.setGatewayCount(m_catalogSync.gatewayCount());
     m_backends.setGateways(m_members.self().control, m_members.servingInOwnDomain(), m_members.size());
     m_catalogComplete = m_catalog.isComplete();
+    logConfigurationAge();
     updateServingState();
     if (m_options.settingsModifiedAt && m_options.settingsModifiedAt() != m_settingsModifiedAt)
         readSettings();
@@ -226,6 +230,17 @@
         { { "used", std::to_string(m_budget.used()) }, { "limit", std::to_string(m_budget.limit()) }, { "reads_paused", std::to_string(m_budget.waits()) } });
 }
 
+void Daemon::logConfigurationAge()
+{
+    auto isOutdated = m_router.isConfigurationOutdated();
+    if (isOutdated == m_isConfigurationOutdated)
+        return;
+    m_isConfigurationOutdated = isOutdated;
+    auto age = m_catalog.configurationAge();
+    m_log.log(isOutdated ? EventId::ConfigurationOutdated : EventId::ConfigurationConfirmed,
+        { { "version", std::to_string(m_router.configuration()->version) }, { "age_ms", age ? std::to_string(static_cast<long>(Common::toMilliseconds(*age))) : "unknown" } });
+}
+
 void Daemon::updateServingState()
 {
     if (m_members.self().serving == isReady())
@@ -279,6 +294,8 @@
     page.counter("failed_total", static_cast<double>(counters.failed));
     page.counter("cut_responses_total", static_cast<double>(counters.cut));
     page.counter("unknown_route_total", static_cast<double>(counters.unknownRoute));
+    page.counter("unauthorized_total", static_cast<double>(counters.unauthorized));
+    page.counter("refused_outdated_total", static_cast<double>(counters.refusedAsOutdated));
     page.counter("abandoned_total", static_cast<double>(counters.abandoned));
     page.counter("sends_total", static_cast<double>(counters.attempts));
     page.counter("second_sends_total", static_cast<double>(counters.retries));
@@ -306,6 +323,8 @@
     page.gauge("reading_store", m_catalogSync.reader().isRunning() ? 1 : 0);
     page.gauge("store_answers", m_catalogSync.reader().storeAnswers() ? 1 : 0);
     page.gauge("relay_list_version", static_cast<double>(m_catalogSync.relayList().version));
+    auto configurationAge = m_catalog.configurationAge();
+    page.gauge("configuration_age_ms", configurationAge ? Common::toMilliseconds(*configurationAge) : -1);
     page.gauge("ready", isReady() ? 1 : 0);
     page.summary("request_ms", m_router.totalTimes().quantiles());
     page.summary("server_ms", m_router.serverTimes().quantiles());
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -66,7 +66,7 @@
     std::string readyAddress() const { return m_ready.address(); }
     std::string directoryAddress() const { return m_directory.address(); }
     std::string metricsAddress() const { return m_metrics.address(); }
-    bool isReady() const { return m_catalogComplete && !m_shuttingDown; }
+    bool isReady() const { return m_catalogComplete && !m_shuttingDown && !m_router.isConfigurationOutdated(); }
 
 private:
     void serveReady(const std::shared_ptr<Net::Exchange>&);
@@ -76,6 +76,7 @@
     Net::ServerOptions forwardingServerOptions();
     void doHousekeeping();
     void logMemory();
+    void logConfigurationAge();
     void updateServingState();
     void beginShutdown();
     void advanceShutdown();
@@ -106,6 +107,7 @@
     bool m_shuttingDown = false;
     bool m_shutdownClean = true;
     bool m_isMemoryShort = false; // as logged last
+    bool m_isConfigurationOutdated = false; // as logged last
     std::uint64_t m_malformedRequests = 0; // of callers
 };
 
--- a/Source/Core/Gateway/Organisations.cpp
+++ b/Source/Core/Gateway/Organisations.cpp
@@ -5,18 +5,19 @@
 
 #include <fmt/format.h>
 
+#include "Net/MessageSyntax.h"
+
 namespace Gateway {
 
 namespace {
 
-    constexpr std::size_t maxKeyBytes = 256;
+    constexpr std::size_t maxKeyBytes = 256; // and of an organisation's name
     // Of the slots: a longer search for a free one would cost more than the memory.
     constexpr double maxUsedShare = 0.7;
 
-    bool isKey(std::string_view key)
+    bool isVisibleText(std::string_view text)
     {
-        auto isVisible = [](char c) { return c > ' ' && c < '\x7f'; };
-        return !key.empty() && key.size() <= maxKeyBytes && std::all_of(key.begin(), key.end(), isVisible);
+        return !text.empty() && text.size() <= maxKeyBytes && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
     }
 
     Common::Error invalid(const std::string& organisation, std::string_view what)
@@ -37,9 +38,11 @@
     made.m_slots.resize(std::bit_ceil(static_cast<std::size_t>(static_cast<double>(keys) / maxUsedShare) + 1));
     for (const auto& entry : entries) {
         const auto& name = entry.organisation.name;
+        if (!isVisibleText(name))
+            return invalid(Net::excerpt(name), "its name can't be sent in a header, expected 1 to 256 visible ASCII characters");
         made.m_organisations.push_back(entry.organisation);
         for (const auto& key : entry.keys) {
-            if (!isKey(key))
+            if (!isVisibleText(key))
                 return invalid(name, fmt::format("an API key has {} bytes or characters that are not visible ASCII, expected 1 to {} visible ones", key.size(), maxKeyBytes));
             auto digest = Common::digest(key, seed);
             auto& slot = made.m_slots[made.slotOf(digest)];
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -156,6 +156,7 @@
     auto wait = m_lastAnswerOutdated ? Common::Duration::zero() : m_wait;
     auto request = updateRequest(relay, wait);
     m_requestPending = true;
+    m_requestSentAt = Common::bootTime(m_loop.hooks());
     m_connection->send(Net::toBytes(request), true, wait + timeoutMargin(),
         { .answered = [this, relay, reported = m_crashSuspects.revision()](Net::ResponseHead&& head) { onResponse(relay, std::move(head), reported); },
             .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureText(failure)); } });
@@ -171,6 +172,7 @@
     if (!response)
         return onFailure(relay, response.error().text);
     auto& update = response.value();
+    ageConfiguration(update);
     m_lastResponse = now;
     auto isApplied = update.isRelay && m_catalog.apply(update.catalog);
     auto isFresh = isApplied && update.catalog.age <= m_options.maxCatalogAge;
@@ -215,6 +217,15 @@
         scheduleRequest(isFresh || !allAvoided() ? Common::Duration::zero() : pauseLeft());
 }
 
+// The response may have waited on its way, or for this process to go on after a pause.
+void RelayClient::ageConfiguration(UpdateResponse& update) const
+{
+    if (!update.catalog.configurationAge)
+        return;
+    auto onTheWay = Common::bootTime(m_loop.hooks()) - m_requestSentAt - update.held;
+    *update.catalog.configurationAge += std::max(onTheWay, Common::Duration::zero());
+}
+
 // Decides whether the next request asks for the full catalog: once for each relay process while it is not known that all removals have
 // been received. A relay that doesn't tell whether it knows them gives at least what it holds itself.
 void RelayClient::updateFullCatalogRequest(const FullCatalogSource& source)
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -80,6 +80,8 @@
     std::string chooseRelay() const;
     // `crashesReported`: revision of the own crash reports when the request was sent.
     void onResponse(const std::string& relay, Net::ResponseHead&&, std::uint64_t crashesReported);
+    // Adds the time since the relay answered, as far as it can't be told from the time for which it held the request open.
+    void ageConfiguration(UpdateResponse&) const;
     void updateFullCatalogRequest(const FullCatalogSource&);
     void onFailure(const std::string& relay, std::string_view cause);
 
@@ -107,6 +109,7 @@
     Common::Duration m_wait = std::chrono::milliseconds(400);
     Common::TimePoint m_lastFreshResponse;
     Common::TimePoint m_lastResponse;
+    Common::TimePoint m_requestSentAt; // boot time
     Common::TimePoint m_roundStartedAt; // last request to a relay that was avoided, since all were
     Net::EventLoop::TimerId m_timer = 0;
     bool m_running = false;
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/RelayMessages.h"
 
+#include <algorithm>
 #include <limits>
 
 #include <json/json.h>
@@ -187,6 +188,9 @@
         json["registry"] = Json::UInt64(response.catalog.position.registry);
         json["operators"] = Json::UInt64(response.catalog.position.operators);
         json["age_ms"] = Common::toMilliseconds(response.catalog.age);
+        json["held_ms"] = Common::toMilliseconds(response.held);
+        if (response.catalog.configurationAge)
+            json["configuration_age_ms"] = Common::toMilliseconds(*response.catalog.configurationAge);
         json["rows_deflated"] = rows.isDeflated;
         json["members_whole"] = response.members.isFull;
         json["members_revision"] = Json::UInt64(response.members.revision);
@@ -238,6 +242,9 @@
         response.catalog.knowsRemovals = json["removals_known"].asBool(); // absent in versions that do not track it
         response.catalog.position = { .era = json["era"].asUInt64(), .registry = json["registry"].asUInt64(), .operators = json["operators"].asUInt64() };
         response.catalog.age = Common::fromMilliseconds(json["age_ms"].asDouble());
+        response.held = Common::fromMilliseconds(json["held_ms"].asDouble());
+        if (json.isMember("configuration_age_ms"))
+            response.catalog.configurationAge = Common::fromMilliseconds(std::max(0.0, json["configuration_age_ms"].asDouble()));
         response.members = {
             .isFull = json["members_whole"].asBool(),
             .revision = json["members_revision"].asUInt64(),
--- a/Source/Core/Gateway/RelayMessages.h
+++ b/Source/Core/Gateway/RelayMessages.h
@@ -37,6 +37,7 @@
     bool isRelay = false; // the responder is a relay and has the capacity to answer; if not, there is no catalog or member update
     RelayList relayList; // as the responder knows it
     CatalogUpdate catalog;
+    Common::Duration held {}; // for which the responder held the request open
     MemberUpdate members;
     std::vector<Decisions::CrashReport> crashes; // that the relay shares, beyond the revision in the request
     std::uint64_t crashesRevision = 0; // of the responder's crash reports
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -34,6 +34,7 @@
 
 void RelayServer::serve(const std::shared_ptr<Net::Exchange>& exchange)
 {
+    auto receivedAt = Common::bootTime(m_loop.hooks());
     auto request = parseUpdateRequest(exchange->request().body);
     if (!request)
         return exchange->respond({ .status = Net::HttpStatus::BadRequest, .reason = {}, .headers = {}, .body = request.error().text });
@@ -41,13 +42,13 @@
     if (m_crashSuspects.merge(request.value().crashes, m_loop.now()))
         onCrashesChanged();
     if (!m_options.isRelay())
-        return answer(exchange, request.value());
+        return answer(exchange, request.value(), receivedAt);
     if (m_members.recordContact(request.value().member, m_loop.now()))
         onMembersChanged();
     // A first request is answered at once, even if the member list is about to change again.
     if (hasUpdateFor(request.value()) || request.value().wait <= Common::Duration::zero())
-        return answer(exchange, request.value());
-    m_pending.push_back({ .exchange = exchange, .request = request.value() });
+        return answer(exchange, request.value(), receivedAt);
+    m_pending.push_back({ .exchange = exchange, .request = request.value(), .receivedAt = receivedAt });
     auto it = std::prev(m_pending.end());
     it->timer = m_loop.after(std::min<Common::Duration>(request.value().wait, maxLongPollWait), [this, it] { answerPending(it); });
     exchange->onClientClosed([this, it] {
@@ -69,7 +70,7 @@
         && (request.membersStartedMs == 0 || request.membersStartedMs == m_members.self().startedMs);
 }
 
-void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const UpdateRequest& request)
+void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const UpdateRequest& request, Common::TimePoint receivedAt)
 {
     // A gateway that names no era, of a version before eras, has to read the store once the era has changed.
     UpdateResponse response { .isRelay = m_options.isRelay() && m_catalog.canServe(request.position), .relayList = m_options.relayList(), .catalog = {}, .members = {}, .crashes = {} };
@@ -85,6 +86,7 @@
         response.members = m_members.changesSince(hasOurList(request) ? request.membersRevision : 0, request.member.failureDomain);
         response.crashes = m_crashSuspects.sharedSince(hasOurList(request) ? request.crashesRevision : 0);
         response.crashesRevision = m_crashSuspects.revision();
+        response.held = Common::bootTime(m_loop.hooks()) - receivedAt;
         rows = &rowsSince(request.position, response.catalog);
     }
     exchange->respond({
@@ -112,7 +114,7 @@
     m_pending.erase(it);
     m_loop.cancel(pending.timer);
     pending.exchange->onClientClosed({});
-    answer(pending.exchange, pending.request);
+    answer(pending.exchange, pending.request, pending.receivedAt);
 }
 
 void RelayServer::scheduleAnswers(Common::Duration delay)
--- a/Source/Core/Gateway/RelayServer.h
+++ b/Source/Core/Gateway/RelayServer.h
@@ -38,6 +38,7 @@
     struct PendingRequest {
         std::shared_ptr<Net::Exchange> exchange;
         UpdateRequest request;
+        Common::TimePoint receivedAt; // boot time
         Net::EventLoop::TimerId timer = 0;
     };
     using PendingIterator = std::list<PendingRequest>::iterator;
@@ -48,7 +49,8 @@
         EncodedRows rows;
     };
 
-    void answer(const std::shared_ptr<Net::Exchange>&, const UpdateRequest&);
+    // `receivedAt`: boot time at which the request was read.
+    void answer(const std::shared_ptr<Net::Exchange>&, const UpdateRequest&, Common::TimePoint receivedAt);
     void answerPending(PendingIterator);
     void answerOutdated();
     const EncodedRows& rowsSince(const CatalogPosition& from, const CatalogUpdate&);
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -54,17 +54,50 @@
 
 }
 
-RequestForwarder::RequestForwarder(RequestRouter& router, std::shared_ptr<Net::Exchange> exchange, Route route, std::string service, Common::TimePoint deadline, RequestOrigin origin)
+RequestForwarder::RequestForwarder(RequestRouter& router, std::shared_ptr<Net::Exchange> exchange, RequestPlan plan)
     : m_router(router)
     , m_exchange(std::move(exchange))
-    , m_route(std::move(route))
-    , m_service(std::move(service))
+    , m_route(std::move(plan.route))
+    , m_service(std::move(plan.service))
     , m_id(Net::findHeader(m_exchange->request().headers, router.options().headers.requestId).value_or(""))
     , m_identity(requestIdentity(m_exchange->request()))
     , m_body(m_exchange->isBodyWhole())
-    , m_deadline(deadline)
-    , m_origin(origin)
+    , m_deadline(plan.deadline)
+    , m_origin(plan.origin)
+    , m_configurationVersion(router.configuration()->version)
 {
+    setOrganisation(std::move(plan.organisation));
+}
+
+void RequestForwarder::setOrganisation(std::optional<Organisation> organisation)
+{
+    m_organisation = std::move(organisation);
+    if (m_organisation && m_organisation->priority)
+        m_route.priority = *m_organisation->priority;
+}
+
+// A key may be revoked, or move to another organisation, while its request waits.
+bool RequestForwarder::confirmCaller()
+{
+    const auto& configuration = m_router.configuration();
+    if (m_origin == RequestOrigin::Gateway || m_configurationVersion == configuration->version)
+        return true;
+    auto identity = m_router.identify(m_exchange->request(), m_route);
+    if (identity.verdict == Decisions::AuthenticationVerdict::Serve) {
+        m_configurationVersion = configuration->version;
+        setOrganisation(std::move(identity.organisation));
+        return true;
+    }
+    if (m_openAttempts > 0)
+        return false; // an earlier attempt may still be answered
+    if (m_serverFailure || m_mayHaveExecuted) {
+        giveUp("the API key was revoked", RefusalReason::Shed, 0);
+        return false;
+    }
+    auto exchange = m_exchange;
+    finish();
+    m_router.rejectCaller(exchange, m_route, identity.verdict);
+    return false;
 }
 
 double RequestForwarder::timeLeftMs() const
@@ -364,6 +397,14 @@
         return Net::equalsIgnoringCase(header.name, names.deadline) || Net::equalsIgnoringCase(header.name, names.expectInstance)
             || Net::equalsIgnoringCase(header.name, forwardedHeader);
     });
+    if (m_router.needsKeys()) {
+        // Another gateway has set the organisation's name already.
+        std::erase_if(request.headers, [&](const auto& header) {
+            return Net::equalsIgnoringCase(header.name, names.apiKey) || (m_origin == RequestOrigin::Caller && Net::equalsIgnoringCase(header.name, names.organisation));
+        });
+    }
+    if (m_organisation)
+        request.headers.push_back({ names.organisation, m_organisation->name });
     request.headers.push_back({ names.deadline, std::to_string(std::max(1L, static_cast<long>(timeLeftMs()))) });
     request.headers.push_back(extra);
     if (m_body.isWhole())
@@ -375,6 +416,8 @@
 void RequestForwarder::send(const std::shared_ptr<Backend>& backend, double expectedMs)
 {
     auto& router = m_router;
+    if (!confirmCaller())
+        return;
     if (m_attemptCount == 0)
         router.placementTimes().add(router.loop().now() - m_exchange->received());
     ++m_attemptCount;
@@ -392,6 +435,8 @@
 void RequestForwarder::sendToPeer(const std::shared_ptr<Backend>& peer)
 {
     auto& router = m_router;
+    if (!confirmCaller())
+        return;
     ++router.counters().forwarded;
     m_lastServer = peer->record().id;
     auto attemptsLeft = std::max(1, m_route.maxAttempts - m_attemptCount);
@@ -932,6 +977,7 @@
         { "outcome", outcome },
         { "route", m_route.name },
         { "service", m_service },
+        { "organisation", m_organisation ? m_organisation->name : "" },
         { "configuration", std::to_string(m_router.configuration()->version) },
         { "server", m_lastServer },
         { "sends", std::to_string(m_attemptCount) },
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -19,12 +19,21 @@
     Gateway,
 };
 
+// How a request is to be served, as decided when it arrived.
+struct RequestPlan {
+    Route route;
+    std::string service;
+    Common::TimePoint deadline;
+    RequestOrigin origin = RequestOrigin::Caller;
+    std::optional<Organisation> organisation; // of the caller
+};
+
 // Forwards one request: probes a few servers for their load, sends the request to the best of them, retries or hedges where
 // the route and the retry budget allow it, and answers the caller. Lives until it has answered or the caller has
 // disconnected. Owned by RequestRouter.
 class RequestForwarder : public std::enable_shared_from_this<RequestForwarder> {
 public:
-    RequestForwarder(RequestRouter&, std::shared_ptr<Net::Exchange>, Route, std::string service, Common::TimePoint deadline, RequestOrigin);
+    RequestForwarder(RequestRouter&, std::shared_ptr<Net::Exchange>, RequestPlan);
 
     void start();
     // Called when the caller has disconnected: sends nothing more and cancels open attempts.
@@ -71,6 +80,9 @@
     void onProbeResult(std::size_t index, std::size_t round, const ProbeAnswer&);
     void onProbesDone();
     void placeRequest();
+    // Whether the caller may still be served by the configuration in force. If not, ends the request.
+    bool confirmCaller();
+    void setOrganisation(std::optional<Organisation>);
     void send(const std::shared_ptr<Backend>&, double expectedMs);
     void startAttempt(const Attempt&, std::string bytes);
     // Tells whether a response that comes over an attempt's connection answers this request.
@@ -129,6 +141,8 @@
     std::optional<std::size_t> m_bodyAttempt; // the attempt that the body is streamed to
     Common::TimePoint m_deadline;
     RequestOrigin m_origin;
+    std::optional<Organisation> m_organisation; // of the caller; empty on public routes and where the configuration has none
+    std::uint64_t m_configurationVersion = 0; // by which the caller was identified
     CandidateScope m_scope = CandidateScope::OwnDomain;
     std::size_t m_probeRound = 0; // each attempt begins a new one; late results of earlier rounds are ignored
     std::size_t m_lateProbeRound = 0; // the last one whose probes got their whole time, since none was answered soon
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -20,6 +20,8 @@
 
     // A server that does not answer within this time after it closed a connection has ended.
     constexpr auto crashCheckTimeout = std::chrono::milliseconds(250);
+    // For the rounding of ages on the way from relay to relay.
+    constexpr Common::Duration revokeMargin = std::chrono::milliseconds(100);
     // Of a forwarded request that names no time budget. The gateway that forwards it has its own limit.
     constexpr auto forwardedTimeLimit = std::chrono::minutes(10);
 
@@ -142,33 +144,103 @@
     return route.parts[it->second.next()].service;
 }
 
+void RequestRouter::respondNotConfigured(const std::shared_ptr<Net::Exchange>& exchange)
+{
+    ++m_counters.refused;
+    m_log.log(Common::EventId::CallRefused,
+        { { "request", std::string(Net::findHeader(exchange->request().headers, m_options.headers.requestId).value_or("")) },
+            { "cause", "no configuration received yet" } });
+    auto wait = Decisions::retryAfter({
+        .reason = Decisions::RefusalReason::NotConfigured,
+        .timeLeftMs = 3000,
+        .excessMs = 0,
+        .jitter = Common::randomUnit(m_loop.hooks()),
+    });
+    exchange->respond({
+        .status = Unavailable,
+        .reason = {},
+        .headers = { { "Retry-After", std::to_string(std::chrono::duration<double>(wait).count()) } },
+        .body = {},
+    });
+}
+
+bool RequestRouter::isConfigurationOutdated() const
+{
+    auto age = m_options.configurationAge();
+    return needsKeys() && m_options.revokeTime && (!age || *age > *m_options.revokeTime - revokeMargin);
+}
+
+CallerIdentity RequestRouter::identify(const Net::Request& request, const Route& route) const
+{
+    auto needsKey = needsKeys() && !route.isPublic;
+    if (!needsKey)
+        return {};
+    // A request with several keys has none: which one counts would be a guess.
+    auto isKey = [&](const auto& header) { return Net::equalsIgnoringCase(header.name, m_options.headers.apiKey); };
+    auto first = std::find_if(request.headers.begin(), request.headers.end(), isKey);
+    auto isOnlyOne = first != request.headers.end() && std::find_if(std::next(first), request.headers.end(), isKey) == request.headers.end();
+    const auto* organisation = isOnlyOne ? m_configuration->organisations.find(first->value) : nullptr;
+    auto verdict = Decisions::authenticate({
+        .needsKey = needsKey,
+        .isKeyKnown = organisation != nullptr,
+        .age = m_options.configurationAge(),
+        .maxAge = m_options.revokeTime ? std::optional(*m_options.revokeTime - revokeMargin) : std::nullopt,
+        .applyTime = m_options.applyTime,
+    });
+    return { .verdict = verdict, .organisation = organisation ? std::optional(*organisation) : std::nullopt };
+}
+
+void RequestRouter::rejectCaller(const std::shared_ptr<Net::Exchange>& exchange, const Route& route, Decisions::AuthenticationVerdict verdict)
+{
+    auto id = std::string(Net::findHeader(exchange->request().headers, m_options.headers.requestId).value_or(""));
+    auto age = m_options.configurationAge();
+    std::vector<Common::EventField> fields {
+        { "request", id },
+        { "route", route.name },
+        { "configuration", std::to_string(m_configuration->version) },
+        { "configuration_age_ms", age ? fmt::format("{:.0f}", Common::toMilliseconds(*age)) : "unknown" },
+    };
+    if (verdict == Decisions::AuthenticationVerdict::Reject) {
+        ++m_counters.unauthorized;
+        m_log.log(Common::EventId::CallUnauthorized, std::move(fields));
+        return exchange->respond({ .status = Unauthorized, .reason = {}, .headers = {}, .body = {} });
+    }
+    ++m_counters.refused;
+    ++m_counters.refusedAsOutdated;
+    auto wait = Decisions::retryAfter({
+        .reason = Decisions::RefusalReason::Outdated,
+        .timeLeftMs = Common::toMilliseconds(timeAllowed(exchange->request(), route.timeout)),
+        .excessMs = 0,
+        .jitter = Common::randomUnit(m_loop.hooks()),
+    });
+    auto retryAfterS = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
+    fields.push_back({ "cause", "the configuration is too old to tell whether the API key is valid" });
+    fields.push_back({ "retry_after_s", retryAfterS });
+    m_log.log(Common::EventId::CallRefused, std::move(fields));
+    exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { m_options.headers.retryAfter, retryAfterS } }, .body = {} });
+}
+
 void RequestRouter::serve(const std::shared_ptr<Net::Exchange>& exchange)
 {
     ++m_counters.requests;
-    if (!m_configuration) {
-        ++m_counters.refused;
-        m_log.log(Common::EventId::CallRefused,
-            { { "request", std::string(Net::findHeader(exchange->request().headers, m_options.headers.requestId).value_or("")) },
-                { "cause", "no configuration received yet" } });
-        auto wait = Decisions::retryAfter({
-            .reason = Decisions::RefusalReason::NotConfigured,
-            .timeLeftMs = 3000,
-            .excessMs = 0,
-            .jitter = Common::randomUnit(m_loop.hooks()),
-        });
-        return exchange->respond({
-            .status = Unavailable,
-            .reason = {},
-            .headers = { { "Retry-After", std::to_string(std::chrono::duration<double>(wait).count()) } },
-            .body = {},
-        });
-    }
+    if (!m_configuration)
+        return respondNotConfigured(exchange);
     const auto& request = exchange->request();
     const auto* route = m_configuration->find(Net::findHeader(request.headers, "Host").value_or(""), Net::pathOf(request.target));
     if (!route || route->parts.empty())
         return respondNoRoute(exchange);
+    auto identity = identify(request, *route);
+    if (identity.verdict != Decisions::AuthenticationVerdict::Serve)
+        return rejectCaller(exchange, *route, identity.verdict);
     auto deadline = exchange->received() + timeAllowed(request, route->timeout);
-    start(std::make_shared<RequestForwarder>(*this, exchange, *route, chooseService(*route), deadline, RequestOrigin::Caller));
+    start(std::make_shared<RequestForwarder>(*this, exchange,
+        RequestPlan {
+            .route = *route,
+            .service = chooseService(*route),
+            .deadline = deadline,
+            .origin = RequestOrigin::Caller,
+            .organisation = std::move(identity.organisation),
+        }));
 }
 
 Common::Duration RequestRouter::timeAllowed(const Net::Request& request, Common::Duration limit) const
@@ -200,7 +272,15 @@
     ++m_counters.acceptedForwarded;
     std::erase_if(request.headers, [](const auto& header) { return Net::equalsIgnoringCase(header.name, forwardedHeader); });
     auto deadline = exchange->received() + timeAllowed(request, forwardedTimeLimit);
-    start(std::make_shared<RequestForwarder>(*this, exchange, forwarded->route, forwarded->service, deadline, RequestOrigin::Gateway));
+    // The other gateway has identified the caller, and named the organisation in the request.
+    start(std::make_shared<RequestForwarder>(*this, exchange,
+        RequestPlan {
+            .route = forwarded->route,
+            .service = forwarded->service,
+            .deadline = deadline,
+            .origin = RequestOrigin::Gateway,
+            .organisation = {},
+        }));
 }
 
 // Tells another gateway whether this one reaches the servers of a service, and its load.
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -9,6 +9,7 @@
 
 #include "Common/EventLog.h"
 #include "Common/LatencySummary.h"
+#include "Decisions/Authentication.h"
 #include "Decisions/CrashSuspects.h"
 #include "Decisions/LoadProbeBudget.h"
 #include "Decisions/Placement.h"
@@ -31,6 +32,17 @@
     // Called when this gateway has learned that a server ended under a request.
     std::function<void()> crashRecorded = [] {};
     const Net::MemoryBudget* budget = nullptr; // must outlive the router; null: none
+    // Upper bound on the time since the store confirmed the configuration in force; nullopt: none is known.
+    std::function<std::optional<Common::Duration>()> configurationAge = [] { return std::optional(Common::Duration::zero()); };
+    // A revoked API key must not work for longer; nullopt: no such limit.
+    std::optional<Common::Duration> revokeTime = {};
+    Common::Duration applyTime = std::chrono::seconds(2); // in which changes of the configuration arrive
+};
+
+// What is known of the sender of a request.
+struct CallerIdentity {
+    Decisions::AuthenticationVerdict verdict = Decisions::AuthenticationVerdict::Serve;
+    std::optional<Organisation> organisation; // empty on public routes and where the configuration has no organisations
 };
 
 struct RequestCounters {
@@ -45,6 +57,8 @@
     std::uint64_t refusedForMemory = 0; // of the refused ones
     std::uint64_t longBodies = 0; // requests whose body was streamed, refused ones included
     std::uint64_t unknownRoute = 0; // answered with 404
+    std::uint64_t unauthorized = 0; // answered with 401
+    std::uint64_t refusedAsOutdated = 0; // of the refused ones: the configuration was too old to tell whether the key is valid
     std::uint64_t abandoned = 0; // the caller disconnected first
     std::uint64_t attempts = 0; // requests sent to servers, retries included
     std::uint64_t retries = 0; // retries and hedged attempts decided on
@@ -77,6 +91,13 @@
     const RequestRouterOptions& options() const { return m_options; }
     // Whether the memory budget allows one more request. `isBodyWhole`: its body is not streamed.
     bool hasMemory(bool isBodyWhole) const;
+    // Whether requests need API keys on routes that are not public.
+    bool needsKeys() const { return m_configuration && !m_configuration->organisations.empty(); }
+    // Whether keys in the configuration may have been revoked for too long, so that no request that needs one is served.
+    bool isConfigurationOutdated() const;
+    CallerIdentity identify(const Net::Request&, const Route&) const;
+    // Answers a request that identify() does not let pass.
+    void rejectCaller(const std::shared_ptr<Net::Exchange>&, const Route&, Decisions::AuthenticationVerdict);
     RequestCounters& counters() { return m_counters; }
     const RequestCounters& counters() const { return m_counters; }
     Common::LatencySummary& totalTimes() { return m_totalTimes; }
@@ -97,6 +118,7 @@
 private:
     std::string chooseService(const Route&);
     void respondNoRoute(const std::shared_ptr<Net::Exchange>&);
+    void respondNotConfigured(const std::shared_ptr<Net::Exchange>&);
     void respondToPeerProbe(const std::shared_ptr<Net::Exchange>&);
     // Until the time budget that the request names, or else the limit, is over.
     Common::Duration timeAllowed(const Net::Request&, Common::Duration limit) const;
--- a/Source/Core/Gateway/StoreReader.cpp
+++ b/Source/Core/Gateway/StoreReader.cpp
@@ -62,7 +62,7 @@
 
 StoreReader::ReadRequest StoreReader::readRequest(std::uint64_t position, bool reread) const
 {
-    return { .isFull = position == 0 || reread, .era = m_catalog.position().era, .startedAt = m_loop.now() };
+    return { .isFull = position == 0 || reread, .era = m_catalog.position().era, .startedAt = m_loop.now(), .bootTime = Common::bootTime(m_loop.hooks()) };
 }
 
 void StoreReader::readRegistry()
@@ -187,6 +187,7 @@
     auto wait = request.isFull ? m_options.firstBackoff : Common::Duration::zero();
     schedule(m_operatorTimer, wait, &StoreReader::readOperators);
     m_operatorsRead = true;
+    m_catalog.confirmConfiguration(request.bootTime);
     confirmFresh();
 }
 
--- a/Source/Core/Gateway/StoreReader.h
+++ b/Source/Core/Gateway/StoreReader.h
@@ -52,6 +52,7 @@
         bool isFull = false;
         std::uint64_t era = 0; // of the catalog when the read began
         Common::TimePoint startedAt;
+        Common::TimePoint bootTime; // at startedAt
     };
     enum class EraCheck {
         Usable,
--- a/Source/Core/Net/HttpStatus.h
+++ b/Source/Core/Net/HttpStatus.h
@@ -7,6 +7,7 @@
     Ok = 200,
     FirstRedirect = 300,
     BadRequest = 400,
+    Unauthorized = 401,
     NotFound = 404,
     RequestTimeout = 408,
     Gone = 410,
--- /dev/null
+++ b/Source/UnitTests/Gateway/ApiKeyTest.cpp
@@ -0,0 +1,132 @@
+#include <doctest/doctest.h>
+
+#include "Gateway/GatewayFixture.h"
+
+namespace {
+
+using namespace UnitTests;
+
+const std::string twoTenants = R"({"one":{"api_keys":["k1","k2"],"priority":1},"two":{"api_keys":["k3"],"priority":1}})";
+
+std::string configurationWith(int version, const std::string& tenants)
+{
+    auto value = PlatformStandIn::configurationValue(version, "service",
+        R"(,"open":{"host":"host.example","prefix":"/open/","route_type":"safe","timeout_ms":1000,"target_latency_ms":300,"priority":1,"service":"service","max_attempts":2,"public":true})");
+    value.pop_back();
+    return value + ",\"tenants\":" + tenants + "}";
+}
+
+std::string withHeaders(const std::string& id, const std::string& headers, const std::string& target = "/safe/x")
+{
+    auto bytes = requestBytes("GET", target, id);
+    return bytes.insert(bytes.find("\r\n") + 2, headers);
+}
+
+struct KeyCase {
+    std::string what;
+    std::string headers;
+    std::string target;
+    int status;
+    std::string organisation; // that the server is told
+};
+
+const std::string key = std::string(Names::apiKey) + ": ";
+const std::string tenant = std::string(Names::organisation) + ": ";
+
+const KeyCase keyCases[] = {
+    { "valid key", key + "k1\r\n", "/safe/x", 200, "one" },
+    { "second key of the organisation", key + "k2\r\n", "/safe/x", 200, "one" },
+    { "key of another organisation", key + "k3\r\n", "/safe/x", 200, "two" },
+    { "header name in lower case", "x-cowslipledge-key: k3\r\n", "/safe/x", 200, "two" },
+    { "the caller names an organisation itself", key + "k1\r\n" + tenant + "two\r\n", "/safe/x", 200, "one" },
+    { "no key", "", "/safe/x", 401, "" },
+    { "no key, the caller names an organisation", tenant + "one\r\n", "/safe/x", 401, "" },
+    { "unknown key", key + "k4\r\n", "/safe/x", 401, "" },
+    { "empty key", key + "\r\n", "/safe/x", 401, "" },
+    { "another case", key + "K1\r\n", "/safe/x", 401, "" },
+    { "blank in the key", key + "k1 k1\r\n", "/safe/x", 401, "" },
+    { "list of keys", key + "k1, k3\r\n", "/safe/x", 401, "" },
+    { "the same key twice", key + "k1\r\n" + key + "k1\r\n", "/safe/x", 401, "" },
+    { "two keys", key + "k1\r\n" + key + "k3\r\n", "/safe/x", 401, "" },
+    { "public route, no key", "", "/open/x", 200, "" },
+    { "public route, any key and organisation", key + "k4\r\n" + tenant + "two\r\n", "/open/x", 200, "" },
+    { "unknown route", key + "k1\r\n", "/unknown/x", 404, "" },
+};
+
+}
+
+// Guards against keys that reach servers, requests served for the wrong organisation, and requests served without a key.
+TEST_CASE("A request is served for the organisation that holds its key, and the server gets the name instead of the key")
+{
+    GatewayFixture fixture(1);
+    fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(2, twoTenants)); });
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    int n = 0;
+    for (const auto& row : keyCases) {
+        CAPTURE(row.what);
+        auto id = "key" + std::to_string(++n);
+        auto response = gateway->call(withHeaders(id, row.headers, row.target));
+        CHECK(response.status == row.status);
+        CHECK(fixture.runs.runs(id) == (row.status == 200 ? 1 : 0));
+        if (row.status != 200)
+            continue;
+        auto headers = fixture.thread.call([&] { return fixture.servers[0]->lastHeaders(); });
+        CHECK(!Net::findHeader(headers, Names::apiKey));
+        CHECK(Net::findHeader(headers, Names::organisation).value_or("") == row.organisation);
+    }
+    auto metrics = RunningGateway::get(gateway->daemon().metricsAddress(), "/metrics").body;
+    CHECK(metrics.find("cowslipledge_unauthorized_total 9") != std::string::npos);
+    CHECK(metrics.find("k1") == std::string::npos);
+}
+
+// Guards against deployments without organisations whose headers of that name would be changed.
+TEST_CASE("Without organisations, headers of keys and organisations are passed on as any other")
+{
+    GatewayFixture fixture(1);
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    CHECK(gateway->call(withHeaders("plain", key + "k1\r\n" + tenant + "two\r\n")).status == 200);
+    auto headers = fixture.thread.call([&] { return fixture.servers[0]->lastHeaders(); });
+    CHECK(Net::findHeader(headers, Names::apiKey) == "k1");
+    CHECK(Net::findHeader(headers, Names::organisation) == "two");
+}
+
+// Guards against keys that go on working after the configuration without them is in force.
+TEST_CASE("A revoked key is rejected once the configuration without it is in force, and an added one is accepted")
+{
+    GatewayFixture fixture(1);
+    auto put = [&](int version, const std::string& tenants) {
+        fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(version, tenants)); });
+    };
+    put(2, twoTenants);
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    CHECK(gateway->call(withHeaders("before", key + "k3\r\n")).status == 200);
+    put(3, R"({"one":{"api_keys":["k1","k5"]}})");
+    CHECK(eventually([&] { return gateway->call(withHeaders("after", key + "k3\r\n")).status == 401; }));
+    CHECK(gateway->call(withHeaders("kept", key + "k1\r\n")).status == 200);
+    CHECK(gateway->call(withHeaders("added", key + "k5\r\n")).status == 200);
+}
+
+// Guards against a key that works for longer than allowed at a gateway which can't hear of its revocation.
+TEST_CASE("A gateway whose configuration was not confirmed for too long refuses keys, is not ready, and serves public routes")
+{
+    GatewayFixture fixture(1);
+    fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(2, twoTenants)); });
+    auto settings = RunningGateway::settings(fixture.storeAddress(), {}, "127.0.0.1:0", Common::LogFormat::Off);
+    settings.revokeMs = 3000;
+    RunningGateway gateway(settings);
+    REQUIRE(gateway.waitReady());
+    CHECK(gateway.call(withHeaders("fresh", key + "k1\r\n")).status == 200);
+    fixture.thread.call([&] { fixture.store->setMode(PlatformStandIn::StoreMode::Busy); });
+    REQUIRE(eventually([&] { return RunningGateway::get(gateway.daemon().readyAddress(), Names::readyPath).status == 503; }));
+    auto refused = gateway.call(withHeaders("outdated", key + "k1\r\n"));
+    CHECK(refused.status == 503);
+    CHECK(Net::findHeader(refused.headers, "Retry-After"));
+    CHECK(fixture.runs.runs("outdated") == 0);
+    CHECK(gateway.call(withHeaders("unknown", key + "k4\r\n")).status == 503);
+    CHECK(gateway.call(withHeaders("open", "", "/open/x")).status == 200);
+    fixture.thread.call([&] { fixture.store->setMode(PlatformStandIn::StoreMode::Serving); });
+    CHECK(eventually([&] { return gateway.call(withHeaders("again", key + "k1\r\n")).status == 200; }));
+}
