Placement: a noisy neighbour slows the whole request down

Cause: the reported work factor was taken to hold for another 150 ms only.

Change: the expected time is the work times the factor; the constant is gone.

--- a/Source/Core/Decisions/Placement.cpp
+++ b/Source/Core/Decisions/Placement.cpp
@@ -27,16 +27,6 @@
         return signal.slots > upToKnee * options.kneeFactor ? signal.slots : upToKnee;
     }
 
-    // Processing time including the delay by a noisy neighbour. The neighbour's load is expected to last for another
-    // noisyNeighbourMs, and only the work done until then is slowed down.
-    double loadedWorkMs(double workMs, double workFactor, const PlacementOptions& options)
-    {
-        if (workFactor <= 1)
-            return workMs * workFactor;
-        auto maxDelayMs = options.noisyNeighbourMs * (1 - 1 / workFactor);
-        return workMs + std::min(workMs * (workFactor - 1), maxDelayMs);
-    }
-
 }
 
 double expectedResponseMs(const ServerSignal& signal, double workMs, const PlacementOptions& options)
@@ -44,7 +34,7 @@
     auto slots = std::max(1, signal.slots);
     auto required = requiredSlots(signal);
     auto used = std::min(slots, required);
-    auto work = loadedWorkMs(workMs, signal.workFactor, options) * std::max(1.0, signal.slowness);
+    auto work = workMs * signal.workFactor * std::max(1.0, signal.slowness);
     if (used > options.kneeShare * slots)
         work *= options.kneeFactor;
     if (signal.cold)
--- a/Source/Core/Decisions/Placement.h
+++ b/Source/Core/Decisions/Placement.h
@@ -26,7 +26,6 @@
     double kneeShare = 0.8; // share of the slots in use beyond which all work on a server slows down (users' service sheets)
     double kneeFactor = 1.7; // slowdown beyond that share (users' service sheets)
     double coldFactor = 2; // slowdown of a server in its first seconds (users' service sheets)
-    double noisyNeighbourMs = 150; // expected remaining time of a noisy neighbour's load: half of its duration (users' service sheets)
     double crossDomainCostMs = 20; // cost of traffic between failure domains
     double failureCostMs = 600; // cost of a certain failure: about one more attempt, or a lost response
     double unhealthyCostMs = 1000; // finite: a server that reports itself unhealthy may still be the best one left
--- a/Source/UnitTests/Decisions/PlacementTest.cpp
+++ b/Source/UnitTests/Decisions/PlacementTest.cpp
@@ -24,7 +24,9 @@
     { "short queue preferred to a long one", { .running = 4, .waiting = 1, .slots = 4 }, { .running = 4, .waiting = 4, .slots = 4 } },
     { "below the knee preferred to beyond it", { .running = 2, .slots = 4 }, { .running = 3, .slots = 4 } },
     { "usual speed preferred to a noisy neighbour", { .slots = 4 }, { .slots = 4, .workFactor = 4 } },
-    { "noisy neighbour preferred to a long queue, as its load ends", { .slots = 4, .workFactor = 4 }, { .running = 4, .waiting = 4, .slots = 4 } },
+    { "noisy neighbour preferred to a queue that takes longer", { .slots = 4, .workFactor = 4 }, { .running = 4, .waiting = 5, .slots = 4 } },
+    { "queue preferred to a noisy neighbour that takes longer", { .running = 4, .waiting = 4, .slots = 4 }, { .slots = 4, .workFactor = 4 } },
+    { "a busy slot preferred to a noisy neighbour", { .running = 1, .slots = 2 }, { .slots = 2, .workFactor = 4 } },
     { "requests sent since the last report count", { .slots = 4 }, { .slots = 4, .unreported = 4 } },
     { "server with slow responses avoided", { .slots = 4 }, { .slots = 4, .slowness = 3 } },
     { "failing server avoided", { .running = 3, .slots = 4 }, { .slots = 4, .failureShare = 0.5 } },
@@ -49,6 +51,9 @@
     { "priority 0 may use all slots", { .running = 3, .slots = 4 }, 0, true },
     { "priority 0 may not queue", { .running = 4, .slots = 4 }, 0, false },
     { "a single slot may be used at any priority", { .slots = 1 }, 2, true },
+    { "two slots get more done than one, also slowed down", { .running = 1, .slots = 2 }, 2, true },
+    { "both of two slots in use", { .running = 2, .slots = 2 }, 2, false },
+    { "two of three slots get more done than all", { .running = 2, .slots = 3 }, 2, false },
 };
 
 }
