--- a/Source/Core/Decisions/FleetAllowance.cpp
+++ b/Source/Core/Decisions/FleetAllowance.cpp
@@ -10,6 +10,8 @@
 
     // Time constant of the rates: longer than an interval between reports of small fleets, short enough to follow a burst.
     constexpr double rateTimeS = 0.5;
+    // One request in a shorter time would be taken for a high rate.
+    constexpr double minRateTimeS = 0.4;
     // Time in which the bucket is brought to its target. Shorter than the delay of reports and fractions, the fractions would oscillate.
     constexpr double settleTimeS = 1.0;
     // Shares of the bound's tolerance by which the bucket may be in debt steadily: with no debt, the uneven demand of a fleet is refused
@@ -242,6 +244,7 @@
         if (source.recentSeconds <= 0)
             continue;
         auto isSilent = seconds(now - source.reportedAt) > silentAfterS;
+        auto rateTime = std::max(source.recentSeconds, minRateTimeS);
         // Both are in the order of names; a look-up for each flow would take a quarter of a core at 221 gateways.
         auto it = m_buckets.begin();
         for (auto& [organisation, flow] : source.flows) {
@@ -252,8 +255,8 @@
             if (it->first != organisation || flow.recentReceived < minRecentRequests)
                 continue;
             auto& bucket = it->second;
-            auto received = flow.recentReceived / source.recentSeconds;
-            auto assumed = (isSilent ? flow.recentAdmitted / source.recentSeconds : received * bucket.fractionInForce) * elapsed;
+            auto received = flow.recentReceived / rateTime;
+            auto assumed = (isSilent ? flow.recentAdmitted / rateTime : received * bucket.fractionInForce) * elapsed;
             bucket.demand += received;
             bucket.assumed += assumed;
             flow.assumed += assumed;
--- a/Source/UnitTests/Decisions/FleetAllowanceTest.cpp
+++ b/Source/UnitTests/Decisions/FleetAllowanceTest.cpp
@@ -166,6 +166,17 @@
         }
         return lost / ideal;
     }
+    // Names the organisations with refused requests, and that with the worst window.
+    std::string details() const
+    {
+        std::string text;
+        for (std::size_t i = 0; i < m_organisations.size(); ++i) {
+            auto row = result(i);
+            if (row.received > row.admitted || row.worstOfBound > 0.95)
+                text += " " + std::to_string(i) + ": " + std::to_string(static_cast<int>(row.received - row.admitted)) + " " + std::to_string(row.worstOfBound);
+        }
+        return text;
+    }
     double refused() const
     {
         double refused = 0;
@@ -346,7 +357,8 @@
 void report(const FleetModel& model, const std::string& what)
 {
     MESSAGE(what << ", " << model.size() << " gateways: worst window " << model.worstOfBound() << " of the bound, refused " << model.refused()
-                 << ", refused beyond the ideal counter " << model.lostShare() * 100 << "% of what it admits, answers at once " << model.answersAtOnce());
+                 << ", refused beyond the ideal counter " << model.lostShare() * 100 << "% of what it admits, answers at once " << model.answersAtOnce()
+                 << model.details());
 }
 
 }
