BodyDecoder: the limit of a chunk's line does not depend on how it arrives

Cause: the limit of 4,096 bytes of a chunk size or trailer line was checked only while the line's end had not come. A longer line that arrived in one piece was accepted, the same bytes in parts were malformed. Found by the fuzz target http.

Change: the limit holds for a line that has come whole too, and the CR of the longest line does not count.

Measured: the two new rows of HeadSyntaxTest on longer lines fail with the former decoder and pass now.

--- a/Source/Core/Net/BodyDecoder.cpp
+++ b/Source/Core/Net/BodyDecoder.cpp
@@ -81,11 +81,13 @@
         return m_remaining == 0;
     }
     auto end = rest.find("\r\n");
-    if (end == std::string_view::npos) {
-        if (rest.size() > maxLineBytes)
-            m_state = State::Malformed;
+    // The same verdict however the line arrives: all at once or in parts, the last of which may end behind its CR.
+    if (end == std::string_view::npos ? rest.size() > maxLineBytes + 1 : end > maxLineBytes) {
+        m_state = State::Malformed;
         return false;
     }
+    if (end == std::string_view::npos)
+        return false;
     auto line = rest.substr(0, end);
     rest.remove_prefix(end + 2);
     if (m_step == ChunkStep::Size) {
