RelayMessages: texts that are not UTF-8 keep their bytes

Cause: the JSON library reads strings that are not UTF-8 as they are, and writes U+FFFD in their place. A row of the store with such bytes was known to a relay by other bytes than to the gateways that follow it. Found by the fuzz target rows.

Change: messages between gateways are written byte for byte.

Measured: the new case of RelayMessagesTest fails with the former writer and passes now.

--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -33,6 +33,14 @@
     return Json::writeString(builder, json);
 }
 
+std::string jsonBytes(const Json::Value& json)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true; // else the library replaces what is no UTF-8 by U+FFFD
+    return Json::writeString(builder, json);
+}
+
 std::optional<Json::Value> parseJsonObject(std::string_view text)
 {
     auto json = parseJson(text);
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -144,6 +144,7 @@
 
 }
 
+// Texts are written byte for byte: a row of the store that is not UTF-8 must reach the other gateways as the relay has read it.
 std::string toText(const UpdateRequest& request)
 {
     Json::Value json;
@@ -160,7 +161,7 @@
     json["roster"] = toJson(request.relayList.relays);
     json["roster_version"] = Json::UInt64(request.relayList.version);
     json["roster_era"] = Json::UInt64(request.relayList.era);
-    return Common::jsonText(json);
+    return Common::jsonBytes(json);
 }
 
 EncodedRows encodeRows(const std::vector<Platform::TableRow>& rows)
@@ -168,7 +169,7 @@
     Json::Value json(Json::arrayValue);
     for (const auto& row : rows)
         json.append(toJson(row));
-    EncodedRows encoded { .bytes = Common::jsonText(json), .isDeflated = false };
+    EncodedRows encoded { .bytes = Common::jsonBytes(json), .isDeflated = false };
     if (encoded.bytes.size() >= minDeflateBytes)
         encoded = { .bytes = Net::zlibCompress(encoded.bytes), .isDeflated = true };
     return encoded;
@@ -209,7 +210,7 @@
         json["crashes_revision"] = Json::UInt64(response.crashesRevision);
     }
     // The JSON text contains no line break itself.
-    return Common::jsonText(json) + "\n" + (response.isRelay ? rows.bytes : std::string());
+    return Common::jsonBytes(json) + "\n" + (response.isRelay ? rows.bytes : std::string());
 }
 
 Common::Result<UpdateRequest> parseUpdateRequest(const std::string& text)
@@ -286,14 +287,14 @@
 {
     Json::Value json;
     json["relays"] = toJson(list.relays);
-    return Common::jsonText(json);
+    return Common::jsonBytes(json);
 }
 
 std::string toText(const std::vector<Decisions::CrashReport>& reports)
 {
     Json::Value json;
     json["crashes"] = toJson(reports);
-    return Common::jsonText(json);
+    return Common::jsonBytes(json);
 }
 
 Common::Result<std::vector<Decisions::CrashReport>> parseCrashReports(const std::string& text)
--- a/Source/UnitTests/Gateway/RelayMessagesTest.cpp
+++ b/Source/UnitTests/Gateway/RelayMessagesTest.cpp
@@ -66,6 +66,24 @@
     CHECK(back.value().crashesRevision == 13);
 }
 
+// Guards against gateways that know one row of the store by different bytes: what was no UTF-8 was replaced on the way until 2026-12-07.
+TEST_CASE("Rows and members that are not UTF-8 keep their bytes in updates")
+{
+    for (const std::string text : { "\xff\xc3", "\xc0\x80", "\xed\xb0\x80", "\xc3\xa9", "a\n\x01\x7f" }) {
+        CAPTURE(text);
+        UpdateRequest request;
+        request.member.failureDomain = text;
+        CHECK(parseUpdateRequest(toText(request)).value().member == request.member);
+        UpdateResponse response;
+        response.isRelay = true;
+        response.catalog.rows = { { .table = "t", .key = text, .value = text, .version = 1 } };
+        auto back = parseUpdateResponse(toText(response, encodeRows(response.catalog.rows)));
+        REQUIRE(back.has_value());
+        CHECK(back.value().catalog.rows[0].key == text);
+        CHECK(back.value().catalog.rows[0].value == text);
+    }
+}
+
 TEST_CASE("Malformed update requests, responses and relay lists are rejected")
 {
     for (const char* text : { "", "[]", "{", R"({"member":5})", R"({"member":["c","d","a",1,1,1],"registry":"x"})", R"({"member":["c","d","a",1,1,1],"registry":-1})", R"({"member":["c","d","a",1,1,1],"crashes":[["x"]]})", R"({"member":["c","d","a",1,1,1],"crashes":[5]})" }) {
