Fuzz: targets for HTTP heads and bodies, and for relay messages and rows

Cause: the corpora held input of callers to the entry, records and settings, but nothing of what a gateway reads from servers, gateways and the store.

--- /dev/null
+++ b/Source/Fuzz/RowsTarget.cpp
@@ -0,0 +1,66 @@
+#include "Gateway/RelayMessages.h"
+#include "Targets.h"
+#include "platform/Rows.h"
+
+namespace Fuzz {
+
+namespace {
+
+    void checkUpdateRequest(const std::string& input)
+    {
+        auto request = Gateway::parseUpdateRequest(input);
+        if (!request)
+            return;
+        auto text = Gateway::toText(request.value());
+        auto again = Gateway::parseUpdateRequest(text);
+        require(again.has_value(), "accepted update request is refused when written again");
+        require(Gateway::toText(again.value()) == text, "update request is not read back as written");
+        require(again.value().member == request.value().member && again.value().position == request.value().position
+                && again.value().crashes == request.value().crashes && again.value().relayList.relays == request.value().relayList.relays,
+            "update request's member, position, crashes or relays are not read back as written");
+    }
+
+    void checkUpdateResponse(const std::string& input)
+    {
+        auto response = Gateway::parseUpdateResponse(input);
+        if (!response)
+            return;
+        auto textOf = [](const Gateway::UpdateResponse& it) { return Gateway::toText(it, Gateway::encodeRows(it.catalog.rows)); };
+        auto text = textOf(response.value());
+        auto again = Gateway::parseUpdateResponse(text);
+        require(again.has_value(), "accepted update response is refused when written again");
+        require(textOf(again.value()) == text, "update response is not read back as written");
+        // Only a relay's response has more than the relay list.
+        const auto& members = response.value().members;
+        require(!response.value().isRelay || (again.value().members.members == members.members && again.value().members.departed == members.departed && again.value().members.remoteTargets == members.remoteTargets && again.value().crashes == response.value().crashes),
+            "update response's members or crashes are not read back as written");
+    }
+
+    void checkLists(const std::string& input)
+    {
+        if (auto list = Gateway::parseRelayList(input, 1, 1)) {
+            auto again = Gateway::parseRelayList(Gateway::toText(list.value()), 1, 1);
+            require(again.has_value() && again.value().relays == list.value().relays, "relay list is not read back as written");
+        }
+        if (auto crashes = Gateway::parseCrashReports(input)) {
+            auto again = Gateway::parseCrashReports(Gateway::toText(crashes.value()));
+            require(again.has_value() && again.value() == crashes.value(), "crash reports are not read back as written");
+        }
+    }
+
+}
+
+// Invariants: no exception leaves a parser, and what a relay message's parser accepts is read back as it is written. Rows of the store
+// have no writer.
+void runRows(const std::string& input)
+{
+    checkUpdateRequest(input);
+    checkUpdateResponse(input);
+    checkLists(input);
+    auto server = PlatformAdapter::parseServer("server-1", input);
+    require(!server || (!server.value().service.empty() && server.value().slots >= 0), "accepted server has no service or a negative number of slots");
+    auto configuration = PlatformAdapter::parseConfiguration(input);
+    require(!configuration || configuration.value().limits.readTimeout >= Common::Duration::zero(), "accepted configuration has a negative time limit");
+}
+
+}
--- a/Source/Fuzz/Targets.cpp
+++ b/Source/Fuzz/Targets.cpp
@@ -11,7 +11,9 @@
 
     constexpr std::array table {
         Target { "caller", runCaller },
+        Target { "http", runHttp },
         Target { "record", runRecord },
+        Target { "rows", runRows },
         Target { "settings", runSettings },
     };
 
--- a/Source/Fuzz/Targets.h
+++ b/Source/Fuzz/Targets.h
@@ -15,7 +15,9 @@
 std::span<const Target> targets();
 
 void runCaller(const std::string& input);
+void runHttp(const std::string& input);
 void runRecord(const std::string& input);
+void runRows(const std::string& input);
 void runSettings(const std::string& input);
 
 // Prints `what` and aborts unless the condition holds, so that the fuzzer saves the input.
