Soak: odd answers, early ones to long uploads and heads that are none

Cause: nothing checked from outside that a part of a response never passes for the whole, and that no status or field name that is none reaches a caller.

The proxies before the servers at times answer a long upload at once with a 200 without a length and a part of a body, and reset the connection; other answers get status 000, 099 or 600, a name that is no token, or chunked beside their length. Callers check heads, and take a success that visibly ends in the middle for no answer; without odd answers that is reported as broken. Long uploads have 400 KB instead of 200.

--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -34,7 +34,7 @@
   cowslipledge-bench replay FILE...
   cowslipledge-bench gossip [--entries N] [--loss P] [--seconds T]
   cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--gateways N] [--domains N] [--callers N] [--drills] [--cuts]
-                          [--program FILE] [--old-program FILE]
+                          [--odd-answers] [--program FILE] [--old-program FILE]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -63,6 +63,8 @@
   --callers N     Callers of the soak [default: 8].
   --drills        Also restore the store from copies, and let servers leave or ask for pauses.
   --cuts          Also cut gateways off from all servers, while callers, the store and other gateways reach them.
+  --odd-answers   Also let servers answer long uploads early with a part of a body and reset the connection, and send odd heads: status 000,
+                  099 or 600, field names that are no tokens, a length beside chunked.
   --program FILE  The shipped program; the one beside this one without it.
   --old-program FILE  The program of an older version (Tools/build-commit): gateways are replaced by it and back.
   --table         Print a table of the services before the line of JSON.
@@ -174,7 +176,7 @@
     auto good = true;
     for (auto seed = first; seed < first + args["--seeds"].asLong(); ++seed) {
         auto folder = std::filesystem::temp_directory_path() / ("cowslipledge-soak-" + std::to_string(seed) + "-" + std::to_string(::getpid()));
-        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .gateways = gateways, .servers = servers, .domains = domains, .callers = callers, .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .program = program, .oldProgram = args["--old-program"] ? args["--old-program"].asString() : std::string(), .folder = folder.string() }) && good;
+        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .gateways = gateways, .servers = servers, .domains = domains, .callers = callers, .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .oddAnswers = args["--odd-answers"].asBool(), .program = program, .oldProgram = args["--old-program"] ? args["--old-program"].asString() : std::string(), .folder = folder.string() }) && good;
     }
     return good ? 0 : 1;
 }
--- a/Source/Core/Soak/FaultProxy.cpp
+++ b/Source/Core/Soak/FaultProxy.cpp
@@ -77,6 +77,11 @@
     if (mode == ProxyMode::Silence || (mode == ProxyMode::OneWay && !fromClient))
         return;
     std::string bytes(buf.data(), static_cast<std::size_t>(n));
+    if (m_oddAnswers && fromClient) {
+        if (auto answer = m_oddAnswers->earlyAnswer(bytes))
+            return answerEarly(pair, *answer);
+    } else if (m_oddAnswers)
+        bytes = m_oddAnswers->spoil(std::move(bytes));
     if (mode != ProxyMode::Delay)
         return deliver(pair, !fromClient, bytes);
     m_timers.after(m_delay, [this, pair, fromClient, bytes] { deliver(pair, !fromClient, bytes); });
@@ -100,6 +105,13 @@
     }
 }
 
+// At once, so that the reset meets the gateway while it writes the rest of the request: the kernel's buffers would soon hold all of it.
+void FaultProxy::answerEarly(const std::shared_ptr<Pair>& pair, const std::string& answer)
+{
+    deliver(pair, true, answer);
+    end(pair, true);
+}
+
 void FaultProxy::end(const std::shared_ptr<Pair>& pair, bool abruptly)
 {
     if (pair->ended)
--- a/Source/Core/Soak/FaultProxy.h
+++ b/Source/Core/Soak/FaultProxy.h
@@ -10,6 +10,7 @@
 #include "Common/NameTable.h"
 #include "Net/EventLoop.h"
 #include "Net/TimerGroup.h"
+#include "Soak/OddAnswers.h"
 
 namespace Soak {
 
@@ -43,6 +44,8 @@
     void setModeFor(const std::string& clientHost, ProxyMode mode) { m_modes[clientHost] = mode; }
     void clearModeFor(const std::string& clientHost) { m_modes.erase(clientHost); }
     void setDelay(Common::Duration delay) { m_delay = delay; }
+    // While set, long uploads are answered early and some other answers are spoiled. Null: none; else it must outlive the proxy's use.
+    void setOddAnswers(OddAnswers* odd) { m_oddAnswers = odd; }
     // Resets all open connections, or those of clients at one IP address.
     void resetAll();
     void resetAllOf(const std::string& clientHost);
@@ -54,6 +57,7 @@
     ProxyMode modeFor(const Pair&) const;
     void forward(const std::shared_ptr<Pair>&, bool fromClient);
     void deliver(const std::shared_ptr<Pair>&, bool toClient, const std::string& bytes);
+    void answerEarly(const std::shared_ptr<Pair>&, const std::string& answer);
     void end(const std::shared_ptr<Pair>&, bool abruptly);
 
     Net::EventLoop& m_loop;
@@ -63,6 +67,7 @@
     ProxyMode m_mode = ProxyMode::Pass;
     std::map<std::string, ProxyMode> m_modes; // by IP address of the client
     Common::Duration m_delay = std::chrono::milliseconds(50);
+    OddAnswers* m_oddAnswers = nullptr;
     std::unordered_set<std::shared_ptr<Pair>> m_pairs;
 };
 
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -48,6 +48,9 @@
     constexpr int allowedFailures = 10;
     constexpr double allowedFailureShare = 0.02;
 
+    constexpr int longBodyPeriod = 16;
+    constexpr int longBodyPeriodWithOddAnswers = 3;
+
     // How the paths from gateways to servers fail.
     enum class CutKind {
         Silent,
@@ -94,6 +97,7 @@
         explicit Run(const SoakOptions& options)
             : m_options(options)
             , m_random(options.seed)
+            , m_odd(options.seed)
         {
             m_thread.call([&] { openStandIns(); });
             startGateways();
@@ -119,7 +123,7 @@
             std::vector<std::string> addresses;
             for (const auto& gateway : m_gateways)
                 addresses.push_back(gateway->callers());
-            SoakCallers callers({ .gateways = addresses, .threads = m_options.callers, .deadlineMs = callerDeadlineMs, .seed = m_options.seed });
+            SoakCallers callers({ .gateways = addresses, .threads = m_options.callers, .deadlineMs = callerDeadlineMs, .longBodyPeriod = m_options.oddAnswers ? longBodyPeriodWithOddAnswers : longBodyPeriod, .seed = m_options.seed });
             auto end = Clock::now() + std::chrono::seconds(m_options.seconds);
             while (Clock::now() < end) {
                 if (below(3) == 0 && Clock::now() >= m_quietUntil)
@@ -232,6 +236,10 @@
             constexpr int faults = 9;
             constexpr int faultsOfDrills = 3;
             constexpr int cuts = 5;
+            constexpr int faultsOfOddAnswers = 5;
+            // Drawn on its own, so that runs without odd answers keep the faults of their seeds.
+            if (m_options.oddAnswers && below(faults + faultsOfOddAnswers) < faultsOfOddAnswers)
+                return startOddAnswers(server, length);
             auto fault = below(faults + (m_options.drills ? faultsOfDrills : 0) + (m_options.cuts ? cuts : 0));
             constexpr int chanceOfUpgrade = 3; // one in so many
             if (!m_options.oldProgram.empty() && below(chanceOfUpgrade) == 0)
@@ -291,6 +299,24 @@
             }
         }
 
+        // One server, or all of them.
+        void startOddAnswers(std::size_t server, milliseconds length)
+        {
+            auto isAll = below(2) == 0;
+            note(isAll ? "odd answers of all servers" : fmt::format("odd answers of server {}", server));
+            disturbAll(length);
+            auto set = [this, server, isAll](OddAnswers* odd) {
+                m_thread.call([&] {
+                    for (std::size_t i = 0; i < m_serverProxies.size(); ++i) {
+                        if (isAll || i == server)
+                            m_serverProxies[i]->setOddAnswers(odd);
+                    }
+                });
+            };
+            set(&m_odd);
+            m_active.push_back({ Clock::now() + length, [set] { set(nullptr); } });
+        }
+
         static std::string sourceHost(std::size_t gateway) { return "127.0.1." + std::to_string(gateway + 1); }
 
         std::vector<std::size_t> gatewaysToCut(CutScope scope)
@@ -551,6 +577,11 @@
                     m_broken.push_back(fmt::format("{} was answered {} and has run", at, outcome.status));
                 if (outcome.wrongBody)
                     m_broken.push_back(at + " got another body than its own");
+                // Only an early answer leaves a gateway no other way than to cut off what it has begun to pass on.
+                if (outcome.cutBody && !m_options.oddAnswers)
+                    m_broken.push_back(at + " got a part of its answer");
+                if (!outcome.oddHead.empty())
+                    m_broken.push_back(fmt::format("{} got {}", at, outcome.oddHead));
                 if (outcome.status == Ok && runs == 0)
                     m_broken.push_back(at + " succeeded without having run");
                 if (!isDisturbed(outcome) && outcome.connected && took > milliseconds(callerDeadlineMs) + answerSlack)
@@ -569,14 +600,16 @@
                 for (const auto& line : m_history)
                     fmt::print("fault: {}\n", line);
             }
+            auto [earlyAnswers, oddHeads] = m_thread.call([&] { return std::pair(m_odd.earlyAnswers(), m_odd.spoiledHeads()); });
             std::string statuses;
             for (const auto& [status, n] : m_statuses)
                 statuses += fmt::format("{}\"{}\":{}", statuses.empty() ? "" : ",", status, n);
-            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"replaced\":{},\"in_cuts\":{},\"served_in_cuts\":{},\"beside_cuts\":{},\"served_beside_cuts\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_replaced, m_inCuts.sent, m_inCuts.ok, m_besideCuts.sent, m_besideCuts.ok, m_broken.size());
+            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"replaced\":{},\"in_cuts\":{},\"served_in_cuts\":{},\"beside_cuts\":{},\"served_beside_cuts\":{},\"early_answers\":{},\"odd_heads\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_replaced, m_inCuts.sent, m_inCuts.ok, m_besideCuts.sent, m_besideCuts.ok, earlyAnswers, oddHeads, m_broken.size());
         }
 
         SoakOptions m_options;
         std::mt19937_64 m_random;
+        OddAnswers m_odd; // used on the thread of m_thread
         PlatformStandIn::LoopThread m_thread;
         PlatformStandIn::ExecutionLog m_runs;
         std::unique_ptr<PlatformStandIn::Store> m_store;
--- a/Source/Core/Soak/SoakCallers.cpp
+++ b/Source/Core/Soak/SoakCallers.cpp
@@ -1,8 +1,12 @@
 #include "Soak/SoakCallers.h"
 
+#include <algorithm>
+#include <cctype>
 #include <memory>
 #include <random>
 
+#include <fmt/format.h>
+
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -20,9 +24,7 @@
     using Poco::Net::HTTPClientSession;
 
     constexpr int ok = 200;
-    // One request in so many has a body that gateways stream.
-    constexpr int longBodyPeriod = 16;
-    constexpr std::size_t longBodyBytes = 200'000;
+    constexpr std::size_t longBodyBytes = 400'000;
 
     std::unique_ptr<HTTPClientSession> connectTo(const std::string& address)
     {
@@ -34,6 +36,25 @@
         return session;
     }
 
+    // What a head of an answer has that none may have; empty: nothing. Poco's parser accepts any status and names with blanks.
+    std::string oddHeadOf(const Poco::Net::HTTPResponse& response)
+    {
+        constexpr int firstStatus = 100;
+        constexpr int lastStatus = 599;
+        constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+        auto isOfToken = [&](unsigned char c) { return c < 0x80 && (std::isalnum(c) != 0 || symbols.find(static_cast<char>(c)) != std::string_view::npos); };
+        auto isControl = [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; };
+        if (response.getStatus() < firstStatus || response.getStatus() > lastStatus)
+            return fmt::format("status {:03}", static_cast<int>(response.getStatus()));
+        for (const auto& [name, value] : response) {
+            if (name.empty() || !std::all_of(name.begin(), name.end(), isOfToken))
+                return "a field name that is no token";
+            if (std::any_of(value.begin(), value.end(), isControl))
+                return "a field value with a control character";
+        }
+        return response.hasContentLength() && response.getChunkedTransferEncoding() ? "a length beside chunked" : "";
+    }
+
     // Sends one request and reads its answer into the outcome; false when the connection is not to be used again.
     bool exchange(HTTPClientSession& session, const CallersOptions& options, Outcome& outcome)
     {
@@ -51,7 +72,14 @@
             outcome.connected = true;
             Poco::Net::HTTPResponse response;
             std::string received;
-            Poco::StreamCopier::copyToString(session.receiveResponse(response), received);
+            auto& stream = session.receiveResponse(response);
+            outcome.oddHead = oddHeadOf(response);
+            Poco::StreamCopier::copyToString(stream, received);
+            // The stream keeps the library's exception at a reset; the end of the connection is no error to it.
+            if (stream.bad() || (response.hasContentLength() && received.size() != static_cast<std::size_t>(response.getContentLength64()))) {
+                outcome.cutBody = response.getStatus() == ok;
+                return false;
+            }
             outcome.status = response.getStatus();
             outcome.wrongBody = outcome.status == ok && received != "answer to " + outcome.id;
             return response.getKeepAlive();
@@ -99,7 +127,7 @@
             gateway = m_options.gateways[random() % m_options.gateways.size()];
             session = connectTo(gateway);
         }
-        Outcome outcome { .id = std::to_string(number) + "-" + std::to_string(n), .once = random() % 2 == 0, .hasLongBody = n % longBodyPeriod == longBodyPeriod / 2, .status = 0, .wrongBody = false, .connected = false, .gateway = gateway, .sent = Common::TimePoint(std::chrono::steady_clock::now()), .ended = {} };
+        Outcome outcome { .id = std::to_string(number) + "-" + std::to_string(n), .once = random() % 2 == 0, .hasLongBody = n % m_options.longBodyPeriod == m_options.longBodyPeriod / 2, .status = 0, .wrongBody = false, .cutBody = false, .oddHead = {}, .connected = false, .gateway = gateway, .sent = Common::TimePoint(std::chrono::steady_clock::now()), .ended = {} };
         if (!exchange(*session, m_options, outcome))
             session.reset();
         outcome.ended = Common::TimePoint(std::chrono::steady_clock::now());
--- a/Source/Core/Soak/SoakCallers.h
+++ b/Source/Core/Soak/SoakCallers.h
@@ -18,6 +18,8 @@
     bool hasLongBody = false; // of those that must not repeat
     int status = 0; // 0: the connection ended without an answer
     bool wrongBody = false; // a success with other bytes than the server's
+    bool cutBody = false; // a success that ended, visibly, in the middle of its body; counts as no answer
+    std::string oddHead = {}; // what no head of an answer may have
     bool connected = false; // the request was written
     std::string gateway;
     Common::TimePoint sent;
@@ -29,6 +31,7 @@
     int threads = 8;
     int deadlineMs = 1000;
     Common::Duration pause = std::chrono::milliseconds(15); // between a caller's requests
+    int longBodyPeriod = 16; // one request in so many has a body that gateways stream
     std::uint64_t seed = 1;
 };
 
