--- a/Source/Core/Decisions/LatencyHistogram.cpp
+++ b/Source/Core/Decisions/LatencyHistogram.cpp
@@ -19,6 +19,13 @@
     m_total = std::accumulate(m_counts.begin(), m_counts.end(), std::uint32_t { 0 });
 }
 
+void LatencyHistogram::merge(const LatencyHistogram& other)
+{
+    for (std::size_t i = 0; i < m_counts.size(); ++i)
+        m_counts[i] += other.m_counts[i];
+    m_total += other.m_total;
+}
+
 std::optional<Common::Duration> LatencyHistogram::quantile(double q, std::uint32_t minSamples) const
 {
     if (m_total < std::max<std::uint32_t>(minSamples, 1))
--- a/Source/Core/Decisions/LatencyHistogram.h
+++ b/Source/Core/Decisions/LatencyHistogram.h
@@ -13,6 +13,9 @@
 class LatencyHistogram {
 public:
     void add(Common::Duration);
+    // Adds all samples of another histogram.
+    void merge(const LatencyHistogram&);
+    std::uint32_t samples() const { return m_total; }
     // Upper bound of the bucket that holds quantile `q`, in [0, 1]; no value before `minSamples` samples.
     std::optional<Common::Duration> quantile(double q, std::uint32_t minSamples) const;
 
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -108,6 +108,7 @@
               .retries = { .ratio = m_options.settings.retryRatio,
                   .slack = m_options.settings.retrySlack,
                   .window = std::chrono::milliseconds(m_options.settings.retryWindowMs) },
+              .hedging = { .extraShare = m_options.settings.hedgeShare },
               .probesPerServer = m_options.settings.probesPerServer,
               .crashRecorded = [this] { m_catalogSync.onCrashRecorded(); },
               .budget = &m_budget,
@@ -299,6 +300,9 @@
     page.counter("abandoned_total", static_cast<double>(counters.abandoned));
     page.counter("sends_total", static_cast<double>(counters.attempts));
     page.counter("second_sends_total", static_cast<double>(counters.retries));
+    page.counter("hedges_total", static_cast<double>(counters.hedges));
+    page.counter("hedges_won_total", static_cast<double>(counters.hedgesWon));
+    page.counter("hedges_denied_total", static_cast<double>(counters.hedgesDenied));
     page.counter("probes_total", static_cast<double>(counters.probes));
     page.counter("backend_connections_total", static_cast<double>(m_backends.connectionsOpened()));
     page.counter("directory_answers_total", static_cast<double>(m_directoryRequests));
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RequestForwarder.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -127,7 +128,7 @@
         ++m_router.counters().blocked;
         return refuse(RefusalReason::Blocked, 0);
     }
-    m_router.retryBudget(m_service).onRequest(m_router.loop().now());
+    m_router.countRequest(m_service);
     m_deadlineTimer = m_router.loop().after(m_deadline - m_router.loop().now(), [weak] {
         if (auto self = weak.lock())
             self->onDeadline();
@@ -191,7 +192,8 @@
     if (n == 0) {
         // No probe can be sent, usually because the probe budget is spent. If the whole round has sent none, the request is placed
         // by the last known, possibly stale, signals of all servers, unless it would probably be lost on its way.
-        if (m_probes.empty() && router.backends().reachability(m_service) != Decisions::Reachability::Unreachable) {
+        // A hedge needs a server that has just reported room.
+        if (m_probes.empty() && !m_isHedging && router.backends().reachability(m_service) != Decisions::Reachability::Unreachable) {
             for (const auto& candidateScope : { CandidateScope::OwnDomain, CandidateScope::OtherDomains }) {
                 for (const auto& backend : rankedCandidates(candidateScope))
                     m_probes.push_back({ .backend = backend, .answered = true });
@@ -293,8 +295,18 @@
 
 void RequestForwarder::placeRequest()
 {
+    // The open attempt has failed meanwhile; it is retried once it is known whether its server has ended.
+    if (m_isHedging && m_openAttempts != 1) {
+        m_isHedging = false;
+        return;
+    }
     auto now = m_router.loop().now();
     const auto& options = m_router.options().placement;
+    auto serviceTimeMs = m_router.expectedServiceTimeMs(m_route);
+    auto hasRoom = [&](const Decisions::ServerSignal& signal) {
+        return m_isHedging ? Decisions::acceptsHedge(signal, serviceTimeMs, m_route.priority, Common::toMilliseconds(openAttemptAge()), options)
+                           : Decisions::hasCapacity(signal, m_route.priority, options);
+    };
     std::vector<Decisions::ServerSignal> signals;
     std::vector<std::shared_ptr<Backend>> backends;
     auto full = 0;
@@ -308,7 +320,7 @@
         if (!mayConnect && !probe.backend->hasFreeConnection())
             continue;
         auto signal = probe.backend->signal(now);
-        if (!Decisions::hasCapacity(signal, m_route.priority, options)) {
+        if (!hasRoom(signal)) {
             ++full;
             continue;
         }
@@ -317,6 +329,8 @@
     }
     m_lastInputs = fmt::format("of={} full={}", backends.size() + static_cast<std::size_t>(full), full);
     if (backends.empty()) {
+        if (m_isHedging)
+            return denyHedge("no server with room");
         if (m_openAttempts > 0)
             return; // an earlier attempt may still be answered
         if (isLimitUsedUp && m_probeRound < maxProbeRounds)
@@ -340,7 +354,6 @@
                                                               : RefusalReason::NoReport;
         return giveUp("no other server answered a load probe with room for the request", reason, 0);
     }
-    auto serviceTimeMs = m_router.expectedServiceTimeMs(m_route);
     auto best = Decisions::bestServer(signals, serviceTimeMs, options);
     const auto& signal = signals[best];
     auto expectedMs = Decisions::expectedResponseMs(signal, serviceTimeMs, options);
@@ -349,6 +362,10 @@
         "running={} waiting={} slots={} work_factor={:.2f} slowness={:.2f} failures={:.2f} own_domain={} report_ms={} expected_ms={:.0f} of={} full={}",
         signal.running, signal.waiting, signal.slots, signal.workFactor, signal.slowness, signal.failureShare, signal.sameDomain,
         reportAge ? fmt::format("{:.0f}", Common::toMilliseconds(*reportAge)) : "none", expectedMs, backends.size(), full);
+    if (m_isHedging && expectedMs > timeLeftMs())
+        return denyHedge("too late");
+    if (m_isHedging)
+        return sendHedge(backends[best], expectedMs);
     if (expectedMs > timeLeftMs()) {
         if (m_openAttempts > 0 || (!mayConnect && probePeers()))
             return;
@@ -416,6 +433,7 @@
 void RequestForwarder::send(const std::shared_ptr<Backend>& backend, double expectedMs)
 {
     auto& router = m_router;
+    auto isHedge = std::exchange(m_isHedging, false);
     if (!confirmCaller())
         return;
     if (m_attemptCount == 0)
@@ -425,7 +443,7 @@
     m_tried.insert(backend->record().id);
     m_lastServer = backend->record().id;
     auto index = m_attempts.size();
-    startAttempt({ .backend = backend, .connection = {}, .sentAt = router.loop().now(), .expectedMs = expectedMs },
+    startAttempt({ .backend = backend, .connection = {}, .sentAt = router.loop().now(), .expectedMs = expectedMs, .isHedge = isHedge },
         requestBytes({ router.options().headers.expectInstance, backend->record().id }));
     if (m_attempts[index].connection && isSafeToRepeat())
         armHedgeTimer();
@@ -443,7 +461,7 @@
     ForwardedRequest forwarded { .route = m_route, .service = m_service };
     forwarded.route.maxAttempts = attemptsLeft;
     m_attemptCount += attemptsLeft;
-    router.retryBudget(m_service).onRequestHandedOver(router.loop().now());
+    router.countHandedOver(m_service);
     m_router.log().log(EventId::CallForwarded,
         { { "request", m_id }, { "service", m_service }, { "entry", peer->record().id }, { "domain", peer->record().failureDomain }, { "left_ms", fmt::format("{:.1f}", timeLeftMs()) } });
     startAttempt({ .backend = peer, .attemptsGiven = attemptsLeft, .connection = {}, .sentAt = router.loop().now() },
@@ -574,6 +592,7 @@
         // One that reports room rejects for another reason, and will probably do so again.
         if (Decisions::hasCapacity(attempt.backend->signal(m_router.loop().now()), m_route.priority, m_router.options().placement))
             attempt.backend->recordFailure();
+        m_router.hedgePolicy(m_service).onPushback(m_router.loop().now());
         return retryOrGiveUp("the server rejected the request without executing it");
     }
     learnFromResponse(attempt, response);
@@ -583,6 +602,10 @@
         m_serverFailure = std::move(response);
         return retryOrGiveUp("the server answered with a 5xx status");
     }
+    for (const auto& other : m_attempts) {
+        if (other.connection)
+            learnFromOvertaken(other);
+    }
     respond(std::move(response), attempt);
 }
 
@@ -617,7 +640,7 @@
 void RequestForwarder::onReturnedByPeer(const Attempt& attempt)
 {
     m_attemptCount -= attempt.attemptsGiven;
-    m_router.retryBudget(m_service).onRequest(m_router.loop().now());
+    m_router.countRequest(m_service);
     onNoPeer();
 }
 
@@ -633,6 +656,8 @@
         return;
     auto tookMs = Common::toMilliseconds(took);
     attempt.backend->recordAnswer(tookMs, attempt.expectedMs);
+    if (auto& policy = m_router.hedgePolicy(m_service); policy.isEnabled() && isSafeToRepeat() && !attempt.isHedge)
+        policy.onAttemptTime(m_route.name, took, m_router.loop().now());
     auto factor = attempt.expectedMs / std::max(1.0, m_router.expectedServiceTimeMs(m_route));
     m_router.updateServiceTime(m_route, tookMs, factor);
 }
@@ -663,8 +688,10 @@
     m_router.loop().cancel(m_hedgeTimer);
     ++m_probeRound;
     for (std::size_t i = 0; i < m_attempts.size(); ++i) {
-        if (i != index && m_attempts[i].connection)
-            closeAttempt(m_attempts[i]);
+        if (i == index || !m_attempts[i].connection)
+            continue;
+        learnFromOvertaken(m_attempts[i]);
+        closeAttempt(m_attempts[i]);
     }
     if (m_attempts[index].isToPeer())
         learnFromPeerResponse(head.response);
@@ -772,6 +799,7 @@
     if (m_openAttempts > 0)
         return; // another attempt may still be answered
     m_router.loop().cancel(m_hedgeTimer);
+    m_isHedging = false;
     auto& router = m_router;
     auto isRetryAllowed = m_body.maySendAgain() && m_attemptCount < m_route.maxAttempts && timeLeftMs() > minTimeLeftMs && router.crashSuspects().mayRetry(m_identity);
     if (isRetryAllowed && router.retryBudget(m_service).take(router.loop().now())) {
@@ -801,10 +829,28 @@
         return;
     auto expectedMs = m_attempts.back().expectedMs;
     auto dueMs = std::max(minHedgeDelayMs, hedgeDelayFactor * expectedMs);
-    if (dueMs + minTimeLeftMs > timeLeftMs())
+    const auto& policy = m_router.hedgePolicy(m_service);
+    if (!policy.isEnabled()) {
+        if (dueMs + minTimeLeftMs <= timeLeftMs())
+            startHedgeTimer(Common::fromMilliseconds(dueMs));
         return;
+    }
+    auto due = policy.due(m_route.name,
+        {
+            .expected = Common::fromMilliseconds(expectedMs),
+            .hedgeExpected = Common::fromMilliseconds(std::max(minTimeLeftMs, m_router.expectedServiceTimeMs(m_route))),
+            .left = Common::fromMilliseconds(timeLeftMs()),
+            .fallback = Common::fromMilliseconds(dueMs),
+        },
+        m_router.loop().now());
+    if (due)
+        startHedgeTimer(*due);
+}
+
+void RequestForwarder::startHedgeTimer(Common::Duration delay)
+{
     std::weak_ptr<RequestForwarder> weak = weak_from_this();
-    m_hedgeTimer = m_router.loop().after(Common::fromMilliseconds(dueMs), [weak] {
+    m_hedgeTimer = m_router.loop().after(delay, [weak] {
         if (auto self = weak.lock())
             self->onHedgeDue();
     });
@@ -817,7 +863,11 @@
     // A request under which a server has ended may end the next one too.
     if (router.crashSuspects().crashes(m_identity) > 0)
         return;
-    if (m_ended || m_openAttempts != 1 || isProbing() || !router.retryBudget(m_service).take(router.loop().now()))
+    if (m_ended || m_openAttempts != 1 || isProbing())
+        return;
+    if (router.hedgePolicy(m_service).isEnabled())
+        return beginHedge();
+    if (!router.retryBudget(m_service).take(router.loop().now()))
         return;
     ++router.counters().retries;
     auto fields = logFields("second send");
@@ -830,6 +880,72 @@
     selectTarget();
 }
 
+void RequestForwarder::beginHedge()
+{
+    auto& router = m_router;
+    auto now = router.loop().now();
+    auto verdict = router.hedgePolicy(m_service).check(router.retryBudget(m_service).available(now), now);
+    if (verdict != Decisions::HedgeVerdict::Allowed)
+        return denyHedge(Decisions::hedgeVerdictName(verdict));
+    if (router.backends().reachability(m_service) != Decisions::Reachability::Reachable)
+        return denyHedge("servers unreachable");
+    m_isHedging = true;
+    probeServers(CandidateScope::OwnDomain);
+}
+
+void RequestForwarder::sendHedge(const std::shared_ptr<Backend>& backend, double expectedMs)
+{
+    auto& router = m_router;
+    auto now = router.loop().now();
+    auto& policy = router.hedgePolicy(m_service);
+    // Other requests may have used the budgets up since the load probes were sent.
+    auto verdict = policy.check(router.retryBudget(m_service).available(now), now);
+    if (verdict != Decisions::HedgeVerdict::Allowed || !router.retryBudget(m_service).take(now))
+        return denyHedge(Decisions::hedgeVerdictName(verdict));
+    policy.take();
+    ++router.counters().retries;
+    ++router.counters().hedges;
+    m_hedgeOutcome = "sent";
+    auto fields = logFields("second send");
+    fields.push_back({ "cause", "the open attempt exceeded its hedging delay" });
+    router.log().log(EventId::CallRetried, std::move(fields));
+    send(backend, expectedMs);
+}
+
+void RequestForwarder::denyHedge(const char* cause)
+{
+    m_isHedging = false;
+    if (!std::exchange(m_wasHedgeDenied, true))
+        ++m_router.counters().hedgesDenied;
+    m_hedgeOutcome = fmt::format("denied: {}", cause);
+    // At twice the age, so that the slowest requests are tried again and the load probes for them remain few.
+    auto delay = openAttemptAge();
+    auto needed = delay + Common::fromMilliseconds(std::max(minTimeLeftMs, m_router.expectedServiceTimeMs(m_route)));
+    if (needed <= Common::fromMilliseconds(timeLeftMs()))
+        startHedgeTimer(delay);
+}
+
+Common::Duration RequestForwarder::openAttemptAge() const
+{
+    auto it = std::find_if(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) { return attempt.connection != nullptr; });
+    return it != m_attempts.end() ? m_router.loop().now() - it->sentAt : Common::Duration::zero();
+}
+
+void RequestForwarder::learnFromOvertaken(const Attempt& attempt)
+{
+    auto& policy = m_router.hedgePolicy(m_service);
+    if (!policy.isEnabled() || attempt.isHedge || attempt.isToPeer())
+        return;
+    auto age = m_router.loop().now() - attempt.sentAt;
+    auto ageMs = Common::toMilliseconds(age);
+    policy.onAttemptTime(m_route.name, age, m_router.loop().now());
+    // Its response time would have been longer, so it counts for the server too, or a slow server would seem as good as before.
+    if (ageMs > std::max(minHedgeDelayMs, hedgeDelayFactor * attempt.expectedMs))
+        attempt.backend->recordFailure();
+    else if (ageMs > attempt.expectedMs)
+        attempt.backend->recordAnswer(ageMs, attempt.expectedMs);
+}
+
 void RequestForwarder::respond(Net::Response&& response, const Attempt& attempt)
 {
     recordAnswered(response.status, attempt);
@@ -844,6 +960,10 @@
     auto& router = m_router;
     auto tookMs = Common::toMilliseconds(router.loop().now() - m_exchange->received());
     ++router.counters().answered;
+    if (attempt.isHedge) {
+        ++router.counters().hedgesWon;
+        m_hedgeOutcome = "won";
+    }
     router.totalTimes().add(router.loop().now() - m_exchange->received());
     auto isSlow = tookMs > slowShareOfGoal * Common::toMilliseconds(m_route.goal);
     if (isSlow || status >= FirstRedirect || m_attemptCount > 1) {
@@ -864,6 +984,8 @@
         reason = pauseLeft ? RefusalReason::Paused : limitLeft ? RefusalReason::Limited
                                                                : reason;
     auto timeLeft = pauseLeft ? pauseLeft : limitLeft;
+    if (reason == RefusalReason::Busy || reason == RefusalReason::Paused || reason == RefusalReason::Limited)
+        router.hedgePolicy(m_service).onPushback(router.loop().now());
     auto wait = Decisions::retryAfter({
         .reason = reason,
         .timeLeftMs = timeLeftMs(),
@@ -894,7 +1016,7 @@
     if (m_origin == RequestOrigin::Gateway) {
         headers.push_back({ names.notExecuted, isUnreachable ? unreachableReason : "1" });
         if (isUnreachable)
-            m_router.retryBudget(m_service).onRequestHandedOver(m_router.loop().now());
+            m_router.countHandedOver(m_service);
     }
     ++m_router.counters().refused;
     auto exchange = m_exchange;
@@ -923,8 +1045,11 @@
     if (m_passedOn && m_exchange->isBacklogged())
         return cutResponse("the caller had not read the whole response before the deadline");
     for (const auto& attempt : m_attempts) {
-        if (attempt.connection)
-            attempt.backend->recordFailure();
+        if (!attempt.connection)
+            continue;
+        attempt.backend->recordFailure();
+        if (auto& policy = m_router.hedgePolicy(m_service); policy.isEnabled() && !m_hedgeOutcome.empty() && !attempt.isHedge)
+            policy.onAttemptTime(m_route.name, m_router.loop().now() - attempt.sentAt, m_router.loop().now());
     }
     if (m_passedOn)
         return cutResponse("the server had not sent the whole response before the deadline");
@@ -972,7 +1097,7 @@
 std::vector<Common::EventField> RequestForwarder::logFields(const char* outcome) const
 {
     auto now = m_router.loop().now();
-    return {
+    std::vector<Common::EventField> fields {
         { "request", m_id },
         { "outcome", outcome },
         { "route", m_route.name },
@@ -986,6 +1111,9 @@
         { "left_ms", fmt::format("{:.1f}", timeLeftMs()) },
         { "inputs", m_lastInputs },
     };
+    if (!m_hedgeOutcome.empty())
+        fields.push_back({ "hedge", m_hedgeOutcome });
+    return fields;
 }
 
 }
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -53,6 +53,7 @@
         std::shared_ptr<Net::ClientConnection> connection; // null once the attempt has ended
         Common::TimePoint sentAt;
         double expectedMs = 0; // response time predicted at placement
+        bool isHedge = false;
 
         bool isToPeer() const { return attemptsGiven > 0; }
     };
@@ -110,7 +111,17 @@
     void retryOrGiveUp(const char* cause);
     void giveUp(const char* cause, Decisions::RefusalReason, double excessMs);
     void armHedgeTimer();
+    void startHedgeTimer(Common::Duration);
     void onHedgeDue();
+    // Looks for a server for a hedged attempt if the hedging policy allows one.
+    void beginHedge();
+    void sendHedge(const std::shared_ptr<Backend>&, double expectedMs);
+    // Called when a hedged attempt is due and can't be sent now: tries again later.
+    void denyHedge(const char* cause);
+    // Takes what an open attempt tells that another one has overtaken.
+    void learnFromOvertaken(const Attempt&);
+    // Time since the open attempt was sent, where there is only one.
+    Common::Duration openAttemptAge() const;
     void respond(Net::Response&&, const Attempt&);
     void recordAnswered(int status, const Attempt&);
     void closeAttempt(Attempt&);
@@ -157,6 +168,9 @@
     Net::EventLoop::TimerId m_deadlineTimer = 0;
     Net::EventLoop::TimerId m_hedgeTimer = 0;
     double m_probesLeft = 0; // that the current round may still send; has a fractional part
+    bool m_isHedging = false; // the current probe round looks for a server for a hedged attempt
+    bool m_wasHedgeDenied = false;
+    std::string m_hedgeOutcome; // log field `hedge`
     int m_attemptCount = 0;
     int m_probesSent = 0; // over all rounds
     bool m_mayHaveExecuted = false; // an attempt ended without proof that the server did not execute it
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -60,6 +60,11 @@
         auto it = std::find_if(m_configuration->routes.begin(), m_configuration->routes.end(), [&](const auto& route) { return route.name == row.first; });
         return it == m_configuration->routes.end();
     });
+    auto isRoute = [&](const std::string& name) {
+        return std::any_of(m_configuration->routes.begin(), m_configuration->routes.end(), [&](const auto& route) { return route.name == name; });
+    };
+    for (auto& [service, policy] : m_hedgePolicies)
+        policy.retainRoutes(isRoute);
     m_log.log(Common::EventId::ConfigurationApplied,
         { { "version", std::to_string(m_configuration->version) }, { "before", std::to_string(before) }, { "routes", std::to_string(m_configuration->routes.size()) } });
     return true;
@@ -71,6 +76,9 @@
     m_options.retries.entries = m_gatewayCount;
     for (auto& [service, retryBudget] : m_retryBudgets)
         retryBudget.setEntries(m_gatewayCount);
+    m_options.hedging.gateways = m_gatewayCount;
+    for (auto& [service, policy] : m_hedgePolicies)
+        policy.setGateways(m_gatewayCount);
     m_backends.setGatewayCount(m_gatewayCount);
     m_probeBudget.setRate(m_options.probesPerServer * static_cast<double>(m_backends.size()) / m_gatewayCount, m_loop.now());
 }
@@ -80,6 +88,23 @@
     return m_retryBudgets.try_emplace(service, m_options.retries).first->second;
 }
 
+Decisions::HedgePolicy& RequestRouter::hedgePolicy(const std::string& service)
+{
+    return m_hedgePolicies.try_emplace(service, m_options.hedging).first->second;
+}
+
+void RequestRouter::countRequest(const std::string& service)
+{
+    retryBudget(service).onRequest(m_loop.now());
+    hedgePolicy(service).onRequest(m_loop.now());
+}
+
+void RequestRouter::countHandedOver(const std::string& service)
+{
+    retryBudget(service).onRequestHandedOver(m_loop.now());
+    hedgePolicy(service).onRequestHandedOver();
+}
+
 double RequestRouter::expectedServiceTimeMs(const Route& route) const
 {
     auto it = m_serviceTimeMs.find(route.name);
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -11,6 +11,7 @@
 #include "Common/LatencySummary.h"
 #include "Decisions/Authentication.h"
 #include "Decisions/CrashSuspects.h"
+#include "Decisions/HedgePolicy.h"
 #include "Decisions/LoadProbeBudget.h"
 #include "Decisions/Placement.h"
 #include "Decisions/Refusal.h"
@@ -28,6 +29,7 @@
     WireHeaders headers;
     Decisions::PlacementOptions placement;
     Decisions::WindowedRetryBudgetOptions retries;
+    Decisions::HedgePolicyOptions hedging = {};
     double probesPerServer = 60; // load probes a second to each server, from all gateways together (the operators' bound)
     // Called when this gateway has learned that a server ended under a request.
     std::function<void()> crashRecorded = [] {};
@@ -62,6 +64,9 @@
     std::uint64_t abandoned = 0; // the caller disconnected first
     std::uint64_t attempts = 0; // requests sent to servers, retries included
     std::uint64_t retries = 0; // retries and hedged attempts decided on
+    std::uint64_t hedges = 0; // of the retries: hedged attempts sent; this and the following only with a hedging share
+    std::uint64_t hedgesWon = 0; // of the hedges: answered the request
+    std::uint64_t hedgesDenied = 0; // requests whose hedge was due and not sent at once
     std::uint64_t probes = 0; // load probes sent
 };
 
@@ -104,6 +109,10 @@
     Common::LatencySummary& serverTimes() { return m_serverTimes; }
     Common::LatencySummary& placementTimes() { return m_placementTimes; }
     Decisions::WindowedRetryBudget& retryBudget(const std::string& service);
+    Decisions::HedgePolicy& hedgePolicy(const std::string& service);
+    // Counts a request in the budgets of additional attempts, or no longer if another gateway makes its attempts.
+    void countRequest(const std::string& service);
+    void countHandedOver(const std::string& service);
     Decisions::LoadProbeBudget& probeBudget() { return m_probeBudget; }
     Decisions::CrashSuspects& crashSuspects() { return m_crashSuspects; }
     // Finds out by a probe whether the server ended under a request whose connection it closed, and records it. Then calls `done`.
@@ -135,6 +144,7 @@
     std::set<std::string> m_unknownKinds; // kinds of routes that were logged as unknown
     std::map<std::string, Decisions::WeightedSplit> m_splits; // by route
     std::map<std::string, Decisions::WindowedRetryBudget> m_retryBudgets; // by service
+    std::map<std::string, Decisions::HedgePolicy> m_hedgePolicies; // by service
     Decisions::LoadProbeBudget m_probeBudget;
     Decisions::CrashSuspects m_crashSuspects;
     std::map<std::string, double> m_serviceTimeMs; // by route
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -2,6 +2,8 @@
 
 #include <cmath>
 
+#include <fmt/format.h>
+
 #include "Common/Address.h"
 #include "Settings/Names.h"
 #include "Settings/ReadAddress.h"
@@ -98,6 +100,10 @@
     const auto* hedging = root.table("hedging");
     TomlReader hedgingReader(hedging ? *hedging : none, file, "hedging", errors);
     settings.hedgeShare = hedgingReader.number("extra_share", 0, 1, settings.hedgeShare);
+    if (settings.hedgeShare > settings.retryRatio) {
+        hedgingReader.fail("extra_share",
+            fmt::format("expected at most bounds.retry_ratio ({}), since hedged attempts take from the retry budget, found {}", settings.retryRatio, settings.hedgeShare));
+    }
     hedgingReader.finish();
 
     const auto* log = root.table("log");
