--- a/Source/Core/Decisions/HedgePolicy.cpp
+++ b/Source/Core/Decisions/HedgePolicy.cpp
@@ -17,6 +17,8 @@
     constexpr double dueSharePerBudgetShare = 2;
     constexpr double minQuantile = 0.9;
     constexpr double maxQuantile = 0.99;
+    // Added to the recent requests: of the few at a small gateway a single refusal would stop hedging for seconds.
+    constexpr double priorRequests = 20;
 
 }
 
@@ -103,7 +105,7 @@
 double HedgePolicy::pushbackShare(Common::TimePoint now) const
 {
     auto weight = decay(now - m_countsUpdatedAt, m_options.pushbackMemory);
-    return m_recentPushbacks * weight / std::max(1.0, m_recentRequests * weight);
+    return m_recentPushbacks * weight / (priorRequests + m_recentRequests * weight);
 }
 
 void HedgePolicy::onAttemptTime(const std::string& route, Common::Duration took, Common::TimePoint now)
--- a/Source/UnitTests/Settings/GatewaySettingsTest.cpp
+++ b/Source/UnitTests/Settings/GatewaySettingsTest.cpp
@@ -101,3 +101,31 @@
         CHECK(errors.front().key == "gateway." + line.substr(0, line.find(' ')));
     }
 }
+
+// Guards against a share that hedging can never use: hedged attempts take from the retry budget as well.
+TEST_CASE("The share of hedged attempts is off by default and at most the ratio of retries")
+{
+    struct {
+        std::string lines; // at the end of [bounds]
+        std::optional<double> share; // nullopt: an error
+    } const rows[] = {
+        { "", 0 },
+        { "[hedging]\nextra_share = 0.02", 0.02 },
+        { "retry_ratio = 0.1\n[hedging]\nextra_share = 0.1", 0.1 },
+        { "retry_ratio = 0.1\n[hedging]\nextra_share = 0.11", std::nullopt },
+        { "[hedging]\nextra_share = -0.1", std::nullopt },
+        { "[hedging]\nextra_share = \"2%\"", std::nullopt },
+    };
+    for (const auto& row : rows) {
+        CAPTURE(row.lines);
+        std::vector<Common::FileError> errors;
+        auto settings = parse("", "", row.lines, errors);
+        REQUIRE(settings.has_value() == row.share.has_value());
+        if (settings) {
+            CHECK(settings->hedgeShare == *row.share);
+        } else {
+            REQUIRE(!errors.empty());
+            CHECK(errors.front().key == "hedging.extra_share");
+        }
+    }
+}
