--- a/Source/UnitTests/Decisions/HedgePolicyTest.cpp
+++ b/Source/UnitTests/Decisions/HedgePolicyTest.cpp
@@ -26,15 +26,15 @@
 }
 
 struct PoolCase {
-    int gateways;
     double share;
     double requestsPerSecond; // of callers
-    bool reported; // servers report that they are slow
     double maxHedges; // per request; far below the share when the rate is above what the servers have room for
     double maxP99Ratio; // response time with hedging to that without, at quantile 0.99
     // At quantile 0.999. 0: not compared, since that quantile then lies between two kinds of requests: without hedging it is 2,099 to
     // 7,084 ms, by the seed.
     double maxP999Ratio;
+    int gateways;
+    bool reported; // servers report that they are slow
 };
 
 struct PoolResult {
@@ -233,24 +233,24 @@
 };
 
 const PoolCase poolCases[] = {
-    { .gateways = 20, .share = 0.02, .requestsPerSecond = 700, .reported = false, .maxHedges = 0.02, .maxP99Ratio = 0.98, .maxP999Ratio = 0.4 },
-    { .gateways = 45, .share = 0.02, .requestsPerSecond = 700, .reported = false, .maxHedges = 0.02, .maxP99Ratio = 0.98, .maxP999Ratio = 0.4 },
-    { .gateways = 221, .share = 0.02, .requestsPerSecond = 700, .reported = false, .maxHedges = 0.02, .maxP99Ratio = 0.98, .maxP999Ratio = 0.4 },
-    { .gateways = 20, .share = 0.05, .requestsPerSecond = 700, .reported = false, .maxHedges = 0.05, .maxP99Ratio = 0.95, .maxP999Ratio = 0.4 },
-    { .gateways = 45, .share = 0.05, .requestsPerSecond = 700, .reported = false, .maxHedges = 0.05, .maxP99Ratio = 0.95, .maxP999Ratio = 0.4 },
-    { .gateways = 221, .share = 0.05, .requestsPerSecond = 700, .reported = false, .maxHedges = 0.05, .maxP99Ratio = 0.95, .maxP999Ratio = 0.4 },
-    { .gateways = 20, .share = 0.05, .requestsPerSecond = 700, .reported = true, .maxHedges = 0.05, .maxP99Ratio = 0.9, .maxP999Ratio = 1.0 },
-    { .gateways = 45, .share = 0.05, .requestsPerSecond = 700, .reported = true, .maxHedges = 0.05, .maxP99Ratio = 0.9, .maxP999Ratio = 1.0 },
-    { .gateways = 221, .share = 0.05, .requestsPerSecond = 700, .reported = true, .maxHedges = 0.05, .maxP99Ratio = 0.9, .maxP999Ratio = 1.0 },
-    { .gateways = 20, .share = 0.1, .requestsPerSecond = 700, .reported = true, .maxHedges = 0.1, .maxP99Ratio = 0.8, .maxP999Ratio = 1.0 },
-    { .gateways = 45, .share = 0.1, .requestsPerSecond = 700, .reported = true, .maxHedges = 0.1, .maxP99Ratio = 0.8, .maxP999Ratio = 1.0 },
-    { .gateways = 221, .share = 0.1, .requestsPerSecond = 700, .reported = true, .maxHedges = 0.1, .maxP99Ratio = 0.8, .maxP999Ratio = 1.0 },
-    { .gateways = 20, .share = 0.05, .requestsPerSecond = 1000, .reported = false, .maxHedges = 0.005, .maxP99Ratio = 1.02, .maxP999Ratio = 0 },
-    { .gateways = 45, .share = 0.05, .requestsPerSecond = 1000, .reported = false, .maxHedges = 0.005, .maxP99Ratio = 1.02, .maxP999Ratio = 0 },
-    { .gateways = 221, .share = 0.05, .requestsPerSecond = 1000, .reported = false, .maxHedges = 0.005, .maxP99Ratio = 1.02, .maxP999Ratio = 0 },
-    { .gateways = 20, .share = 0.05, .requestsPerSecond = 2000, .reported = false, .maxHedges = 0.0005, .maxP99Ratio = 1.02, .maxP999Ratio = 1.02 },
-    { .gateways = 45, .share = 0.05, .requestsPerSecond = 2000, .reported = false, .maxHedges = 0.0005, .maxP99Ratio = 1.02, .maxP999Ratio = 1.02 },
-    { .gateways = 221, .share = 0.05, .requestsPerSecond = 2000, .reported = false, .maxHedges = 0.0005, .maxP99Ratio = 1.02, .maxP999Ratio = 1.02 },
+    { .share = 0.02, .requestsPerSecond = 700, .maxHedges = 0.02, .maxP99Ratio = 0.98, .maxP999Ratio = 0.4, .gateways = 20, .reported = false },
+    { .share = 0.02, .requestsPerSecond = 700, .maxHedges = 0.02, .maxP99Ratio = 0.98, .maxP999Ratio = 0.4, .gateways = 45, .reported = false },
+    { .share = 0.02, .requestsPerSecond = 700, .maxHedges = 0.02, .maxP99Ratio = 0.98, .maxP999Ratio = 0.4, .gateways = 221, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 700, .maxHedges = 0.05, .maxP99Ratio = 0.95, .maxP999Ratio = 0.4, .gateways = 20, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 700, .maxHedges = 0.05, .maxP99Ratio = 0.95, .maxP999Ratio = 0.4, .gateways = 45, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 700, .maxHedges = 0.05, .maxP99Ratio = 0.95, .maxP999Ratio = 0.4, .gateways = 221, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 700, .maxHedges = 0.05, .maxP99Ratio = 0.9, .maxP999Ratio = 1.0, .gateways = 20, .reported = true },
+    { .share = 0.05, .requestsPerSecond = 700, .maxHedges = 0.05, .maxP99Ratio = 0.9, .maxP999Ratio = 1.0, .gateways = 45, .reported = true },
+    { .share = 0.05, .requestsPerSecond = 700, .maxHedges = 0.05, .maxP99Ratio = 0.9, .maxP999Ratio = 1.0, .gateways = 221, .reported = true },
+    { .share = 0.1, .requestsPerSecond = 700, .maxHedges = 0.1, .maxP99Ratio = 0.8, .maxP999Ratio = 1.0, .gateways = 20, .reported = true },
+    { .share = 0.1, .requestsPerSecond = 700, .maxHedges = 0.1, .maxP99Ratio = 0.8, .maxP999Ratio = 1.0, .gateways = 45, .reported = true },
+    { .share = 0.1, .requestsPerSecond = 700, .maxHedges = 0.1, .maxP99Ratio = 0.8, .maxP999Ratio = 1.0, .gateways = 221, .reported = true },
+    { .share = 0.05, .requestsPerSecond = 1000, .maxHedges = 0.005, .maxP99Ratio = 1.02, .maxP999Ratio = 0, .gateways = 20, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 1000, .maxHedges = 0.005, .maxP99Ratio = 1.02, .maxP999Ratio = 0, .gateways = 45, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 1000, .maxHedges = 0.005, .maxP99Ratio = 1.02, .maxP999Ratio = 0, .gateways = 221, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 2000, .maxHedges = 0.0005, .maxP99Ratio = 1.02, .maxP999Ratio = 1.02, .gateways = 20, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 2000, .maxHedges = 0.0005, .maxP99Ratio = 1.02, .maxP999Ratio = 1.02, .gateways = 45, .reported = false },
+    { .share = 0.05, .requestsPerSecond = 2000, .maxHedges = 0.0005, .maxP99Ratio = 1.02, .maxP999Ratio = 1.02, .gateways = 221, .reported = false },
 };
 
 }
@@ -380,20 +380,20 @@
 struct AcceptCase {
     std::string what;
     ServerSignal signal;
-    int priority;
     double elapsedMs;
+    int priority;
     bool accepts;
 };
 
 const AcceptCase acceptCases[] = {
-    { "idle", { .slots = 6 }, 1, 200, true },
-    { "slots left below the knee", { .running = 3, .slots = 6 }, 1, 200, true },
-    { "only slots beyond the knee left", { .running = 4, .slots = 6 }, 1, 200, false },
-    { "only slots beyond the knee left, most urgent request", { .running = 4, .slots = 6 }, 0, 200, false },
-    { "reports itself unhealthy", { .slots = 6, .healthy = false }, 1, 200, false },
-    { "cold", { .slots = 6, .cold = true }, 1, 1000, false },
-    { "needs longer than the open attempt is expected to", { .slots = 6, .slowness = 3 }, 1, 200, false },
-    { "slow, but the open attempt is older", { .slots = 6, .slowness = 3 }, 1, 400, true },
+    { "idle", { .slots = 6 }, 200, 1, true },
+    { "slots left below the knee", { .running = 3, .slots = 6 }, 200, 1, true },
+    { "only slots beyond the knee left", { .running = 4, .slots = 6 }, 200, 1, false },
+    { "only slots beyond the knee left, most urgent request", { .running = 4, .slots = 6 }, 200, 0, false },
+    { "reports itself unhealthy", { .slots = 6, .healthy = false }, 200, 1, false },
+    { "cold", { .slots = 6, .cold = true }, 1000, 1, false },
+    { "needs longer than the open attempt is expected to", { .slots = 6, .slowness = 3 }, 200, 1, false },
+    { "slow, but the open attempt is older", { .slots = 6, .slowness = 3 }, 400, 1, true },
 };
 
 TEST_CASE("A hedge goes only to a server with free capacity that will probably respond before the open attempt")
