Gateway: organisations are kept within their allowances over all gateways

Cause: the configuration gives organisations a rate and a burst, which no gateway can enforce alone: most see less than one request a second of most organisations, and callers change gateways.

Change: each gateway counts the requests that callers send for organisations with a limit, and reports cumulative counts with its update requests (usage). The leading relay holds a token bucket for each organisation, charges it by the reports, and calculates every 100 ms which fraction of the requests gateways admit (allowances in responses). Relays pass both on. Requests beyond are answered with 429 and a Retry-After of the time until there is room; they are logged as call-limited and counted in refused_allowance_total. Nothing is sent or calculated where no organisation has a limit.

Not charged back: requests that are admitted and then refused for another reason.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -41,6 +41,7 @@
         EventRow { CallForwarded, "call-forwarded", Severity::Info, "A request is handed to another entry, since no server of its service answers this one." },
         EventRow { CallMalformed, "call-malformed", Severity::Info, "A caller sent a request that is no valid HTTP/1.1 message; it is answered with 400." },
         EventRow { CallUnauthorized, "call-unauthorized", Severity::Info, "A request without a valid API key; it is answered with 401." },
+        EventRow { CallLimited, "call-limited", Severity::Info, "A request beyond its organisation's allowance; it is answered with 429." },
         EventRow { RecordApplied, "record-applied", Severity::Info, "A record of a newer revision is in force." },
         EventRow { RecordNotUnderstood, "record-not-understood", Severity::Warning, "A record holds no form that this entry supports; the old one stays in force." },
         EventRow { RecordRejected, "record-rejected", Severity::Error, "A stored record could not be read; the old one stays in force." },
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -40,6 +40,7 @@
     CallForwarded = 2009,
     CallMalformed = 2010,
     CallUnauthorized = 2011,
+    CallLimited = 2012,
     RecordApplied = 3000,
     RecordNotUnderstood = 3001,
     RecordRejected = 3002,
--- a/Source/Core/Decisions/Refusal.cpp
+++ b/Source/Core/Decisions/Refusal.cpp
@@ -26,7 +26,7 @@
 Common::Duration retryAfter(const RefusalInputs& inputs)
 {
     // Spread behind the end of the pause: before it, no request can be served.
-    if (inputs.reason == RefusalReason::Paused)
+    if (inputs.reason == RefusalReason::Paused || inputs.reason == RefusalReason::Allowance)
         return Common::fromMilliseconds(std::max(minRetryAfterMs, inputs.pauseLeftMs * (1 + pauseSpread * inputs.jitter)));
     // A server whose limit is used up takes one request then, and further ones later.
     if (inputs.reason == RefusalReason::Limited)
--- a/Source/Core/Decisions/Refusal.h
+++ b/Source/Core/Decisions/Refusal.h
@@ -15,6 +15,7 @@
     Shed, // servers shed the request and no further attempt is allowed
     Blocked, // the request ends the servers that run it
     Outdated, // the configuration is too old to tell whether the API key is valid
+    Allowance, // the organisation has used up its allowance
     Memory, // the gateway's memory for requests and responses is used up
 };
 
@@ -22,7 +23,7 @@
     RefusalReason reason = RefusalReason::Busy;
     double timeLeftMs = 0; // until the caller's deadline
     double excessMs = 0; // by how much the best server's expected response would miss the deadline
-    double pauseLeftMs = 0; // with Paused and Limited: until the first server takes requests again
+    double pauseLeftMs = 0; // with Paused and Limited: until the first server takes requests again; with Allowance: until there is room
     double jitter = 0; // uniform in [0, 1)
 };
 
--- a/Source/Core/Gateway/CatalogSync.cpp
+++ b/Source/Core/Gateway/CatalogSync.cpp
@@ -51,6 +51,9 @@
     // Minimum interval between two writes of the blocked requests to the store.
     constexpr auto crashReportsWriteInterval = std::chrono::seconds(1);
 
+    // A surge of an organisation is noticed with this delay, on top of the interval between reports.
+    constexpr auto allowanceInterval = std::chrono::milliseconds(100);
+
     constexpr std::size_t relaysWanted = 2;
     // Backoff between reads of an unreachable store. Relays retry often, since all other gateways depend on them.
     constexpr auto firstBackoff = std::chrono::milliseconds(200);
@@ -63,29 +66,31 @@
 
 }
 
-CatalogSync::CatalogSync(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects,
+CatalogSync::CatalogSync(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects, Decisions::FleetAllowance& allowances,
     Platform::AsyncTable readTable, Platform::AsyncTable relayListTable, CatalogSyncOptions options)
     : m_loop(loop)
     , m_log(log)
     , m_catalog(catalog)
     , m_members(members)
     , m_crashSuspects(crashSuspects)
+    , m_allowances(allowances)
     , m_relayListTable(std::move(relayListTable))
     , m_options(std::move(options))
     , m_storeCallTimeout(readTable.callTimeout)
     , m_reader(loop, log, catalog, std::move(readTable), m_options.reader)
-    , m_server(loop, catalog, members, crashSuspects,
+    , m_server(loop, catalog, members, crashSuspects, allowances,
           { .isRelay = [this] { return isRelay(); },
               .relayList = [this] { return m_relayList; },
               .onRelayList = [this](const RelayList& list) { adoptRelayList(list); },
               .capacity = members.self().capacity })
-    , m_client(loop, log, catalog, members, crashSuspects,
+    , m_client(loop, log, catalog, members, crashSuspects, allowances,
           { .target = m_options.updateTarget,
               .relayList = [this] { return m_relayList; } })
     , m_jitter(Common::randomUnit(loop.hooks()))
 {
     m_client.onRelayList([this](const RelayList& list) { adoptRelayList(list); });
     m_client.onCrashes([this] { m_server.onCrashesChanged(); });
+    m_client.onAllowances([this] { m_server.onAllowancesChanged(); });
     m_catalog.setChangeHandler([this] { m_server.onCatalogChanged(); });
     // Deferred, since applyElection() may stop the reader, which is still inside its own call here.
     m_reader.onTablesRead([this] {
@@ -178,9 +183,25 @@
         m_server.onMembersChanged();
     updateCandidates();
     applyElection();
+    if (m_allowanceTimer == 0 && (m_allowances.isActive() || m_allowances.isLeading()))
+        updateAllowances();
     m_loop.after(m_catalog.isComplete() ? Common::Duration(tickInterval) : Common::Duration(startTickInterval), [this] { tick(); });
 }
 
+void CatalogSync::updateAllowances()
+{
+    m_allowanceTimer = 0;
+    auto now = m_loop.now();
+    // While the leading relay has lost the store, its followers turn to the standby.
+    auto isLeader = isRelay() && (role() == RelayRole::Leader || (role() == RelayRole::Standby && !m_relayed));
+    if (isLeader && m_allowances.isLeading())
+        m_allowances.recordOwn(m_members.self().control, m_members.self().startedMs, now);
+    if (m_allowances.lead(isLeader, now))
+        m_server.onAllowancesChanged();
+    if (m_allowances.isLeading())
+        m_allowanceTimer = m_loop.after(allowanceInterval, [this] { updateAllowances(); });
+}
+
 // The longest pause between two reads. The call before it may have been lost in an outage that ends at once; with both, data still
 // get no older than followers allow.
 Common::Duration CatalogSync::followerBackoff() const
--- a/Source/Core/Gateway/CatalogSync.h
+++ b/Source/Core/Gateway/CatalogSync.h
@@ -31,7 +31,7 @@
 // has a recent catalog; takes part in relay election.
 class CatalogSync {
 public:
-    CatalogSync(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, Decisions::CrashSuspects&, Platform::AsyncTable readTable, Platform::AsyncTable relayListTable, CatalogSyncOptions);
+    CatalogSync(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, Decisions::CrashSuspects&, Decisions::FleetAllowance&, Platform::AsyncTable readTable, Platform::AsyncTable relayListTable, CatalogSyncOptions);
 
     void start();
     // Called before this gateway stops: hands the lead over and makes followers turn to another relay.
@@ -59,6 +59,8 @@
     void stopReading();
     void updateRelayState();
     void updateGatewayCount();
+    // Calculates the fractions of the organisations' requests, while this gateway leads the relays and organisations have allowances.
+    void updateAllowances();
     Decisions::RelayRole role() const;
     // Whether this gateway has current data for others: as a relay or, while relays have none, as a preferred or reserve candidate.
     bool isRelay() const;
@@ -88,6 +90,7 @@
     Catalog& m_catalog;
     Members& m_members;
     Decisions::CrashSuspects& m_crashSuspects;
+    Decisions::FleetAllowance& m_allowances;
     Platform::AsyncTable m_relayListTable;
     CatalogSyncOptions m_options;
     Common::Duration m_storeCallTimeout;
@@ -101,6 +104,7 @@
     Common::TimePoint m_relayListChangedAt; // when a relay list was last adopted or written
     Common::TimePoint m_gatewayCountAt;
     Net::EventLoop::TimerId m_crashReportTimer = 0;
+    Net::EventLoop::TimerId m_allowanceTimer = 0;
     std::vector<Decisions::CrashReport> m_storedCrashReports; // as far as this gateway has read or written them
     std::uint64_t m_crashReportsVersion = 0; // of their row; 0: there is none
     Common::TimePoint m_crashReportsWrittenAt;
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -120,7 +120,7 @@
               .decoder = m_options.platform.decoder,
               .serverHeartbeat = std::chrono::milliseconds(m_options.settings.serverHeartbeatMs),
           })
-    , m_catalogSync(m_loop, m_log, m_catalog, m_members, m_router.crashSuspects(),
+    , m_catalogSync(m_loop, m_log, m_catalog, m_members, m_router.crashSuspects(), m_router.allowances(),
           m_options.platform.openStore(m_loop, m_options.settings.store),
           m_options.platform.openStore(m_loop, m_options.settings.store),
           {
@@ -296,6 +296,8 @@
     page.counter("unknown_route_total", static_cast<double>(counters.unknownRoute));
     page.counter("unauthorized_total", static_cast<double>(counters.unauthorized));
     page.counter("refused_outdated_total", static_cast<double>(counters.refusedAsOutdated));
+    page.counter("refused_allowance_total", static_cast<double>(counters.refusedForAllowance));
+    page.gauge("limited_organisations", static_cast<double>(m_router.allowances().gate().limitedCount()));
     page.counter("abandoned_total", static_cast<double>(counters.abandoned));
     page.counter("sends_total", static_cast<double>(counters.attempts));
     page.counter("second_sends_total", static_cast<double>(counters.retries));
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -14,12 +14,13 @@
 
 }
 
-RelayClient::RelayClient(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects, RelayClientOptions options)
+RelayClient::RelayClient(Net::EventLoop& loop, Common::EventLog& log, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects, Decisions::FleetAllowance& allowances, RelayClientOptions options)
     : m_loop(loop)
     , m_log(log)
     , m_catalog(catalog)
     , m_members(members)
     , m_crashSuspects(crashSuspects)
+    , m_allowances(allowances)
     , m_options(std::move(options))
 {
 }
@@ -115,9 +116,13 @@
         .membersStartedMs = m_membersStartedMs,
         .wait = wait,
         .relayList = m_options.relayList(),
-        .crashes = m_crashSuspects.learnedSince(relay == m_membersFrom ? m_crashesReported : 0),
+        .crashes = m_crashSuspects.learnedSince(relay == m_membersFrom ? m_reported.crashes : 0),
         .crashesRevision = m_crashesRevision,
+        .usage = {},
+        .allowancesRevision = m_allowancesRevision,
     };
+    if (m_allowances.isActive())
+        update.usage = m_allowances.usageSince(relay == m_membersFrom ? m_reported.usage : 0);
     return {
         .method = "POST",
         .target = m_options.target,
@@ -152,17 +157,19 @@
     }
     if (isAvoided(relay))
         m_roundStartedAt = m_loop.now();
+    if (m_allowances.isActive())
+        m_allowances.recordOwn(m_members.self().control, m_members.self().startedMs, m_loop.now());
     // A relay that had no recent data is asked what it has now: while it held the request open, it would not tell.
     auto wait = m_lastAnswerOutdated ? Common::Duration::zero() : m_wait;
     auto request = updateRequest(relay, wait);
     m_requestPending = true;
     m_requestSentAt = Common::bootTime(m_loop.hooks());
     m_connection->send(Net::toBytes(request), true, wait + timeoutMargin(),
-        { .answered = [this, relay, reported = m_crashSuspects.revision()](Net::ResponseHead&& head) { onResponse(relay, std::move(head), reported); },
+        { .answered = [this, relay, reported = Reported { .crashes = m_crashSuspects.revision(), .usage = m_allowances.usageRevision() }](Net::ResponseHead&& head) { onResponse(relay, std::move(head), reported); },
             .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureText(failure)); } });
 }
 
-void RelayClient::onResponse(const std::string& relay, Net::ResponseHead&& head, std::uint64_t crashesReported)
+void RelayClient::onResponse(const std::string& relay, Net::ResponseHead&& head, Reported reported)
 {
     m_requestPending = false;
     auto now = m_loop.now();
@@ -207,9 +214,12 @@
         m_membersStartedMs = update.members.startedMs;
         updateFullCatalogRequest({ .relay = relay, .startedMs = update.members.startedMs, .knowsRemovals = update.catalog.knowsRemovals });
         m_crashesRevision = update.crashesRevision;
-        m_crashesReported = hasReports ? crashesReported : 0;
+        m_reported = hasReports ? reported : Reported();
+        m_allowancesRevision = update.allowancesRevision;
         if (m_crashSuspects.merge(update.crashes, now) && m_crashHook)
             m_crashHook();
+        if (update.allowances && m_allowances.apply(*update.allowances, now) && m_allowanceHook)
+            m_allowanceHook();
     }
     if (m_relayListHook)
         m_relayListHook(update.relayList);
@@ -245,7 +255,8 @@
         m_currentRelayOutdated = false;
         m_membersFrom.clear();
         m_membersRevision = 0;
-        m_crashesRevision = m_crashesReported = 0;
+        m_crashesRevision = m_allowancesRevision = 0;
+        m_reported = {};
     }
     if (m_running)
         scheduleRequest(allAvoided() ? pauseLeft() : Common::Duration::zero());
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -27,7 +27,7 @@
 // Follows one relay at a time: keeps a long-poll request for updates open and applies the responses.
 class RelayClient {
 public:
-    RelayClient(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, Decisions::CrashSuspects&, RelayClientOptions);
+    RelayClient(Net::EventLoop&, Common::EventLog&, Catalog&, Members&, Decisions::CrashSuspects&, Decisions::FleetAllowance&, RelayClientOptions);
 
     // Control addresses of relays to follow, in order of preference. While there are none, no request is sent.
     void setCandidates(std::vector<std::string>);
@@ -38,6 +38,8 @@
     void onRelayList(std::function<void(const RelayList&)> hook) { m_relayListHook = std::move(hook); }
     // Called when a response contained crash reports that other gateways have to be told.
     void onCrashes(std::function<void()> hook) { m_crashHook = std::move(hook); }
+    // Called when a response contained fractions that other gateways have to be told.
+    void onAllowances(std::function<void()> hook) { m_allowanceHook = std::move(hook); }
     void start();
     void stop();
     // Sends the relay list to a gateway once, without following it.
@@ -45,7 +47,7 @@
     // Replaces the open request, so that the relay learns of this gateway's changed member record or crash reports at once.
     void restart();
     // Whether there are crash reports that the relay has not got.
-    bool hasCrashReports() const { return m_crashesReported < m_crashSuspects.revision(); }
+    bool hasCrashReports() const { return m_reported.crashes < m_crashSuspects.revision(); }
 
     // When a relay with a recent catalog last responded; the epoch before the first.
     Common::TimePoint lastFreshResponse() const { return m_lastFreshResponse; }
@@ -74,12 +76,16 @@
     Common::Duration pauseLeft() const;
     Common::Duration retryInterval() const { return m_options.retryInterval + m_options.marginPerGateway * static_cast<int>(m_members.size()); }
     Common::Duration timeoutMargin() const { return m_options.timeoutMargin + m_options.marginPerGateway * static_cast<int>(m_members.size()); }
+    // Revisions of what a request reports, to be remembered once it is answered.
+    struct Reported {
+        std::uint64_t crashes = 0;
+        std::uint64_t usage = 0;
+    };
     Net::Request updateRequest(const std::string& relay, Common::Duration wait) const;
     bool isAvoided(const std::string& relay) const;
     bool allAvoided() const;
     std::string chooseRelay() const;
-    // `crashesReported`: revision of the own crash reports when the request was sent.
-    void onResponse(const std::string& relay, Net::ResponseHead&&, std::uint64_t crashesReported);
+    void onResponse(const std::string& relay, Net::ResponseHead&&, Reported);
     // Adds the time since the relay answered, as far as it can't be told from the time for which it held the request open.
     void ageConfiguration(UpdateResponse&) const;
     void updateFullCatalogRequest(const FullCatalogSource&);
@@ -90,11 +96,13 @@
     Catalog& m_catalog;
     Members& m_members;
     Decisions::CrashSuspects& m_crashSuspects;
+    Decisions::FleetAllowance& m_allowances;
     RelayClientOptions m_options;
     std::vector<std::string> m_candidates;
     std::map<std::string, RelayState> m_relayStates; // by control address
     std::function<void(const RelayList&)> m_relayListHook;
     std::function<void()> m_crashHook;
+    std::function<void()> m_allowanceHook;
     std::shared_ptr<Net::ClientConnection> m_connection;
     std::string m_connectedTo;
     std::map<std::string, std::shared_ptr<Net::ClientConnection>> m_oneTimeConnections; // of sendRelayList(), by control address
@@ -105,7 +113,8 @@
     FullCatalogSource m_fullCatalogSource;
     bool m_wantsFullCatalog = false;
     std::uint64_t m_crashesRevision = 0; // of that relay's crash reports
-    std::uint64_t m_crashesReported = 0; // revision of the own reports up to which that relay has them
+    Reported m_reported; // what that relay has of the own reports
+    std::uint64_t m_allowancesRevision = 0; // of the fractions of that relay
     Common::Duration m_wait = std::chrono::milliseconds(400);
     Common::TimePoint m_lastFreshResponse;
     Common::TimePoint m_lastResponse;
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RelayMessages.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include <json/json.h>
@@ -128,6 +129,81 @@
         return reports;
     }
 
+    // Larger numbers than any real one would not fit into a duration.
+    Common::Duration toInterval(const Json::Value& json)
+    {
+        constexpr double maxIntervalMs = 24 * 3600e3;
+        return Common::fromMilliseconds(std::clamp(json.asDouble(), 0.0, maxIntervalMs));
+    }
+
+    // [gateway, start, full, counted for, organisation, received, admitted, organisation...]
+    Json::Value toJson(const Decisions::UsageReport& report)
+    {
+        Json::Value json(Json::arrayValue);
+        json.append(report.gateway);
+        json.append(Json::Int64(report.startedMs));
+        json.append(report.isFull ? 1 : 0);
+        json.append(std::round(Common::toMilliseconds(report.countedFor)));
+        for (const auto& usage : report.usage) {
+            json.append(usage.organisation);
+            json.append(Json::UInt64(usage.received));
+            json.append(Json::UInt64(usage.admitted));
+        }
+        return json;
+    }
+
+    Decisions::UsageReport toUsageReport(const Json::Value& json)
+    {
+        Json::ArrayIndex i = 0;
+        Decisions::UsageReport report;
+        report.gateway = json[i++].asString();
+        report.startedMs = json[i++].asInt64();
+        report.isFull = json[i++].asInt() != 0;
+        report.countedFor = toInterval(json[i++]);
+        while (i + 2 < json.size()) {
+            auto& usage = report.usage.emplace_back();
+            usage.organisation = json[i++].asString();
+            usage.received = json[i++].asUInt64();
+            usage.admitted = json[i++].asUInt64();
+        }
+        return report;
+    }
+
+    std::vector<Decisions::UsageReport> toUsageReports(const Json::Value& json)
+    {
+        std::vector<Decisions::UsageReport> reports;
+        for (const auto& report : json)
+            reports.push_back(toUsageReport(report));
+        return reports;
+    }
+
+    // [organisation, fraction, wait]
+    Json::Value toJson(const std::vector<Decisions::Allowance>& allowances)
+    {
+        Json::Value json(Json::arrayValue);
+        for (const auto& allowance : allowances) {
+            Json::Value row(Json::arrayValue);
+            row.append(allowance.organisation);
+            row.append(allowance.fraction);
+            row.append(std::round(Common::toMilliseconds(allowance.wait)));
+            json.append(std::move(row));
+        }
+        return json;
+    }
+
+    std::vector<Decisions::Allowance> toAllowances(const Json::Value& json)
+    {
+        std::vector<Decisions::Allowance> allowances;
+        for (const auto& row : json) {
+            Json::ArrayIndex i = 0;
+            auto& allowance = allowances.emplace_back();
+            allowance.organisation = row[i++].asString();
+            allowance.fraction = row[i++].asDouble();
+            allowance.wait = toInterval(row[i++]);
+        }
+        return allowances;
+    }
+
     // jsoncpp throws if a value is not of the type asked for.
     template <typename Read>
     auto readTyped(const std::string& text, Read read) -> Common::Result<decltype(read(Json::Value()))>
@@ -157,6 +233,12 @@
     json["wait_ms"] = Common::toMilliseconds(request.wait);
     json["crashes"] = toJson(request.crashes);
     json["crashes_revision"] = Json::UInt64(request.crashesRevision);
+    if (!request.usage.empty()) {
+        json["usage"] = Json::Value(Json::arrayValue);
+        for (const auto& report : request.usage)
+            json["usage"].append(toJson(report));
+        json["allowances_revision"] = Json::UInt64(request.allowancesRevision);
+    }
     json["roster"] = toJson(request.relayList.relays);
     json["roster_version"] = Json::UInt64(request.relayList.version);
     json["roster_era"] = Json::UInt64(request.relayList.era);
@@ -207,6 +289,10 @@
         }
         json["crashes"] = toJson(response.crashes);
         json["crashes_revision"] = Json::UInt64(response.crashesRevision);
+        if (response.allowances) {
+            json["allowances"] = toJson(*response.allowances);
+            json["allowances_revision"] = Json::UInt64(response.allowancesRevision);
+        }
     }
     // The JSON text contains no line break itself.
     return Common::jsonText(json) + "\n" + (response.isRelay ? rows.bytes : std::string());
@@ -226,6 +312,9 @@
             .crashes = toCrashReports(json["crashes"]),
             // A gateway of a version that knows no crash reports can't be told of them.
             .crashesRevision = json.isMember("crashes_revision") ? json["crashes_revision"].asUInt64() : std::numeric_limits<std::uint64_t>::max(),
+            .usage = toUsageReports(json["usage"]),
+            // A gateway without organisations, or of a version that knows no allowances, is not answered because of them.
+            .allowancesRevision = json.isMember("allowances_revision") ? json["allowances_revision"].asUInt64() : std::numeric_limits<std::uint64_t>::max(),
         };
     });
 }
@@ -262,6 +351,9 @@
         }
         response.crashes = toCrashReports(json["crashes"]);
         response.crashesRevision = json["crashes_revision"].asUInt64();
+        if (json.isMember("allowances"))
+            response.allowances = toAllowances(json["allowances"]);
+        response.allowancesRevision = json["allowances_revision"].asUInt64();
         return std::pair(response, json["rows_deflated"].asBool());
     });
     if (!head)
--- a/Source/Core/Gateway/RelayMessages.h
+++ b/Source/Core/Gateway/RelayMessages.h
@@ -7,6 +7,7 @@
 
 #include "Common/Result.h"
 #include "Decisions/CrashSuspects.h"
+#include "Decisions/FleetAllowance.h"
 #include "Gateway/Catalog.h"
 #include "Gateway/Members.h"
 
@@ -31,6 +32,8 @@
     RelayList relayList; // as the sender knows it
     std::vector<Decisions::CrashReport> crashes; // that the sender has learned of since its last request to this relay
     std::uint64_t crashesRevision = 0; // up to which the sender knows what the relay whose member list it holds shares; 0: nothing
+    std::vector<Decisions::UsageReport> usage; // of the sender and of those that report through it, changed since its last request to this relay
+    std::uint64_t allowancesRevision = 0; // of the fractions that the sender has from that relay; 0: none
 };
 
 struct UpdateResponse {
@@ -41,6 +44,8 @@
     MemberUpdate members;
     std::vector<Decisions::CrashReport> crashes; // that the relay shares, beyond the revision in the request
     std::uint64_t crashesRevision = 0; // of the responder's crash reports
+    std::optional<std::vector<Decisions::Allowance>> allowances; // of the organisations near theirs; nullopt: the responder knows none
+    std::uint64_t allowancesRevision = 0;
 };
 
 // Rows in wire form: a JSON array, deflated from 1024 bytes on. All responses from one position share it.
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -10,6 +10,8 @@
     constexpr auto catalogBatchDelay = std::chrono::milliseconds(15);
     constexpr auto batchDelayPerRequest = std::chrono::microseconds(1200);
     // Members often join and leave many at a time, and callers cache addresses for seconds anyway.
+    // A surge of an organisation goes on until gateways are told. FleetAllowance limits how often that is.
+    constexpr auto allowancesBatchDelay = std::chrono::milliseconds(15);
     constexpr auto membersBatchDelay = std::chrono::milliseconds(150);
     constexpr auto maxLongPollWait = std::chrono::seconds(5);
     // A gateway whose connection ended sends its next request within this time if it is alive.
@@ -22,11 +24,12 @@
 
 }
 
-RelayServer::RelayServer(Net::EventLoop& loop, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects, RelayServerOptions options)
+RelayServer::RelayServer(Net::EventLoop& loop, Catalog& catalog, Members& members, Decisions::CrashSuspects& crashSuspects, Decisions::FleetAllowance& allowances, RelayServerOptions options)
     : m_loop(loop)
     , m_catalog(catalog)
     , m_members(members)
     , m_crashSuspects(crashSuspects)
+    , m_allowances(allowances)
     , m_options(std::move(options))
     , m_fullUpdates(fullUpdatesPerSecond * m_options.capacity, fullUpdateBurst)
 {
@@ -41,6 +44,7 @@
     m_options.onRelayList(request.value().relayList);
     if (m_crashSuspects.merge(request.value().crashes, m_loop.now()))
         onCrashesChanged();
+    m_allowances.merge(request.value().usage, m_loop.now());
     if (!m_options.isRelay())
         return answer(exchange, request.value(), receivedAt);
     if (m_members.recordContact(request.value().member, m_loop.now()))
@@ -60,7 +64,8 @@
 
 bool RelayServer::hasUpdateFor(const UpdateRequest& request) const
 {
-    return !hasOurList(request) || m_catalog.hasChangedSince(request.position) || request.crashesRevision < m_crashSuspects.sharedRevision();
+    return !hasOurList(request) || m_catalog.hasChangedSince(request.position) || request.crashesRevision < m_crashSuspects.sharedRevision()
+        || (m_allowances.isActive() && request.allowancesRevision < m_allowances.revision());
 }
 
 bool RelayServer::hasOurList(const UpdateRequest& request) const
@@ -73,7 +78,7 @@
 void RelayServer::answer(const std::shared_ptr<Net::Exchange>& exchange, const UpdateRequest& request, Common::TimePoint receivedAt)
 {
     // A gateway that names no era, of a version before eras, has to read the store once the era has changed.
-    UpdateResponse response { .isRelay = m_options.isRelay() && m_catalog.canServe(request.position), .relayList = m_options.relayList(), .catalog = {}, .members = {}, .crashes = {} };
+    UpdateResponse response { .isRelay = m_options.isRelay() && m_catalog.canServe(request.position), .relayList = m_options.relayList(), .catalog = {}, .members = {}, .crashes = {}, .allowances = {} };
     if (response.isRelay)
         response.catalog = m_catalog.changesSince(request.position);
     // Many gateways that start together would take up all processor time of this one. Beyond the limit they are told that this
@@ -86,6 +91,10 @@
         response.members = m_members.changesSince(hasOurList(request) ? request.membersRevision : 0, request.member.failureDomain);
         response.crashes = m_crashSuspects.sharedSince(hasOurList(request) ? request.crashesRevision : 0);
         response.crashesRevision = m_crashSuspects.revision();
+        if (m_allowances.isActive()) {
+            response.allowances = m_allowances.allowances(m_loop.now());
+            response.allowancesRevision = m_allowances.revision();
+        }
         response.held = Common::bootTime(m_loop.hooks()) - receivedAt;
         rows = &rowsSince(request.position, response.catalog);
     }
@@ -147,6 +156,12 @@
     onCatalogChanged();
 }
 
+void RelayServer::onAllowancesChanged()
+{
+    if (!m_pending.empty())
+        scheduleAnswers(allowancesBatchDelay);
+}
+
 void RelayServer::answerOutdated()
 {
     for (auto it = m_pending.begin(); it != m_pending.end();) {
--- a/Source/Core/Gateway/RelayServer.h
+++ b/Source/Core/Gateway/RelayServer.h
@@ -24,13 +24,14 @@
 // Answers other gateways' long-poll requests for updates: at once if there is an update, else when one arrives or the wait ends.
 class RelayServer {
 public:
-    RelayServer(Net::EventLoop&, Catalog&, Members&, Decisions::CrashSuspects&, RelayServerOptions);
+    RelayServer(Net::EventLoop&, Catalog&, Members&, Decisions::CrashSuspects&, Decisions::FleetAllowance&, RelayServerOptions);
 
     void serve(const std::shared_ptr<Net::Exchange>&);
     // Schedule responses to the requests held open.
     void onCatalogChanged();
     void onMembersChanged();
     void onCrashesChanged();
+    void onAllowancesChanged();
     // Answers all requests held open at once, so that their senders can turn to another relay.
     void answerAll();
 
@@ -63,6 +64,7 @@
     Catalog& m_catalog;
     Members& m_members;
     Decisions::CrashSuspects& m_crashSuspects;
+    Decisions::FleetAllowance& m_allowances;
     RelayServerOptions m_options;
     std::list<PendingRequest> m_pending;
     std::deque<CachedRows> m_cachedRows; // newest first
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -27,6 +27,16 @@
 
     using enum Net::HttpStatus;
 
+    std::vector<Decisions::AllowanceLimit> allowanceLimits(const Organisations& organisations)
+    {
+        std::vector<Decisions::AllowanceLimit> limits;
+        for (const auto& organisation : organisations.all()) {
+            if (organisation.hasAllowance())
+                limits.push_back({ .organisation = organisation.name, .ratePerSecond = organisation.ratePerSecond, .burst = organisation.burst });
+        }
+        return limits;
+    }
+
     std::uint64_t incarnationDigest(const ServerRecord& record)
     {
         return Common::hash(record.id, static_cast<std::uint64_t>(record.startedMs));
@@ -52,6 +62,7 @@
     auto before = m_configuration ? m_configuration->version : 0;
     m_configuration = std::move(configuration);
     m_backends.setServices(m_configuration->services);
+    m_allowances.setLimits(allowanceLimits(m_configuration->organisations));
     for (const auto& route : m_configuration->routes) {
         if (!route.unknownKind.empty() && m_unknownKinds.insert(route.unknownKind).second)
             m_log.log(Common::EventId::RouteKindUnknown, { { "kind", route.unknownKind }, { "route", route.name } });
@@ -220,6 +231,23 @@
     exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { m_options.headers.retryAfter, retryAfterS } }, .body = {} });
 }
 
+void RequestRouter::refuseForAllowance(const std::shared_ptr<Net::Exchange>& exchange, const Route& route, const Organisation& organisation, Common::Duration wait)
+{
+    ++m_counters.refusedForAllowance;
+    auto delay = Decisions::retryAfter({
+        .reason = Decisions::RefusalReason::Allowance,
+        .pauseLeftMs = Common::toMilliseconds(wait),
+        .jitter = Common::randomUnit(m_loop.hooks()),
+    });
+    auto retryAfterS = fmt::format("{:.3f}", std::chrono::duration<double>(delay).count());
+    m_log.log(Common::EventId::CallLimited,
+        { { "request", std::string(Net::findHeader(exchange->request().headers, m_options.headers.requestId).value_or("")) },
+            { "route", route.name },
+            { "organisation", organisation.name },
+            { "retry_after_s", retryAfterS } });
+    exchange->respond({ .status = TooManyRequests, .reason = {}, .headers = { { m_options.headers.retryAfter, retryAfterS } }, .body = {} });
+}
+
 void RequestRouter::serve(const std::shared_ptr<Net::Exchange>& exchange)
 {
     ++m_counters.requests;
@@ -232,6 +260,11 @@
     auto identity = identify(request, *route);
     if (identity.verdict != Decisions::AuthenticationVerdict::Serve)
         return rejectCaller(exchange, *route, identity.verdict);
+    if (identity.organisation && identity.organisation->hasAllowance()) {
+        auto verdict = m_allowances.gate().admit(identity.organisation->name, m_loop.now(), Common::randomUnit(m_loop.hooks()));
+        if (!verdict.isAdmitted)
+            return refuseForAllowance(exchange, *route, *identity.organisation, verdict.wait);
+    }
     auto deadline = exchange->received() + timeAllowed(request, route->timeout);
     start(std::make_shared<RequestForwarder>(*this, exchange,
         RequestPlan {
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -11,6 +11,7 @@
 #include "Common/LatencySummary.h"
 #include "Decisions/Authentication.h"
 #include "Decisions/CrashSuspects.h"
+#include "Decisions/FleetAllowance.h"
 #include "Decisions/LoadProbeBudget.h"
 #include "Decisions/Placement.h"
 #include "Decisions/Refusal.h"
@@ -59,6 +60,7 @@
     std::uint64_t unknownRoute = 0; // answered with 404
     std::uint64_t unauthorized = 0; // answered with 401
     std::uint64_t refusedAsOutdated = 0; // of the refused ones: the configuration was too old to tell whether the key is valid
+    std::uint64_t refusedForAllowance = 0; // answered with 429
     std::uint64_t abandoned = 0; // the caller disconnected first
     std::uint64_t attempts = 0; // requests sent to servers, retries included
     std::uint64_t retries = 0; // retries and hedged attempts decided on
@@ -98,6 +100,8 @@
     CallerIdentity identify(const Net::Request&, const Route&) const;
     // Answers a request that identify() does not let pass.
     void rejectCaller(const std::shared_ptr<Net::Exchange>&, const Route&, Decisions::AuthenticationVerdict);
+    // The organisations' allowances. Only requests that callers send to this gateway count, not those that others forward.
+    Decisions::FleetAllowance& allowances() { return m_allowances; }
     RequestCounters& counters() { return m_counters; }
     const RequestCounters& counters() const { return m_counters; }
     Common::LatencySummary& totalTimes() { return m_totalTimes; }
@@ -119,6 +123,8 @@
     std::string chooseService(const Route&);
     void respondNoRoute(const std::shared_ptr<Net::Exchange>&);
     void respondNotConfigured(const std::shared_ptr<Net::Exchange>&);
+    // Answers a request beyond the organisation's allowance.
+    void refuseForAllowance(const std::shared_ptr<Net::Exchange>&, const Route&, const Organisation&, Common::Duration wait);
     void respondToPeerProbe(const std::shared_ptr<Net::Exchange>&);
     // Until the time budget that the request names, or else the limit, is over.
     Common::Duration timeAllowed(const Net::Request&, Common::Duration limit) const;
@@ -137,6 +143,7 @@
     std::map<std::string, Decisions::WindowedRetryBudget> m_retryBudgets; // by service
     Decisions::LoadProbeBudget m_probeBudget;
     Decisions::CrashSuspects m_crashSuspects;
+    Decisions::FleetAllowance m_allowances;
     std::map<std::string, double> m_serviceTimeMs; // by route
     std::unordered_set<std::shared_ptr<RequestForwarder>> m_forwarders;
     RequestCounters m_counters;
--- /dev/null
+++ b/Source/UnitTests/Gateway/AllowanceTest.cpp
@@ -0,0 +1,119 @@
+#include <doctest/doctest.h>
+
+#include "Gateway/FleetFixture.h"
+
+namespace {
+
+using namespace UnitTests;
+
+// Requests a second, requests beyond the rate.
+constexpr int rate = 4;
+constexpr int burst = 4;
+constexpr double windowS = 5;
+
+std::string tenants(const std::string& limit)
+{
+    return R"({"small":{"api_keys":["ks"])" + limit + R"(},"large":{"api_keys":["kl"],"rate_per_s":5000,"burst":5000},"free":{"api_keys":["kf"]}})";
+}
+
+void putConfiguration(Fleet& fleet, int version, const std::string& tenants)
+{
+    auto value = PlatformStandIn::configurationValue(version, "service");
+    value.pop_back();
+    value += ",\"tenants\":" + tenants + "}";
+    fleet.fixture().thread.call([&] { fleet.fixture().store->put(Names::operatorTable, Names::configurationKey, value); });
+}
+
+bool waitConfigured(Fleet& fleet, int gateways, int version)
+{
+    for (int i = 0; i < gateways; ++i) {
+        if (!eventually([&] { return Fleet::metric(fleet.gateway(i), "configuration_version") == version; }))
+            return false;
+    }
+    return true;
+}
+
+Net::Response callWithKey(RunningGateway& gateway, const std::string& id, const std::string& key)
+{
+    auto bytes = requestBytes("GET", "/safe/x", id);
+    return gateway.call(bytes.insert(bytes.find("\r\n") + 2, std::string(Names::apiKey) + ": " + key + "\r\n"));
+}
+
+struct Surge {
+    int sent = 0;
+    std::vector<Common::TimePoint> served;
+    int limited = 0;
+    int others = 0; // statuses other than 200 and 429
+    double minRetryAfterS = 1e9;
+    double maxRetryAfterS = 0;
+    int worstWindow() const
+    {
+        int worst = 0;
+        for (std::size_t from = 0, to = 0; to < served.size(); ++to) {
+            while (served[to] - served[from] > Common::fromMilliseconds(1000 * windowS))
+                ++from;
+            worst = std::max(worst, static_cast<int>(to - from + 1));
+        }
+        return worst;
+    }
+};
+
+}
+
+// Guards against an allowance that each gateway grants by itself, and against organisations that suffer from another one's surge.
+TEST_CASE("An organisation's requests beyond its allowance over all gateways are answered with 429, those of others are served")
+{
+    constexpr int gateways = 3;
+    Fleet fleet(gateways, 20270);
+    putConfiguration(fleet, 2, tenants(R"(,"rate_per_s":4,"burst":4)"));
+    REQUIRE(fleet.waitReady());
+    REQUIRE(waitConfigured(fleet, gateways, 2));
+
+    Surge surge;
+    int othersServed = 0;
+    int othersSent = 0;
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+    for (int n = 0; std::chrono::steady_clock::now() < end; ++n) {
+        auto& gateway = fleet.gateway(n % gateways);
+        auto response = callWithKey(gateway, "s" + std::to_string(n), "ks");
+        ++surge.sent;
+        if (response.status == 200)
+            surge.served.push_back(std::chrono::steady_clock::now());
+        else if (response.status == 429) {
+            ++surge.limited;
+            auto retryAfter = Net::findHeader(response.headers, "Retry-After");
+            REQUIRE(retryAfter);
+            surge.minRetryAfterS = std::min(surge.minRetryAfterS, std::stod(std::string(*retryAfter)));
+            surge.maxRetryAfterS = std::max(surge.maxRetryAfterS, std::stod(std::string(*retryAfter)));
+        } else
+            ++surge.others;
+        for (const char* key : { "kl", "kf" }) {
+            ++othersSent;
+            othersServed += callWithKey(gateway, std::string(key) + std::to_string(n), key).status == 200 ? 1 : 0;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    }
+    auto bound = (rate * windowS + burst) * 1.1 + 20;
+    MESSAGE("sent " << surge.sent << ", served " << surge.served.size() << ", worst window " << surge.worstWindow() << " of " << bound << ", 429 " << surge.limited
+                    << ", Retry-After " << surge.minRetryAfterS << " to " << surge.maxRetryAfterS << " s");
+    CHECK(surge.others == 0);
+    CHECK(surge.limited > 0);
+    CHECK(surge.worstWindow() <= bound);
+    CHECK(static_cast<double>(surge.served.size()) >= rate * 11);
+    // One token takes a quarter of a second; a debt of the tolerance is paid back within a few.
+    CHECK(surge.minRetryAfterS >= 1.0 / rate);
+    CHECK(surge.maxRetryAfterS <= 10);
+    CHECK(othersServed == othersSent);
+    int limited = 0;
+    for (int i = 0; i < gateways; ++i) {
+        CHECK(Fleet::metric(fleet.gateway(i), "limited_organisations") == 1);
+        limited += Fleet::metric(fleet.gateway(i), "refused_allowance_total").value_or(0);
+    }
+    CHECK(limited == surge.limited);
+    // Without the limit, all are served again.
+    putConfiguration(fleet, 3, tenants(""));
+    REQUIRE(waitConfigured(fleet, gateways, 3));
+    for (int n = 0; n < 60; ++n)
+        CHECK(callWithKey(fleet.gateway(n % gateways), "u" + std::to_string(n), "ks").status == 200);
+    CHECK(Fleet::metric(fleet.gateway(0), "limited_organisations") == 0);
+}
--- a/Source/UnitTests/Gateway/FakeRelay.h
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -65,6 +65,7 @@
             .wait = {},
             .relayList = { .relays = m_relays, .version = m_listVersion, .era = 1 },
             .crashes = {},
+            .usage = {},
         };
         Net::Request request { .method = "POST", .target = "/v1/news", .headers = { { "Host", control } }, .body = Gateway::toText(update), .keepAlive = true };
         m_announcements.push_back(Net::ClientConnection::open(m_loop, control, {}));
@@ -83,7 +84,7 @@
         if (!request)
             return exchange->respond({ .status = Net::HttpStatus::BadRequest, .reason = {}, .headers = {}, .body = {} });
         auto isRelay = m_answer != RelayAnswer::NoRelay;
-        Gateway::UpdateResponse response { .isRelay = isRelay, .relayList = request.value().relayList, .catalog = {}, .members = {}, .crashes = {} };
+        Gateway::UpdateResponse response { .isRelay = isRelay, .relayList = request.value().relayList, .catalog = {}, .members = {}, .crashes = {}, .allowances = {} };
         response.catalog.position = request.value().position;
         response.catalog.position.registry += m_isAhead ? 1 : 0;
         response.catalog.knowsRemovals = m_knowsRemovals;
