--- a/Source/Core/Decisions/FleetAllowance.cpp
+++ b/Source/Core/Decisions/FleetAllowance.cpp
@@ -259,7 +259,7 @@
             continue;
         auto isSilent = seconds(now - source.reportedAt) > silentAfterS;
         auto rateTime = std::max(source.recentSeconds, minRateTimeS);
-        // Both are in the order of names; a look-up for each flow would take a quarter of a core at 221 gateways.
+        // Both are in the order of names. The test of the model took 20 times as long with look-ups for each flow and report.
         auto it = m_buckets.begin();
         for (auto& [organisation, flow] : source.flows) {
             while (it != m_buckets.end() && it->first < organisation)
--- a/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
@@ -55,7 +55,7 @@
             update.position.evacuations = 0;
             update.hasAllEvacuations = false;
         }
-        Gateway::UpdateResponse response { .isRelay = true, .relayList = {}, .catalog = update, .members = {}, .crashes = {} };
+        Gateway::UpdateResponse response { .isRelay = true, .relayList = {}, .catalog = update, .members = {}, .crashes = {}, .allowances = {} };
         auto parsed = Gateway::parseUpdateResponse(toText(response, Gateway::encodeRows(update.rows)));
         REQUIRE(parsed);
         REQUIRE(catalog.apply(parsed.value().catalog));
