Warm-up: cold servers get their service's rate over all gateways

A server that becomes cold got its usual share of the requests from every gateway, and a heartbeat that said so was dropped. The rate is shared as a limit that a server names is; buckets start empty, and gateways without a share leave the server out. Heartbeats by which a server becomes cold are passed on, and rows from a relay tell their age, so that a gateway that starts does not take all servers for cold.

--- a/Source/Core/Decisions/ServerLimit.cpp
+++ b/Source/Core/Decisions/ServerLimit.cpp
@@ -33,6 +33,17 @@
     return value;
 }
 
+std::optional<Common::Duration> parseWarmup(std::string_view text)
+{
+    constexpr double maxMs = 3'600'000; // as for the registry's field
+    double value = 0;
+    auto end = text.data() + text.size();
+    auto [rest, ec] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+    if (ec != std::errc() || rest != end || !std::isfinite(value) || std::signbit(value))
+        return std::nullopt;
+    return Common::fromMilliseconds(std::min(value, maxMs));
+}
+
 double limitShare(std::string_view server, double perSecond, const LimitSharers& sharers)
 {
     auto members = sharers.domainMembers.size();
--- a/Source/Core/Decisions/ServerLimit.h
+++ b/Source/Core/Decisions/ServerLimit.h
@@ -13,6 +13,10 @@
 // negative or not finite.
 std::optional<double> parseLimit(std::string_view text);
 
+// Value of a header that tells for how long a server stays cold: milliseconds as a decimal number, fractions allowed. Longer times than an
+// hour are taken as that. nullopt if it is no such number.
+std::optional<Common::Duration> parseWarmup(std::string_view text);
+
 // The gateways that share the limits of servers.
 struct LimitSharers {
     std::string self;
--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -44,8 +44,38 @@
     , m_record(std::move(record))
     , m_options(std::move(options))
     , m_lastContact(loop.now())
-    , m_coldUntil(loop.now() + std::chrono::milliseconds(m_record.warmupLeftMs))
 {
+    setColdUntil(loop.now() + std::chrono::milliseconds(m_record.warmupLeftMs));
+}
+
+void Backend::setOptions(BackendOptions options)
+{
+    m_options = std::move(options);
+    updateWarmupRate();
+}
+
+void Backend::setColdUntil(Common::TimePoint until)
+{
+    if (m_loop.now() >= m_coldUntil)
+        m_warmup.clear();
+    m_coldUntil = until;
+    updateWarmupRate();
+}
+
+void Backend::updateWarmupRate()
+{
+    if (m_options.warmupPerSecond <= 0 || m_loop.now() >= m_coldUntil)
+        return m_warmup.clear();
+    m_warmup.set(m_options.warmupPerSecond, m_options.warmupShare(m_record, m_options.warmupPerSecond), m_loop.now());
+}
+
+std::optional<Common::Duration> Backend::limitLeft(Common::TimePoint now) const
+{
+    auto left = m_limit.timeLeft(now);
+    if (!left || !isWarming(now))
+        return left;
+    // A gateway without a share uses the server when it is warm.
+    return std::max(*left, std::min(m_coldUntil - now, m_warmup.timeLeft(now).value_or(Common::Duration::max())));
 }
 
 void Backend::update(const ServerRecord& record)
@@ -54,7 +84,7 @@
     m_record = record;
     m_misdirected = m_misdirected && !isReplaced;
     m_leaving = m_leaving && !isReplaced;
-    m_coldUntil = std::max(m_coldUntil, m_loop.now() + std::chrono::milliseconds(record.warmupLeftMs));
+    setColdUntil(std::max(m_coldUntil, m_loop.now() + std::chrono::milliseconds(record.warmupLeftMs)));
     if (isReplaced)
         resetLearnedState();
     if (!isUsable())
@@ -73,7 +103,9 @@
     m_pause = {};
     m_limit = {};
     m_probesNameLimit = false;
-    m_coldUntil = m_loop.now() + std::chrono::milliseconds(m_record.warmupLeftMs);
+    m_warmup.clear();
+    m_probesTellWarmup = m_requestsTellWarmup = false;
+    setColdUntil(m_loop.now() + std::chrono::milliseconds(m_record.warmupLeftMs));
 }
 
 void Backend::retire()
@@ -105,6 +137,7 @@
 {
     updateLoadReport(response.headers);
     updateLimit(response, kind);
+    updateWarmup(response, kind);
     const auto& names = *m_options.headers;
     if (!m_leaving && Net::findHeader(response.headers, names.leaving) == "1") {
         setLeaving();
@@ -136,6 +169,25 @@
         endLimit();
 }
 
+void Backend::updateWarmup(const Net::Response& response, ResponseKind kind)
+{
+    const auto& names = *m_options.headers;
+    auto& isTold = kind == ResponseKind::Probe ? m_probesTellWarmup : m_requestsTellWarmup;
+    auto text = names.warmupLeft.empty() ? std::nullopt : Net::findHeader(response.headers, names.warmupLeft);
+    if (text) {
+        auto left = Decisions::parseWarmup(*text);
+        if (!left)
+            return;
+        isTold = *left > Common::Duration::zero();
+        return setColdUntil(m_loop.now() + *left);
+    }
+    // A server that only rejects may leave it out.
+    if (!isTold || Net::findHeader(response.headers, names.notExecuted))
+        return;
+    isTold = false;
+    setColdUntil(m_loop.now());
+}
+
 void Backend::endLimit()
 {
     if (!m_limit.isSet())
@@ -149,6 +201,7 @@
 {
     if (auto perSecond = m_limit.perSecond())
         m_limit.setShare(m_options.limitShare(m_record, *perSecond), m_loop.now());
+    updateWarmupRate();
 }
 
 void Backend::checkLimit(Common::TimePoint now, int gatewayCount)
@@ -169,6 +222,8 @@
     ++m_inFlight;
     if (m_limit.isSet())
         m_limit.take(m_loop.now());
+    if (isWarming(m_loop.now()))
+        m_warmup.take(m_loop.now());
 }
 
 bool Backend::isStale(const Net::ClientConnection& connection, Common::TimePoint now) const
--- a/Source/Core/Gateway/Backend.h
+++ b/Source/Core/Gateway/Backend.h
@@ -33,10 +33,13 @@
     std::function<void(const ServerRecord&, Common::Duration pause)> paused = [](const ServerRecord&, Common::Duration) {};
     // This gateway's share, in requests a second, of a limit that the server has named.
     std::function<double(const ServerRecord&, double perSecond)> limitShare = [](const ServerRecord&, double perSecond) { return perSecond; };
+    // The same of the rate that a cold server takes.
+    std::function<double(const ServerRecord&, double perSecond)> warmupShare = [](const ServerRecord&, double perSecond) { return perSecond; };
     // Called when the limit that the server names has changed; nullopt: it names none any more.
     std::function<void(const ServerRecord&, std::optional<double> perSecond, double share)> limitChanged = [](const ServerRecord&, std::optional<double>, double) {};
     // Called with the outcome of each request and load probe.
     std::function<void(const ServerRecord&, const ServerContact&)> contacted = [](const ServerRecord&, const ServerContact&) {};
+    double warmupPerSecond = 0; // requests a second that a cold server takes from all gateways together; 0: no limit
     int maxConnections = 15; // free connections kept: this gateway's share of the server's limit
     Net::ClientOptions client;
 };
@@ -57,7 +60,7 @@
     const ServerRecord& record() const { return m_record; }
     // Applies a newer registry entry. A new incarnation or address resets connections and statistics.
     void update(const ServerRecord&);
-    void setOptions(BackendOptions options) { m_options = std::move(options); }
+    void setOptions(BackendOptions options);
 
     // Called when the registry no longer lists the server: it takes no more requests.
     void retire();
@@ -66,9 +69,15 @@
     // Whether it may take requests: not retired, not draining or leaving, its failure domain is not evacuated, and no
     // other server answers at its address.
     bool isUsable() const { return !m_retired && !m_record.draining && !m_leaving && !m_misdirected && !m_evacuated; }
-    // Whether it may get requests and load probes now: it is usable, has not asked for a pause, and this gateway's share of its limit
-    // is not used up.
-    bool isAvailable(Common::TimePoint now) const { return isUsable() && !m_pause.isActive(now) && m_limit.allows(now); }
+    // Whether it may get requests and load probes now: it is usable, has not asked for a pause, and this gateway's share of its limit,
+    // or of its rate while it is cold, is not used up.
+    bool isAvailable(Common::TimePoint now) const { return isUsable() && !m_pause.isActive(now) && allowsRequest(now); }
+    // Whether this gateway's shares of its limits allow a request.
+    bool allowsRequest(Common::TimePoint now) const { return m_limit.allows(now) && (!isWarming(now) || m_warmup.allows(now)); }
+    // Whether it is cold, and takes a limited rate until it is warm.
+    bool isWarming(Common::TimePoint now) const { return now < m_coldUntil && m_warmup.isSet(); }
+    // Until the limits allow a request; nullopt if this gateway has no share of its limit.
+    std::optional<Common::Duration> limitLeft(Common::TimePoint now) const;
     // Until the end of the pause that the server asked for; zero without one.
     Common::Duration pauseLeft(Common::TimePoint now) const { return m_pause.timeLeft(now); }
     // When a request or load probe was last sent to it; at first, when it became known.
@@ -148,6 +157,10 @@
     void updateLoadReport(const Net::Headers&);
     void updateLimit(const Net::Response&, ResponseKind);
     void endLimit();
+    void updateWarmup(const Net::Response&, ResponseKind);
+    // A server that becomes cold starts with no requests in hand.
+    void setColdUntil(Common::TimePoint);
+    void updateWarmupRate();
     void resetLearnedState();
 
     Net::EventLoop& m_loop;
@@ -174,6 +187,9 @@
     bool m_evacuated = false;
     Decisions::ServerPause m_pause;
     Decisions::ServerLimit m_limit;
+    Decisions::ServerLimit m_warmup; // while the server is cold
+    bool m_probesTellWarmup = false; // answers to load probes have told that the server is cold, so one that doesn't says that it is warm
+    bool m_requestsTellWarmup = false; // the same for answers to requests
     bool m_probesNameLimit = false; // answers to load probes have named the limit, so one without it tells that it ended
 };
 
--- a/Source/Core/Gateway/Backends.cpp
+++ b/Source/Core/Gateway/Backends.cpp
@@ -55,6 +55,7 @@
         .paused = [this](const ServerRecord& record, Common::Duration pause) { m_log.log(Common::EventId::ServerPaused,
                                                                                    { { "server", record.id }, { "service", record.service }, { "pause_ms", std::to_string(static_cast<long>(Common::toMilliseconds(pause))) } }); },
         .limitShare = [this](const ServerRecord& record, double perSecond) { return limitShare(record, perSecond); },
+        .warmupShare = [this](const ServerRecord& record, double perSecond) { return warmupShare(record, perSecond); },
         .limitChanged = [this](const ServerRecord& record, std::optional<double> perSecond, double share) { onLimitChanged(record, perSecond, share); },
         .contacted = [this](const ServerRecord& record, const ServerContact& contact) { onContact(record, contact); },
         .maxConnections = 1,
@@ -63,6 +64,7 @@
     auto it = m_services.find(service);
     if (it != m_services.end()) {
         options.healthPath = it->second.healthPath;
+        options.warmupPerSecond = it->second.warmupPerSecond;
         options.maxConnections = std::max(1, static_cast<int>(knownGatewaysConnectionShare * it->second.maxConnections / m_gatewayCount));
     }
     return options;
@@ -73,6 +75,13 @@
     return Decisions::limitShare(record.id, perSecond, { .self = m_self, .domainMembers = m_domainMembers, .total = m_totalMembers });
 }
 
+// A gateway that starts may know itself alone, and the number of gateways is then a cautious guess.
+double Backends::warmupShare(const ServerRecord& record, double perSecond) const
+{
+    auto total = std::max(m_totalMembers, static_cast<std::size_t>(m_gatewayCount));
+    return Decisions::limitShare(record.id, perSecond, { .self = m_self, .domainMembers = m_domainMembers, .total = total });
+}
+
 void Backends::onLimitChanged(const ServerRecord& record, std::optional<double> perSecond, double share)
 {
     if (!perSecond)
@@ -383,8 +392,8 @@
             continue;
         if (backend->isAvailable(now))
             return std::nullopt;
-        isLimited = isLimited || backend->limit().isSet();
-        auto left = std::max(backend->pauseLeft(now), backend->limit().timeLeft(now).value_or(timeWithoutShare));
+        isLimited = isLimited || backend->limit().isSet() || backend->isWarming(now);
+        auto left = std::max(backend->pauseLeft(now), backend->limitLeft(now).value_or(timeWithoutShare));
         shortest = std::min(shortest.value_or(left), left);
     }
     return isLimited ? shortest : std::nullopt;
@@ -395,6 +404,11 @@
     return static_cast<std::size_t>(std::count_if(m_backends.begin(), m_backends.end(), [](const auto& it) { return it.second->limit().isSet(); }));
 }
 
+std::size_t Backends::warmingCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_backends.begin(), m_backends.end(), [&](const auto& it) { return it.second->isWarming(m_loop.now()); }));
+}
+
 std::uint64_t Backends::connectionsOpened() const
 {
     auto n = m_connectionsOpenedByRemoved;
--- a/Source/Core/Gateway/Backends.h
+++ b/Source/Core/Gateway/Backends.h
@@ -60,6 +60,8 @@
     std::uint64_t malformedResponses() const { return m_malformedResponses; }
     std::size_t size() const { return m_backends.size(); }
     std::size_t limitedCount() const;
+    // Cold servers whose requests are limited.
+    std::size_t warmingCount() const;
     bool isEvacuated(std::string_view domain) const { return m_evacuations.contains(domain); }
     // Failure domains with servers that are evacuated.
     std::size_t evacuatedDomainCount() const;
@@ -88,6 +90,7 @@
     void forgetRemoved();
     void onServerLeaving(const ServerRecord&);
     double limitShare(const ServerRecord&, double perSecond) const;
+    double warmupShare(const ServerRecord&, double perSecond) const;
     void onLimitChanged(const ServerRecord&, std::optional<double> perSecond, double share);
     bool hasLeft(const ServerRecord&) const;
     void onContact(const ServerRecord&, const ServerContact&);
--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -15,6 +15,9 @@
     // of servers that no longer live, which it does after three.
     constexpr int heartbeatsToConfirm = 4;
 
+    // The registry's rows are read up to a second late: by so much the remaining warm-up of two of them may differ.
+    constexpr int warmupJitterMs = 1000;
+
     // Heartbeats are not passed on: they change the sequence number, which is not decoded, and the remaining warm-up time, which
     // each gateway counts down by itself.
     bool equalExceptWarmup(ServerRecord a, const ServerRecord& b)
@@ -217,12 +220,29 @@
 void Catalog::applyRow(const Platform::TableRow& row)
 {
     if (row.table == m_options.decoder.registryTable)
-        return row.value ? applyServer(row) : applyRemoval(row.key, row.version);
+    {
+        auto age = m_rowAges.find(row.key);
+        return row.value ? applyServer(row, age == m_rowAges.end() ? Common::Duration::zero() : age->second) : applyRemoval(row.key, row.version);
+    }
     if (row.table == m_options.decoder.operatorTable)
         applyOperator(row);
 }
 
-void Catalog::applyServer(const Platform::TableRow& row)
+// Remaining warm-up as of now.
+int Catalog::warmupLeftMs(const ServerRow& server) const
+{
+    auto elapsedMs = static_cast<std::int64_t>(Common::toMilliseconds(m_loop.now() - server.asOf));
+    return server.record ? static_cast<int>(std::max<std::int64_t>(0, server.record->warmupLeftMs - elapsedMs)) : 0;
+}
+
+// Whether a heartbeat says that a warm server is cold, or one that is getting warm is cold anew.
+bool Catalog::becomesCold(const ServerRow& server, int newLeftMs) const
+{
+    auto leftMs = warmupLeftMs(server);
+    return newLeftMs > (leftMs == 0 ? 0 : leftMs + warmupJitterMs);
+}
+
+void Catalog::applyServer(const Platform::TableRow& row, Common::Duration age)
 {
     m_heldRemovals.erase(row.key);
     auto known = m_servers.find(row.key);
@@ -245,17 +265,25 @@
                 { "cause", decoded.error().text } });
         if (server.record)
             m_backends.remove(row.key, row.version);
-        server = { .row = row, .record = {} };
+        server = { .row = row, .record = {}, .asOf = m_loop.now() };
         m_newestChange = std::max(m_newestChange, row.version);
         return;
     }
-    auto isHeartbeat = server.record && equalExceptWarmup(*server.record, decoded.value());
-    server.record = decoded.value();
-    if (isHeartbeat)
+    // Rows from another gateway say what was left when that gateway got them.
+    ServerRow next { .row = row, .record = decoded.value(), .asOf = m_loop.now() - age };
+    auto isHeartbeat = server.record && equalExceptWarmup(*server.record, decoded.value()) && !becomesCold(server, warmupLeftMs(next));
+    server.record = next.record;
+    server.asOf = next.asOf;
+    if (isHeartbeat) {
+        // For gateways that get the full catalog. The version stays, so that others are not sent it.
+        server.row.value = row.value;
         return;
+    }
     server.row = row;
     m_newestChange = std::max(m_newestChange, row.version);
-    m_backends.put(decoded.value(), row.version);
+    auto record = *server.record;
+    record.warmupLeftMs = warmupLeftMs(server);
+    m_backends.put(record, row.version);
 }
 
 void Catalog::applyRemoval(const std::string& key, std::uint64_t version)
@@ -405,6 +433,7 @@
         beginEra(update.position.era);
     }
     auto isAhead = update.position.registry > m_position.registry;
+    m_rowAges = update.rowAges;
     if (update.isFull) {
         std::vector<Platform::TableRow> servers;
         for (const auto& row : update.rows) {
@@ -427,6 +456,7 @@
         if (isAhead)
             m_knowsRemovals = m_knowsRemovals && update.knowsRemovals;
     }
+    m_rowAges.clear();
     // A gateway that knows no evacuations, or is of a version that passes none on, ends none by that.
     if (update.position.evacuations > m_position.evacuations) {
         if (update.hasAllEvacuations) {
@@ -475,8 +505,11 @@
     update.isFull = isOlderEra || !knowsRemovalsSince(from.registry);
     update.knowsRemovals = m_knowsRemovals;
     for (const auto& [key, server] : m_servers) {
-        if (update.isFull || server.row.version > from.registry)
-            update.rows.push_back(server.row);
+        if (!update.isFull && server.row.version <= from.registry)
+            continue;
+        update.rows.push_back(server.row);
+        if (server.record && server.record->warmupLeftMs > 0)
+            update.rowAges[key] = m_loop.now() - server.asOf;
     }
     if (!update.isFull) {
         for (const auto& [key, tombstone] : m_tombstones) {
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -63,6 +63,8 @@
     // Upper bound on the time since the store confirmed the configuration in it; nullopt: not known, or not told by older versions.
     std::optional<Common::Duration> configurationAge = {};
     std::vector<Platform::TableRow> rows;
+    // Time for which the sender has had the registry rows of servers that were cold then, by key. Older versions don't tell it.
+    std::map<std::string, Common::Duration> rowAges = {};
 };
 
 // The contents of the store's tables as this gateway knows them. Applies rows read from the store or received from another
@@ -120,6 +122,7 @@
     struct ServerRow {
         Platform::TableRow row;
         std::optional<ServerRecord> record; // empty if the row could not be decoded
+        Common::TimePoint asOf; // of the remaining warm-up in the row and the record
     };
     struct Tombstone {
         std::uint64_t version = 0; // of the removal
@@ -133,7 +136,10 @@
     };
 
     void applyRow(const Platform::TableRow&);
-    void applyServer(const Platform::TableRow&);
+    // `age`: time for which another gateway has had the row.
+    void applyServer(const Platform::TableRow&, Common::Duration age = {});
+    int warmupLeftMs(const ServerRow&) const;
+    bool becomesCold(const ServerRow&, int newLeftMs) const;
     void applyOperator(const Platform::TableRow&);
     bool isEvacuation(const Platform::TableRow&) const;
     void applyEvacuation(const Platform::TableRow&);
@@ -161,6 +167,7 @@
     CatalogOptions m_options;
     CatalogPosition m_position;
     std::map<std::string, ServerRow> m_servers; // by row key
+    std::map<std::string, Common::Duration> m_rowAges; // of the update that is being applied
     std::optional<Platform::TableRow> m_configuration;
     std::map<std::string, std::uint64_t> m_evacuations; // row key -> version
     std::map<std::string, std::uint64_t> m_endedEvacuations; // row key -> version of the removal
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -309,6 +309,7 @@
     page.gauge("caller_connections", static_cast<double>(m_callers.connections()));
     page.gauge("backend_servers", static_cast<double>(m_backends.size()));
     page.gauge("evacuated_domains", static_cast<double>(m_backends.evacuatedDomainCount()));
+    page.gauge("warming_servers", static_cast<double>(m_backends.warmingCount()));
     page.gauge("limited_servers", static_cast<double>(m_backends.limitedCount()));
     page.counter("malformed_requests_total", static_cast<double>(m_malformedRequests));
     page.counter("malformed_responses_total", static_cast<double>(m_backends.malformedResponses()));
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -194,6 +194,11 @@
         json["held_ms"] = Common::toMilliseconds(response.held);
         if (response.catalog.configurationAge)
             json["configuration_age_ms"] = Common::toMilliseconds(*response.catalog.configurationAge);
+        if (!response.catalog.rowAges.empty()) {
+            auto& ages = json["row_ages_ms"] = Json::Value(Json::objectValue);
+            for (const auto& [key, age] : response.catalog.rowAges)
+                ages[key] = Json::Int64(Common::toMilliseconds(age));
+        }
         json["rows_deflated"] = rows.isDeflated;
         json["members_whole"] = response.members.isFull;
         json["members_revision"] = Json::UInt64(response.members.revision);
@@ -259,6 +264,8 @@
         response.held = Common::fromMilliseconds(json["held_ms"].asDouble());
         if (json.isMember("configuration_age_ms"))
             response.catalog.configurationAge = Common::fromMilliseconds(std::max(0.0, json["configuration_age_ms"].asDouble()));
+        for (const auto& key : json["row_ages_ms"].getMemberNames())
+            response.catalog.rowAges[key] = Common::fromMilliseconds(std::max(0.0, json["row_ages_ms"][key].asDouble()));
         response.members = {
             .isFull = json["members_whole"].asBool(),
             .revision = json["members_revision"].asUInt64(),
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -301,7 +301,7 @@
     auto mayConnect = m_router.backends().reachability(m_service) != Decisions::Reachability::NoNewConnections;
     auto isLimitUsedUp = false; // by other requests, since a server was probed
     for (const auto& probe : m_probes) {
-        isLimitUsedUp = isLimitUsedUp || !probe.backend->limit().allows(now);
+        isLimitUsedUp = isLimitUsedUp || !probe.backend->allowsRequest(now);
         if (!probe.answered || !probe.backend->isAvailable(now) || m_tried.contains(probe.backend->record().id))
             continue;
         // Another request may have taken the connection that the load probe used.
