--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -219,8 +219,7 @@
 
 void Catalog::applyRow(const Platform::TableRow& row)
 {
-    if (row.table == m_options.decoder.registryTable)
-    {
+    if (row.table == m_options.decoder.registryTable) {
         auto age = m_rowAges.find(row.key);
         return row.value ? applyServer(row, age == m_rowAges.end() ? Common::Duration::zero() : age->second) : applyRemoval(row.key, row.version);
     }
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
-#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
--- a/Source/UnitTests/Decisions/WarmupRateTest.cpp
+++ b/Source/UnitTests/Decisions/WarmupRateTest.cpp
@@ -76,7 +76,7 @@
         }
     }
 
-    std::size_t worst() 
+    std::size_t worst()
     {
         std::size_t worst = 0;
         for (int server = 0; server < m_row.servers; ++server)
@@ -91,6 +91,7 @@
         std::string name;
         int isColdFrom = 0; // ms, when it learns of it
         int listsJoinedFrom = 0; // ms, when it lists the members that join
+        bool knowsAll = false;
         Decisions::ServerLimit limit;
     };
 
@@ -120,7 +121,7 @@
             for (const auto& name : m_names[domain]) {
                 auto joins = std::find(joining.begin(), joining.end(), name) != joining.end();
                 auto spreadMs = static_cast<int>(spreadTime.count());
-                gateways.push_back({ .domain = domain, .name = name, .isColdFrom = below(spreadMs), .listsJoinedFrom = joins ? 0 : 1000 + below(spreadMs), .limit = {} });
+                gateways.push_back({ .domain = domain, .name = name, .isColdFrom = below(spreadMs), .listsJoinedFrom = joins ? 0 : 1000 + below(spreadMs), .knowsAll = false, .limit = {} });
             }
         }
         auto start = Common::TimePoint(std::chrono::hours(1));
@@ -140,8 +141,10 @@
                     continue;
                 }
                 auto knowsAll = ms >= gateway.listsJoinedFrom;
-                auto own = share(gateway, server, knowsAll ? m_names : before, knowsAll ? total : total - joining.size());
-                gateway.limit.set(m_row.perSecond, own, now);
+                if (!gateway.limit.isSet() || knowsAll != gateway.knowsAll) {
+                    gateway.knowsAll = knowsAll;
+                    gateway.limit.set(m_row.perSecond, share(gateway, server, knowsAll ? m_names : before, knowsAll ? total : total - joining.size()), now);
+                }
                 while (gateway.limit.allows(now)) {
                     gateway.limit.take(now);
                     arrivals.push_back(ms + below(maxDelayMs));
--- a/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
@@ -30,15 +30,15 @@
 public:
     EvacuationCatalog()
         : CatalogParts({
-              .registryTable = "registry",
-              .operatorTable = operators,
-              .configurationKey = "configuration",
-              .evacuationPrefix = prefix,
-              .server = [](const std::string& key, const std::string& domain) -> Common::Result<Gateway::ServerRecord> {
-                  return Gateway::ServerRecord { .id = key, .service = "service", .address = "127.0.0.1:1", .failureDomain = domain, .slots = 1, .startedMs = 1 };
-              },
-              .configuration = [](const std::string&) -> Common::Result<Gateway::Configuration> { return Gateway::Configuration(); },
-          })
+            .registryTable = "registry",
+            .operatorTable = operators,
+            .configurationKey = "configuration",
+            .evacuationPrefix = prefix,
+            .server = [](const std::string& key, const std::string& domain) -> Common::Result<Gateway::ServerRecord> {
+                return Gateway::ServerRecord { .id = key, .service = "service", .address = "127.0.0.1:1", .failureDomain = domain, .slots = 1, .startedMs = 1 };
+            },
+            .configuration = [](const std::string&) -> Common::Result<Gateway::Configuration> { return Gateway::Configuration(); },
+        })
     {
         catalog.applySnapshot("registry", {}, 1);
     }
@@ -115,7 +115,7 @@
 };
 
 const FollowCase followCases[] = {
-    { "nothing", [](auto&) { }, false, "a" },
+    { "nothing", [](auto&) {}, false, "a" },
     { "changes of other rows", [](auto& relay) { relay.changes(12, { { .table = operators, .key = "other", .value = "{}", .version = 12 } }); }, false, "a" },
     { "another evacuation", [](auto& relay) { relay.changes(12, { evacuation("b", 12) }); }, true, "ab" },
     { "the end", [](auto& relay) { relay.changes(12, { ended("a", 12) }); }, true, "" },
@@ -194,9 +194,18 @@
     // It would read the store from where it knows all.
     CHECK(follower.catalog.operatorsPosition() == 10);
     CHECK(relay.catalog.hasChangedSince(follower.catalog.receivedPosition()));
-    SUBCASE("from a relay that passes them on") { follower.follow(relay); }
-    SUBCASE("from the store's changes") { follower.changes(12, { ended("a", 11), evacuation("b", 12) }); }
-    SUBCASE("from a full read of the store") { follower.snapshot(12, { evacuation("b", 12) }); }
+    SUBCASE("from a relay that passes them on")
+    {
+        follower.follow(relay);
+    }
+    SUBCASE("from the store's changes")
+    {
+        follower.changes(12, { ended("a", 11), evacuation("b", 12) });
+    }
+    SUBCASE("from a full read of the store")
+    {
+        follower.snapshot(12, { evacuation("b", 12) });
+    }
     CHECK(follower.evacuated() == "b");
     CHECK(follower.catalog.operatorsPosition() == 12);
     CHECK(!relay.catalog.hasChangedSince(follower.catalog.receivedPosition()));
--- a/Source/UnitTests/Gateway/CatalogWarmupTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogWarmupTest.cpp
@@ -18,14 +18,14 @@
 public:
     WarmupCatalog()
         : CatalogParts({
-              .registryTable = registry,
-              .operatorTable = "operators",
-              .configurationKey = "configuration",
-              .server = [](const std::string& key, const std::string& value) -> Common::Result<Gateway::ServerRecord> {
-                  return Gateway::ServerRecord { .id = key, .service = "service", .address = "127.0.0.1:1", .failureDomain = "a", .slots = 1, .warmupLeftMs = std::stoi(value), .startedMs = 1 };
-              },
-              .configuration = [](const std::string&) -> Common::Result<Gateway::Configuration> { return Gateway::Configuration(); },
-          })
+            .registryTable = registry,
+            .operatorTable = "operators",
+            .configurationKey = "configuration",
+            .server = [](const std::string& key, const std::string& value) -> Common::Result<Gateway::ServerRecord> {
+                return Gateway::ServerRecord { .id = key, .service = "service", .address = "127.0.0.1:1", .failureDomain = "a", .slots = 1, .warmupLeftMs = std::stoi(value), .startedMs = 1 };
+            },
+            .configuration = [](const std::string&) -> Common::Result<Gateway::Configuration> { return Gateway::Configuration(); },
+        })
     {
     }
     bool isCold() const { return backends.find("a")->signal(loop.now()).cold; }
