--- a/Source/UnitTests/Decisions/WarmupRateTest.cpp
+++ b/Source/UnitTests/Decisions/WarmupRateTest.cpp
@@ -115,7 +115,7 @@
                 domain.erase(it);
             }
         }
-        auto total = static_cast<std::size_t>(m_row.domains * m_row.perDomain);
+        auto total = static_cast<std::size_t>(m_row.domains) * static_cast<std::size_t>(m_row.perDomain);
         std::vector<Gateway> gateways;
         for (std::size_t domain = 0; domain < m_names.size(); ++domain) {
             for (const auto& name : m_names[domain]) {
