--- a/Source/Core/Gateway/Backend.cpp
+++ b/Source/Core/Gateway/Backend.cpp
@@ -304,7 +304,7 @@
              releaseWhenDone();
              onContact(std::nullopt);
              answered(std::move(head)); },
-            .failed = [onContact, releaseWhenDone, failed = std::move(handlers.failed)](Net::ClientFailure failure) {
+            .failed = [onContact, releaseWhenDone, failed = std::move(handlers.failed)](const Net::ClientFailure& failure) {
                 releaseWhenDone();
                 onContact(failure);
                 failed(failure); },
@@ -395,7 +395,7 @@
              self->learnFrom(head.response, ResponseKind::Probe);
              auto reported = self->m_report && self->m_report->at > before;
              done({ .answered = true, .healthy = self->m_healthy, .reported = reported }); },
-            .failed = [weak, done, mayRetryOnNewConnection, reused = acquired.reused, timeout](Net::ClientFailure failure) {
+            .failed = [weak, done, mayRetryOnNewConnection, reused = acquired.reused, timeout](const Net::ClientFailure& failure) {
                 auto self = weak.lock();
                 if (!self)
                     return;
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -49,6 +49,19 @@
         };
     }
 
+    Decisions::AllowanceOptions allowanceOptions(const Settings::GatewaySettings& settings)
+    {
+        Decisions::AllowanceOptions options {
+            .windowS = std::chrono::duration<double>(std::chrono::milliseconds(settings.allowanceWindowMs)).count(),
+            .overage = settings.allowanceOverage,
+            .slack = settings.allowanceSlack,
+        };
+        // A gateway that nothing is heard of has stopped serving keys by then.
+        if (settings.revokeMs > 0)
+            options.reserveTime = std::chrono::milliseconds(settings.revokeMs);
+        return options;
+    }
+
     std::size_t bufferBytes(const Settings::GatewaySettings& settings)
     {
         constexpr double bytesPerMb = 1024 * 1024;
@@ -115,6 +128,7 @@
               .configurationAge = [this] { return m_catalog.configurationAge(); },
               .revokeTime = m_options.settings.revokeMs > 0 ? std::optional<Common::Duration>(std::chrono::milliseconds(m_options.settings.revokeMs)) : std::nullopt,
               .applyTime = std::chrono::milliseconds(m_options.settings.applyMs),
+              .allowances = allowanceOptions(m_options.settings),
           })
     , m_catalog(m_loop, m_log, m_backends, m_router,
           {
--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -139,7 +139,7 @@
     auto closeConnection = [this, control] { m_loop.defer([this, control] { m_oneTimeConnections.erase(control); }); };
     connection->send(Net::toBytes(updateRequest(control, Common::Duration::zero())), true, timeoutMargin(),
         { .answered = [closeConnection](Net::ResponseHead&&) { closeConnection(); },
-            .failed = [closeConnection](Net::ClientFailure) { closeConnection(); } });
+            .failed = [closeConnection](const Net::ClientFailure&) { closeConnection(); } });
 }
 
 void RelayClient::sendRequest()
@@ -166,7 +166,7 @@
     m_requestSentAt = Common::bootTime(m_loop.hooks());
     m_connection->send(Net::toBytes(request), true, wait + timeoutMargin(),
         { .answered = [this, relay, reported = Reported { .crashes = m_crashSuspects.revision(), .usage = m_allowances.usageRevision() }](Net::ResponseHead&& head) { onResponse(relay, std::move(head), reported); },
-            .failed = [this, relay](Net::ClientFailure failure) { onFailure(relay, Net::failureText(failure)); } });
+            .failed = [this, relay](const Net::ClientFailure& failure) { onFailure(relay, Net::failureText(failure)); } });
 }
 
 void RelayClient::onResponse(const std::string& relay, Net::ResponseHead&& head, Reported reported)
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -508,7 +508,7 @@
         { .answered = [weak, index](Net::ResponseHead&& head) {
              if (auto self = weak.lock())
                  self->onAnswer(index, std::move(head)); },
-            .failed = [weak, index](Net::ClientFailure failure) {
+            .failed = [weak, index](const Net::ClientFailure& failure) {
                 if (auto self = weak.lock())
                     self->onFailure(index, failure); },
             .matchesRequest = responseMatcher(attempt.isToPeer()),
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -50,6 +50,7 @@
     , m_backends(backends)
     , m_peers(peers)
     , m_options(std::move(options))
+    , m_allowances(m_options.allowances)
 {
 }
 
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -40,6 +40,7 @@
     // A revoked API key must not work for longer; nullopt: no such limit.
     std::optional<Common::Duration> revokeTime = {};
     Common::Duration applyTime = std::chrono::seconds(2); // in which changes of the configuration arrive
+    Decisions::AllowanceOptions allowances;
 };
 
 // What is known of the sender of a request.
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -37,7 +37,7 @@
 
 struct ClientHandlers {
     std::function<void(ResponseHead&&)> answered;
-    std::function<void(ClientFailure)> failed;
+    std::function<void(const ClientFailure&)> failed;
     // Whether a response answers this request. On false the response is discarded and the next one awaited. Empty: every response matches.
     std::function<bool(const ResponseHead&)> matchesRequest = {};
     // If set, a response whose body exceeds ClientOptions::maxHeldBytes is passed on while it arrives: `started` gets the head with
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -67,6 +67,9 @@
         settings.retrySlack = reader.number("retry_slack", 0, maxCount, settings.retrySlack);
         settings.retryWindowMs = readMilliseconds(reader, "retry_window", 100, settings.retryWindowMs);
         settings.revokeMs = readMilliseconds(reader, "revoke", 0, settings.revokeMs);
+        settings.allowanceWindowMs = readMilliseconds(reader, "allowance_window", 100, settings.allowanceWindowMs);
+        settings.allowanceOverage = reader.number("allowance_overage", 0, 10, settings.allowanceOverage);
+        settings.allowanceSlack = reader.number("allowance_slack", 0, maxCount, settings.allowanceSlack);
         settings.probesPerServer = reader.number("probes_per_server", 0, maxCount, settings.probesPerServer);
         reader.finish();
     }
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -35,6 +35,10 @@
     double retrySlack = 75; // attempts beyond the first per window that are allowed in addition, over all gateways
     int retryWindowMs = 10000; // window over which both limits are counted
     int revokeMs = 0; // after this time a revoked API key must not work any more at any gateway; 0: no such limit
+    // The bound on an organisation's requests in any window, over all gateways: (rate x window + burst) x (1 + overage) + slack.
+    int allowanceWindowMs = 5000;
+    double allowanceOverage = 0.1;
+    double allowanceSlack = 20;
     double hedgeShare = 0; // hedged attempts per request, for each service and over all gateways; 0: no hedging beyond the retry budget
     double probesPerServer = 60; // load probes per second to each server, over all gateways
     Common::LogFormat logFormat = Common::LogFormat::Json;
--- a/Source/UnitTests/Gateway/FakeRelay.h
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -69,7 +69,7 @@
         };
         Net::Request request { .method = "POST", .target = "/v1/news", .headers = { { "Host", control } }, .body = Gateway::toText(update), .keepAlive = true };
         m_announcements.push_back(Net::ClientConnection::open(m_loop, control, {}));
-        m_announcements.back()->send(Net::toBytes(request), true, std::chrono::seconds(1), { .answered = [](Net::ResponseHead&&) {}, .failed = [](Net::ClientFailure) {} });
+        m_announcements.back()->send(Net::toBytes(request), true, std::chrono::seconds(1), { .answered = [](Net::ResponseHead&&) {}, .failed = [](const Net::ClientFailure&) {} });
     }
 
 private:
--- a/Source/UnitTests/Net/ClientConnectionTest.cpp
+++ b/Source/UnitTests/Net/ClientConnectionTest.cpp
@@ -26,7 +26,7 @@
         connection = Net::ClientConnection::open(thread.loop(), server->address(), {});
         connection->send(request, true, std::chrono::seconds(5),
             { .answered = [](Net::ResponseHead&&) {},
-                .failed = [](Net::ClientFailure) {},
+                .failed = [](const Net::ClientFailure&) {},
                 .started = [&](Net::ResponseHead&& head) { received += head.response.body.size(); },
                 .continued = [&](std::string&& part) {
                     received += part.size();
@@ -37,7 +37,7 @@
     REQUIRE(eventually([&] { return thread.call([&] { return isFree; }); }));
     thread.call([&] {
         connection->send(request, true, std::chrono::seconds(2),
-            { .answered = [&](Net::ResponseHead&& head) { second = head.response.status; }, .failed = [&](Net::ClientFailure) { second = 0; } });
+            { .answered = [&](Net::ResponseHead&& head) { second = head.response.status; }, .failed = [&](const Net::ClientFailure&) { second = 0; } });
     });
     CHECK(eventually([&] { return thread.call([&] { return second.has_value(); }); }));
     thread.call([&] {
--- a/Source/UnitTests/Net/EndlessResponseTest.cpp
+++ b/Source/UnitTests/Net/EndlessResponseTest.cpp
@@ -97,7 +97,7 @@
             connection = Net::ClientConnection::open(thread.loop(), server.address(), {});
             connection->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", true, limit,
                 { .answered = [&](Net::ResponseHead&&) { answered = true; },
-                    .failed = [&](Net::ClientFailure failure) {
+                    .failed = [&](const Net::ClientFailure& failure) {
                         kind = failure.kind;
                         failed = true; },
                     .matchesRequest = [&](const Net::ResponseHead&) { return !row.isStale; },
--- a/Source/UnitTests/Net/FullSendBufferTest.cpp
+++ b/Source/UnitTests/Net/FullSendBufferTest.cpp
@@ -102,7 +102,7 @@
             Net::Request request { .method = "POST", .target = "/", .headers = { { "Host", "x" } }, .body = body };
             connection->send(Net::toBytes(request), true, std::chrono::seconds(10),
                 { .answered = [&](Net::ResponseHead&& head) { status.set_value(head.response.status); },
-                    .failed = [&](Net::ClientFailure) { status.set_value(0); } });
+                    .failed = [&](const Net::ClientFailure&) { status.set_value(0); } });
         });
         CHECK(status.get_future().get() == 200);
         clientThread.call([&] { connection.reset(); });
--- a/Source/UnitTests/Net/ResponseEndTest.cpp
+++ b/Source/UnitTests/Net/ResponseEndTest.cpp
@@ -64,7 +64,7 @@
                     { .answered = [&](Net::ResponseHead&& head) {
                          received = head.response.body.size();
                          isWhole = true; },
-                        .failed = [&](Net::ClientFailure) { isWhole = false; },
+                        .failed = [&](const Net::ClientFailure&) { isWhole = false; },
                         .started = [&](Net::ResponseHead&& head) { received += head.response.body.size(); },
                         .continued = [&](std::string&& part) { received += part.size(); },
                         .completed = [&] { isWhole = true; } });
