--- a/Source/UnitTests/Gateway/CatalogWarmupTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogWarmupTest.cpp
@@ -80,7 +80,7 @@
         CAPTURE(ageMs);
         WarmupCatalog relay;
         relay.catalog.applySnapshot(registry, { row("3000", 5) }, 5);
-        Gateway::UpdateResponse response { .isRelay = true, .relayList = {}, .catalog = relay.catalog.changesSince({}), .members = {}, .crashes = {} };
+        Gateway::UpdateResponse response { .isRelay = true, .relayList = {}, .catalog = relay.catalog.changesSince({}), .members = {}, .crashes = {}, .allowances = {} };
         REQUIRE(response.catalog.rowAges.size() == 1);
         response.catalog.rowAges["a"] = std::chrono::milliseconds(ageMs);
         auto parsed = Gateway::parseUpdateResponse(toText(response, Gateway::encodeRows(response.catalog.rows)));
