--- a/Source/UnitTests/Decisions/AuthenticationTest.cpp
+++ b/Source/UnitTests/Decisions/AuthenticationTest.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-using Decisions::AuthenticationInputs;
 using Decisions::AuthenticationVerdict;
 using enum Decisions::AuthenticationVerdict;
 
@@ -15,26 +14,26 @@
 
 struct Case {
     std::string what;
-    bool needsKey;
-    bool isKeyKnown;
     std::optional<Common::Duration> age;
     std::optional<Common::Duration> limit;
     AuthenticationVerdict verdict;
+    bool needsKey;
+    bool isKeyKnown;
 };
 
 const Case cases[] = {
-    { "public route", false, false, {}, maxAge, Serve },
-    { "known key", true, true, fresh, maxAge, Serve },
-    { "known key, knowledge at the limit", true, true, maxAge, maxAge, Serve },
-    { "known key, knowledge too old: it may have been revoked", true, true, outdated, maxAge, Outdated },
-    { "known key, age not known: a relay of an older version", true, true, {}, maxAge, Outdated },
-    { "known key, knowledge of any age, revocation not strict", true, true, outdated, {}, Serve },
-    { "known key, age not known, revocation not strict", true, true, {}, {}, Serve },
-    { "unknown key", true, false, fresh, maxAge, Reject },
-    { "unknown key, revocation not strict", true, false, fresh, {}, Reject },
-    { "unknown key that may be new", true, false, old, maxAge, Outdated },
-    { "unknown key that may be new, revocation not strict", true, false, old, {}, Outdated },
-    { "unknown key, age not known", true, false, {}, {}, Outdated },
+    { "public route", {}, maxAge, Serve, false, false },
+    { "known key", fresh, maxAge, Serve, true, true },
+    { "known key, knowledge at the limit", maxAge, maxAge, Serve, true, true },
+    { "known key, knowledge too old: it may have been revoked", outdated, maxAge, Outdated, true, true },
+    { "known key, age not known: a relay of an older version", {}, maxAge, Outdated, true, true },
+    { "known key, knowledge of any age, revocation not strict", outdated, {}, Serve, true, true },
+    { "known key, age not known, revocation not strict", {}, {}, Serve, true, true },
+    { "unknown key", fresh, maxAge, Reject, true, false },
+    { "unknown key, revocation not strict", fresh, {}, Reject, true, false },
+    { "unknown key that may be new", old, maxAge, Outdated, true, false },
+    { "unknown key that may be new, revocation not strict", old, {}, Outdated, true, false },
+    { "unknown key, age not known", {}, {}, Outdated, true, false },
 };
 
 }
--- a/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using Gateway::CatalogPosition;
-using Gateway::CatalogUpdate;
 using Platform::TableRow;
 
 const std::string operators = "operators";
--- a/Source/UnitTests/Gateway/OrganisationsTest.cpp
+++ b/Source/UnitTests/Gateway/OrganisationsTest.cpp
@@ -45,7 +45,9 @@
 
 TEST_CASE("Each key belongs to its organisation, and no other key to any")
 {
-    for (auto [organisations, keysEach] : { std::pair(0, 0), std::pair(1, 1), std::pair(85, 2), std::pair(100, 1000) }) {
+    for (const auto& size : { std::pair(0, 0), std::pair(1, 1), std::pair(85, 2), std::pair(100, 1000) }) {
+        auto organisations = size.first;
+        auto keysEach = size.second;
         CAPTURE(organisations);
         CAPTURE(keysEach);
         auto made = Organisations::make(entries(organisations, keysEach), seed);
--- a/Source/UnitTests/Gateway/WarmupTest.cpp
+++ b/Source/UnitTests/Gateway/WarmupTest.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-using UnitTests::eventually;
 using UnitTests::GatewayFixture;
 using UnitTests::requestBytes;
 using UnitTests::RunningGateway;
