--- a/Source/Core/Platform/HttpPlatform.cpp
+++ b/Source/Core/Platform/HttpPlatform.cpp
@@ -67,13 +67,22 @@
         return std::nullopt;
     }
 
+    // 0 if it is no status. Read from the status line, since the library's enumeration can't hold every number.
+    int statusOf(const HTTPResponse& head)
+    {
+        std::ostringstream out;
+        head.write(out);
+        auto text = out.str();
+        auto line = Net::parseStatusLine(std::string_view(text).substr(0, text.find("\r\n")));
+        return line ? line->status : 0;
+    }
+
     // The library accepts any status and name, and takes a chunked body, or one without a length, that is cut off for a whole one.
     std::optional<Error> checkHead(const HTTPResponse& head)
     {
         constexpr int firstFinalStatus = 200;
-        constexpr int lastStatus = 599;
-        if (head.getStatus() < firstFinalStatus || head.getStatus() > lastStatus)
-            return Error { ResultCode::StoreProtocol, fmt::format("expected a status from 200 to 599 of the platform, got {}", static_cast<int>(head.getStatus())) };
+        if (statusOf(head) < firstFinalStatus)
+            return Error { ResultCode::StoreProtocol, "expected a status from 200 to 599 of the platform, got another one" };
         for (const auto& [name, value] : head) {
             if (!Net::isToken(name) || !Net::isFieldValue(value))
                 return Error { ResultCode::StoreProtocol, "expected a token for the name of a header of the platform, got '" + Net::excerpt(name) + "'" };
@@ -98,7 +107,7 @@
             auto& in = session.receiveResponse(head);
             if (auto error = checkHead(head))
                 return *error;
-            PlatformResponse response { .status = head.getStatus(), .body = {}, .etag = head.get("ETag", "") };
+            PlatformResponse response { .status = statusOf(head), .body = {}, .etag = head.get("ETag", "") };
             if (auto error = readBody(in, options, response.body))
                 return *error;
             if (static_cast<std::streamsize>(response.body.size()) != head.getContentLength())
