ResponseEndTest: the scripted server reads nothing after its response

The row "request still being written, orderly end" let the server read on after its end of stream; a client that ran late then wrote the rest of its request before it saw that end. A request written whole and an orderly end are a whole response by the rule, so the product was right.

Change: the server neither reads nor sends until the test ends, and each case is also played with a client that is 40 ms late.

Ruled out: a reset read as an orderly end; the late plays of the reset rows pass.

--- a/Source/UnitTests/Backends/ScriptedServer.h
+++ b/Source/UnitTests/Backends/ScriptedServer.h
@@ -34,8 +34,9 @@
 struct ShutdownSend { }; // ends the stream in good order; the connection stays open for reading
 struct WaitForClient { }; // says nothing until the client leaves
 struct DiscardInput { }; // the same, for clients that send megabytes
+struct HoldConnection { }; // neither reads nor sends until the test ends
 
-using Step = std::variant<ReadRequest, SendBytes, Trickle, Flood, Delay, CloseConnection, ResetConnection, ShutdownSend, WaitForClient, DiscardInput>;
+using Step = std::variant<ReadRequest, SendBytes, Trickle, Flood, Delay, CloseConnection, ResetConnection, ShutdownSend, WaitForClient, DiscardInput, HoldConnection>;
 using Script = std::vector<Step>;
 
 // A TCP server on loopback that follows a script for each connection, the last one for all later connections, and counts
@@ -183,6 +184,12 @@
         }
     }
 
+    void run(const HoldConnection&, Poco::Net::StreamSocket&) const
+    {
+        while (!m_stopping)
+            std::this_thread::sleep_for(std::chrono::microseconds(pollMicroseconds));
+    }
+
     static constexpr int pollMicroseconds = 2000;
 
     std::vector<Script> m_scripts;
--- a/Source/UnitTests/Net/ResponseEndTest.cpp
+++ b/Source/UnitTests/Net/ResponseEndTest.cpp
@@ -1,6 +1,8 @@
 #include "Net/HttpClient.h"
 
+#include <chrono>
 #include <optional>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -16,6 +18,9 @@
 constexpr std::size_t heldBytes = 1000; // of a response that is answered whole
 constexpr std::size_t passedOnBytes = 100'000; // of one that is passed on in parts
 
+// Longer than the server's script takes.
+constexpr std::chrono::milliseconds lateClient(40);
+
 const std::string plainHead = "HTTP/1.1 200 OK\r\n\r\n";
 const std::string closingHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 const std::string oldHead = "HTTP/1.0 200 OK\r\n\r\n";
@@ -42,6 +47,37 @@
     { "request still being written, announced close, orderly end", unwritableBytes, closingHead, ShutdownSend {}, true },
 };
 
+void checkEnd(const EndCase& row, std::size_t bodyBytes, std::chrono::milliseconds lateness)
+{
+    // The server reads nothing more: a client that runs late would write the rest of its request before it sees the response's end.
+    ScriptedServer server({ { ReadRequest {}, SendBytes { row.head + std::string(bodyBytes, 'x') }, Delay { std::chrono::milliseconds(5) }, row.end, HoldConnection {} } });
+    PlatformStandIn::LoopThread thread;
+    std::shared_ptr<Net::ClientConnection> connection;
+    std::optional<bool> isWhole;
+    std::size_t received = 0;
+    thread.call([&] {
+        connection = Net::ClientConnection::open(thread.loop(), server.address(), {});
+        auto request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(row.requestBytes) + "\r\n\r\n" + std::string(row.requestBytes, 'y');
+        connection->send(std::move(request), true, std::chrono::seconds(10),
+            { .answered = [&](Net::ResponseHead&& head) {
+                 received = head.response.body.size();
+                 isWhole = true; },
+                .failed = [&](const Net::ClientFailure&) { isWhole = false; },
+                .started = [&](Net::ResponseHead&& head) { received += head.response.body.size(); },
+                .continued = [&](std::string&& part) { received += part.size(); },
+                .completed = [&] { isWhole = true; } });
+    });
+    CHECK(eventually([&] { return server.requests() == 1; }));
+    thread.call([&] { std::this_thread::sleep_for(lateness); });
+    CHECK(eventually([&] { return thread.call([&] { return isWhole.has_value(); }); }));
+    thread.call([&] {
+        CHECK(isWhole.value_or(!row.isWhole) == row.isWhole);
+        if (row.isWhole)
+            CHECK(received == bodyBytes);
+        connection.reset();
+    });
+}
+
 }
 
 // A response without a length ends with its connection. Guards against a part of one that passes for the whole: after a write has
@@ -49,33 +85,13 @@
 TEST_CASE("The end of a connection is the end of a body only if nothing failed and the request was not cut off")
 {
     for (const auto& row : endCases) {
-        for (std::size_t bodyBytes : { heldBytes, passedOnBytes }) {
-            CAPTURE(row.what);
-            CAPTURE(bodyBytes);
-            ScriptedServer server({ { ReadRequest {}, SendBytes { row.head + std::string(bodyBytes, 'x') }, Delay { std::chrono::milliseconds(5) }, row.end, DiscardInput {} } });
-            PlatformStandIn::LoopThread thread;
-            std::shared_ptr<Net::ClientConnection> connection;
-            std::optional<bool> isWhole;
-            std::size_t received = 0;
-            thread.call([&] {
-                connection = Net::ClientConnection::open(thread.loop(), server.address(), {});
-                auto request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(row.requestBytes) + "\r\n\r\n" + std::string(row.requestBytes, 'y');
-                connection->send(std::move(request), true, std::chrono::seconds(10),
-                    { .answered = [&](Net::ResponseHead&& head) {
-                         received = head.response.body.size();
-                         isWhole = true; },
-                        .failed = [&](const Net::ClientFailure&) { isWhole = false; },
-                        .started = [&](Net::ResponseHead&& head) { received += head.response.body.size(); },
-                        .continued = [&](std::string&& part) { received += part.size(); },
-                        .completed = [&] { isWhole = true; } });
-            });
-            CHECK(eventually([&] { return thread.call([&] { return isWhole.has_value(); }); }));
-            thread.call([&] {
-                CHECK(isWhole == row.isWhole);
-                if (row.isWhole)
-                    CHECK(received == bodyBytes);
-                connection.reset();
-            });
+        for (auto bodyBytes : { heldBytes, passedOnBytes }) {
+            for (auto lateness : { std::chrono::milliseconds(0), lateClient }) {
+                CAPTURE(row.what);
+                CAPTURE(bodyBytes);
+                CAPTURE(lateness.count());
+                checkEnd(row, bodyBytes, lateness);
+            }
         }
     }
 }
