ServerSignalsTest: the server leaves from the request itself on

Cause: the row "it said that it is leaving before the row lapsed" failed once in the release tests beside builds: the server, which works for 10 ms, had answered before the test saw the arrival and told it to leave.

Change: the stand-in leaves from the request to a named target on, so that the answer to it always says so.

--- a/Source/UnitTests/Gateway/ServerSignalsTest.cpp
+++ b/Source/UnitTests/Gateway/ServerSignalsTest.cpp
@@ -179,11 +179,12 @@
             fixture.servers[0]->setWork(row.work);
             fixture.servers[0]->setRetryAfter("5");
         });
-        if (!row.leaves)
+        if (row.leaves)
+            fixture.thread.call([&] { fixture.servers[0]->setLeavingTarget("/once/x"); });
+        else
             fixture.setMode(0, ServerMode::Pauses);
         std::thread caller([&] { call(*gateway, "POST", "/once/x"); });
         REQUIRE(eventually([&] { return fixture.thread.call([&] { return fixture.servers[0]->arrivals() > 0; }); }));
-        fixture.thread.call([&] { fixture.servers[0]->setLeaving(row.leaves); });
         auto isLateAnswer = row.work > std::chrono::milliseconds(100);
         if (!isLateAnswer)
             caller.join();
