Configuration: all errors are found and name their entry

Cause: errors of routes, services and limits did not name the entry, only the first error of a configuration was found, and a text that is not JSON was reported without a place.

Change: PlatformAdapter::readConfiguration() collects the errors that do not depend on each other, each with its entry; parseConfiguration() uses the same code and reports the first and the number of the others. Common::readJsonObject() tells line and column, and nothing of the input, which may hold API keys. A route keeps its kind as written and a service its warm-up time; a time that is none counts as absent, as before. The field names are in one table that the check will print from.

--- a/Source/Core/Common/Hash.h
+++ b/Source/Core/Common/Hash.h
@@ -14,6 +14,7 @@
     std::uint64_t high = 0;
 
     bool operator==(const Digest&) const = default;
+    bool operator<(const Digest& other) const { return high != other.high ? high < other.high : low < other.low; }
 };
 
 // XXH3 digest. With a random seed that is kept secret, bytes with a given digest can't be constructed.
--- a/Source/Core/Gateway/Configuration.h
+++ b/Source/Core/Gateway/Configuration.h
@@ -24,7 +24,8 @@
     std::string host; // lower case, without port
     std::string prefix; // begins and ends with a slash
     Records::Repeat repeat = Records::Repeat::Never;
-    std::string unknownKind; // the kind that the operators gave it, if this version does not know it; then `repeat` is Never
+    std::string kind = {}; // as the operators wrote it
+    std::string unknownKind = {}; // the kind that the operators gave it, if this version does not know it; then `repeat` is Never
     Common::Duration timeout = std::chrono::seconds(5); // longest time that a caller waits for a response
     Common::Duration goal = std::chrono::seconds(1); // latency goal: a later response is worth little to the caller
     int priority = 0; // 0 is the most urgent
@@ -37,6 +38,7 @@
     std::string name;
     std::string healthPath = "/health";
     int maxConnections = 300; // to each server, from all gateways together
+    Common::Duration warmupTime {}; // for which a server stays cold; servers tell it themselves, so this is for the operators only
     double warmupPerSecond = 0; // requests a second that a cold server takes from all gateways together; 0: no limit
 };
 
@@ -52,4 +54,51 @@
     const Route* find(std::string_view host, std::string_view path) const;
 };
 
+// An error in the operators' text of a configuration.
+struct ConfigurationError {
+    std::string entry; // as the operators write it: the object's name, a dot, the entry's name; empty: the whole text
+    std::string text;
+};
+
+// What a text of the operators holds.
+struct ConfigurationReading {
+    Configuration configuration; // incomplete if there are errors
+    std::vector<ConfigurationError> errors;
+};
+
+// The names of a configuration's parts as operators write them.
+struct ConfigurationNames {
+    const char* version = "";
+    const char* limits = "";
+    const char* routes = "";
+    const char* services = "";
+    const char* organisations = "";
+    // of a route
+    const char* host = "";
+    const char* prefix = "";
+    const char* kind = "";
+    const char* timeout = "";
+    const char* goal = "";
+    const char* priority = ""; // of an organisation, too
+    const char* maxAttempts = "";
+    const char* isPublic = "";
+    const char* service = ""; // the only one of a route, or that of a part
+    const char* parts = "";
+    const char* weight = ""; // of a part
+    // of a service
+    const char* healthPath = "";
+    const char* maxConnections = "";
+    const char* warmupTime = "";
+    const char* warmupPerSecond = "";
+    // of an organisation
+    const char* keys = "";
+    const char* ratePerSecond = "";
+    const char* burst = "";
+    // of the limits
+    const char* headBytes = "";
+    const char* bodyBytes = "";
+    const char* readTimeout = "";
+    const char* idleTimeout = "";
+};
+
 }
--- a/Source/Core/Gateway/Organisations.cpp
+++ b/Source/Core/Gateway/Organisations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -20,14 +21,31 @@
         return !text.empty() && text.size() <= maxKeyBytes && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
     }
 
-    Common::Error invalid(const std::string& organisation, std::string_view what)
+    std::string forLogs(const std::string& name)
     {
-        return { .code = Common::ResultCode::RecordInvalid, .text = fmt::format("organisation '{}': {}", organisation, what) };
+        return isVisibleText(name) ? name : Net::excerpt(name);
+    }
+
+    std::string lowerCase(std::string text)
+    {
+        for (auto& c : text)
+            c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+        return text;
     }
 
 }
 
 Common::Result<Organisations> Organisations::make(std::vector<OrganisationEntry> entries, std::uint64_t seed)
+{
+    std::vector<OrganisationError> errors;
+    auto made = make(std::move(entries), seed, errors);
+    if (errors.empty())
+        return made;
+    const auto& first = errors.front();
+    return Common::Error { .code = Common::ResultCode::RecordInvalid, .text = fmt::format("organisation '{}': {}", first.organisation, first.text) };
+}
+
+Organisations Organisations::make(std::vector<OrganisationEntry> entries, std::uint64_t seed, std::vector<OrganisationError>& errors)
 {
     Organisations made;
     made.m_seed = seed;
@@ -36,25 +54,60 @@
     for (const auto& entry : entries)
         keys += entry.keys.size();
     made.m_slots.resize(std::bit_ceil(static_cast<std::size_t>(static_cast<double>(keys) / maxUsedShare) + 1));
+    std::map<std::string, std::string> names; // by their lower case
     for (const auto& entry : entries) {
         const auto& name = entry.organisation.name;
         if (!isVisibleText(name))
-            return invalid(Net::excerpt(name), "its name can't be sent in a header, expected 1 to 256 visible ASCII characters");
+            errors.push_back({ .organisation = forLogs(name), .text = "its name can't be sent in a header, expected 1 to 256 visible ASCII characters" });
+        // People and backend servers that ignore case would take one for the other.
+        auto [same, isNew] = names.try_emplace(lowerCase(name), name);
+        if (!isNew)
+            errors.push_back({ .organisation = forLogs(name), .text = fmt::format("its name differs only in case from '{}'", forLogs(same->second)) });
         made.m_organisations.push_back(entry.organisation);
-        for (const auto& key : entry.keys) {
-            if (!isVisibleText(key))
-                return invalid(name, fmt::format("an API key has {} bytes or characters that are not visible ASCII, expected 1 to {} visible ones", key.size(), maxKeyBytes));
-            auto digest = Common::digest(key, seed);
-            auto& slot = made.m_slots[made.slotOf(digest)];
-            if (slot.organisation != 0)
-                return invalid(name, fmt::format("an API key is listed twice, here and for organisation '{}'", made.m_organisations[slot.organisation - 1].name));
-            slot = { .digest = digest, .organisation = static_cast<std::uint32_t>(made.m_organisations.size()) };
-            ++made.m_keyCount;
-        }
+        made.addKeys(entry.keys, errors);
     }
     return made;
 }
 
+// To the last organisation.
+void Organisations::addKeys(const std::vector<std::string>& keys, std::vector<OrganisationError>& errors)
+{
+    auto name = forLogs(m_organisations.back().name);
+    auto number = static_cast<std::uint32_t>(m_organisations.size());
+    auto hasInvalid = false;
+    auto hasKnown = false;
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+        const auto& key = keys[i];
+        if (!isVisibleText(key)) {
+            if (!std::exchange(hasInvalid, true))
+                errors.push_back({ .organisation = name, .text = fmt::format("API key {} of {} has {} bytes or characters that are not visible ASCII, expected 1 to {} visible ones", i + 1, keys.size(), key.size(), maxKeyBytes) });
+            continue;
+        }
+        auto digest = Common::digest(key, m_seed);
+        auto& slot = m_slots[slotOf(digest)];
+        if (slot.organisation == 0) {
+            slot = { .digest = digest, .organisation = number };
+            ++m_keyCount;
+        } else if (!std::exchange(hasKnown, true)) {
+            errors.push_back({ .organisation = name, .text = fmt::format("API key {} of {} is listed twice, here and at '{}'", i + 1, keys.size(), forLogs(m_organisations[slot.organisation - 1].name)) });
+        }
+    }
+}
+
+std::map<std::string, std::vector<Common::Digest>, std::less<>> Organisations::keyDigests() const
+{
+    std::map<std::string, std::vector<Common::Digest>, std::less<>> digests;
+    for (const auto& organisation : m_organisations)
+        digests[organisation.name];
+    for (const auto& slot : m_slots) {
+        if (slot.organisation != 0)
+            digests[m_organisations[slot.organisation - 1].name].push_back(slot.digest);
+    }
+    for (auto& [name, list] : digests)
+        std::sort(list.begin(), list.end());
+    return digests;
+}
+
 // The slot of the digest, or the free one where it would be. There is always a free one.
 std::size_t Organisations::slotOf(const Common::Digest& digest) const
 {
--- a/Source/Core/Gateway/Organisations.h
+++ b/Source/Core/Gateway/Organisations.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,14 +28,24 @@
     std::vector<std::string> keys;
 };
 
+// Why an entry can't be used. The text never contains a key.
+struct OrganisationError {
+    std::string organisation;
+    std::string text;
+};
+
 // The organisations of one configuration, by API key. Immutable. Keeps digests of the keys, not the keys: 24 bytes a key and
 // 7 tenths of the slots in use.
 class Organisations {
 public:
     Organisations() = default;
     // `seed` of the digests: random, so that callers can't construct keys with the same digest. Errors name the organisation, never a key: RecordInvalid for
-    // a key that is empty, longer than 256 bytes, not made of visible ASCII characters, or listed twice.
+    // a key that is empty, longer than 256 bytes, not made of visible ASCII characters, or listed twice, and for names that
+    // can't be sent or differ only in case.
     static Common::Result<Organisations> make(std::vector<OrganisationEntry>, std::uint64_t seed);
+    // The same, with all errors: for each organisation that of its name, its first invalid key and its first key that is
+    // listed before. Keys with errors are left out.
+    static Organisations make(std::vector<OrganisationEntry>, std::uint64_t seed, std::vector<OrganisationError>&);
 
     bool empty() const { return m_organisations.empty(); }
     const std::vector<Organisation>& all() const { return m_organisations; }
@@ -43,6 +54,8 @@
     // nullptr if there is none of that name.
     const Organisation* named(std::string_view name) const;
     std::size_t keyCount() const { return m_keyCount; }
+    // Digests of the keys in ascending order, by organisation. Those of another seed can't be compared with them.
+    std::map<std::string, std::vector<Common::Digest>, std::less<>> keyDigests() const;
 
 private:
     struct Slot {
@@ -50,6 +63,7 @@
         std::uint32_t organisation = 0; // index in m_organisations, plus 1; 0: the slot is free
     };
 
+    void addKeys(const std::vector<std::string>& keys, std::vector<OrganisationError>&);
     std::size_t slotOf(const Common::Digest&) const;
 
     std::vector<Organisation> m_organisations; // by ascending name
--- a/Source/Fuzz/RowsTarget.cpp
+++ b/Source/Fuzz/RowsTarget.cpp
@@ -60,6 +60,7 @@
     auto server = PlatformAdapter::parseServer("server-1", input);
     require(!server || (!server.value().service.empty() && server.value().slots >= 0), "accepted server has no service or a negative number of slots");
     auto configuration = PlatformAdapter::parseConfiguration(input);
+    require(configuration.has_value() == PlatformAdapter::readConfiguration(input, 1).errors.empty(), "a gateway and the check disagree whether a configuration is valid");
     require(!configuration || configuration.value().limits.readTimeout >= Common::Duration::zero(), "accepted configuration has a negative time limit");
 }
 
--- a/Source/UnitTests/Common/JsonTextTest.cpp
+++ b/Source/UnitTests/Common/JsonTextTest.cpp
@@ -106,3 +106,42 @@
     }
     CHECK(Common::fromMilliseconds(1.5) == std::chrono::microseconds(1500));
 }
+
+namespace {
+
+struct SyntaxErrorCase {
+    std::string what;
+    std::string text;
+    std::string error;
+};
+
+const SyntaxErrorCase syntaxErrors[] = {
+    { "nothing", "", "expected a JSON object, found an error at line 1, column 1: Syntax error: value, object or array expected." },
+    { "a list", "[1]", "expected a JSON object" },
+    { "a missing comma", "{\"a\": 1\n \"b\": 2}", "expected a JSON object, found an error at line 2, column 2: Missing ',' or '}' in object declaration" },
+    { "a missing value", "{\"a\": [1,\n2], \"b\":\n}", "expected a JSON object, found an error at line 3, column 1: Syntax error: value, object or array expected." },
+    { "text after the object", "{}\n}", "expected a JSON object, found an error at line 2, column 1: Extra non-whitespace after JSON value." },
+    { "a number that is none", "{\"keys\": [123secret456]}", "expected a JSON object, found an error at line 1, column 14: Missing ',' or ']' in array declaration" },
+    { "digits that are no number", "{\"keys\": [9988e]}", "expected a JSON object, found an error at line 1, column 11: a value is not a number" },
+    { "nested too deeply", std::string(2000, '['), "expected a JSON object, found an error: a value is nested too deeply" },
+};
+
+}
+
+// Guards against API keys in logs, as the library quotes what it can't read.
+TEST_CASE("An error in JSON is found by line and column, and its text holds nothing of the input")
+{
+    for (const auto& row : syntaxErrors) {
+        CAPTURE(row.what);
+        auto read = Common::readJsonObject(row.text);
+        REQUIRE(!read);
+        CHECK(read.error().text == row.error);
+    }
+    CHECK(Common::readJsonObject("{\"a\":1}").value()["a"] == 1);
+}
+
+TEST_CASE("A name that an object has twice is found")
+{
+    CHECK(Common::repeatedNamePlace(R"({"a":{"b":1},"b":1})").empty());
+    CHECK(Common::repeatedNamePlace("{\"a\":{\"b\":1,\n\"b\":2}}") == "line 2, column 1");
+}
