check-config: errors, warnings and differences of a configuration

Cause: operators could not see before they write the row whether gateways accept a configuration, which of its parts have no effect, and what it changes.

Change: Operator/ConfigurationCheck finds warnings and differences in parsed configurations; Operator/CheckConfigCommand reads the files by the gateway's code and prints text or JSON. Whether a route can match is decided by the gateway's parser of requests and its search for a route: the longest prefix wins, so a route is hidden only by one with the same host and prefix. API keys are compared by digests of one seed and only counted. A wrong command line gives exit code 1, as docs/OPERATORS.md says; docopt gave 255.

--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -8,6 +8,7 @@
 #include "Entry/Daemon.h"
 #include "Gateway/Daemon.h"
 #include "Operator/CheckCommand.h"
+#include "Operator/CheckConfigCommand.h"
 #include "Operator/ExitCode.h"
 #include "Operator/ExplainCommand.h"
 #include "Operator/RecordCommandLine.h"
@@ -17,6 +18,7 @@
 #include "Settings/GatewaySettings.h"
 #include "platform/Binding.h"
 #include "platform/Names.h"
+#include "platform/Rows.h"
 
 namespace {
 
@@ -26,6 +28,7 @@
   cowslipledge entry --settings FILE
   cowslipledge gateway [--settings FILE]
   cowslipledge check FILE
+  cowslipledge check-config FILE [--in-force FILE] [--settings FILE] [--json]
   cowslipledge record put RECORD... --platform ADDR [--operator NAME] [--json]
   cowslipledge record replace RECORD... --expect REV --platform ADDR [--operator NAME] [--dry-run] [--json]
   cowslipledge record retire SERVICE --expect REV --platform ADDR [--operator NAME] [--json]
@@ -41,6 +44,7 @@
 
 Options:
   --settings FILE  TOML settings of the instance; a gateway's default is named by COWSLIPLEDGE_NODE_FILE.
+  --in-force FILE  The configuration that gateways have; the differences from it are reported.
   --platform ADDR  The platform's address, ip:port.
   --expect REV     The revision of the record that is to be changed.
   --operator NAME  Who makes the change; the user's name when absent.
@@ -164,6 +168,23 @@
     return Operator::recordCommand(arguments);
 }
 
+int checkConfigCommand(std::map<std::string, docopt::value>& args)
+{
+    return Operator::checkConfigCommand(
+        {
+            .file = args["FILE"].asString(),
+            .inForce = textOf(args["--in-force"]),
+            .settings = textOf(args["--settings"]),
+            .json = args["--json"].asBool(),
+        },
+        {
+            .read = PlatformAdapter::readConfiguration,
+            .names = PlatformAdapter::configurationNames(),
+            .seed = Common::systemHooks().random(),
+            .out = [](const std::string& text) { fmt::print("{}\n", text); },
+        });
+}
+
 Operator::PeerFinderOptions peerOptions(std::map<std::string, docopt::value>& args)
 {
     return { .platformAddress = textOf(args["--platform"]), .peerAddress = textOf(args["--peer"]), .keyFile = textOf(args["--key-file"]) };
@@ -180,9 +201,8 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-int runCommand(int argc, char* argv[])
+int runCommand(std::map<std::string, docopt::value> args)
 {
-    auto args = docopt::docopt(usage, { argv + 1, argv + argc }, true, "cowslipledge 0.1.0");
     if (args["entry"].asBool())
         return entryCommand(args["--settings"].asString());
     if (args["gateway"].asBool())
@@ -193,6 +213,8 @@
         return Operator::statusCommand({ .peers = peerOptions(args), .json = args["--json"].asBool() });
     if (args["timeline"].asBool())
         return Operator::timelineCommand({ .peers = peerOptions(args), .since = textOf(args["--since"]), .request = textOf(args["--request"]), .service = textOf(args["--service"]), .json = args["--json"].asBool() });
+    if (args["check-config"].asBool())
+        return checkConfigCommand(args);
     if (args["explain"].asBool())
         return Operator::explainCommand(args["ID"].asString());
     return Operator::checkCommand(args["FILE"].asString());
@@ -202,7 +224,16 @@
 {
     blockReloadSignal();
     try {
-        return runCommand(argc, argv);
+        return runCommand(docopt::docopt_parse(usage, { argv + 1, argv + argc }));
+    } catch (const docopt::DocoptExitHelp&) {
+        fmt::print("{}", usage);
+        return Operator::toInt(Operator::ExitCode::Ok);
+    } catch (const docopt::DocoptExitVersion&) {
+        fmt::print("cowslipledge 0.1.0\n");
+        return Operator::toInt(Operator::ExitCode::Ok);
+    } catch (const docopt::DocoptArgumentError& ec) {
+        fmt::print(stderr, "{}\n{}", ec.what(), usage);
+        return Operator::toInt(Operator::ExitCode::UsageError);
     } catch (const std::system_error& ec) {
         if (ec.code() != std::errc::broken_pipe)
             throw;
