Requests that need a key at a gateway with an old configuration go to another gateway

Cause: a gateway that could not tell whether an API key is valid, since its configuration was too old, refused the request with 503 although others could serve it.

The receiver routes it, authenticates the caller and counts the allowance and the budgets by its own configuration; its 401, 404 and 429 go back unchanged. The header's value is one that earlier versions take for malformed, and so answer as not executed. The API key is dropped by the receiver, the caller's organisation by both.

--- a/Source/Core/Decisions/Authentication.h
+++ b/Source/Core/Decisions/Authentication.h
@@ -26,5 +26,7 @@
 // Decides whether a request may be served, by its API key. It is asked when a request arrives and again whenever the configuration has changed before
 // it is sent to a server. Load: configurations that revoke keys while part of the fleet is cut off from the store.
 AuthenticationVerdict authenticate(const AuthenticationInputs&);
+// Whether the knowledge is recent enough to take requests of gateways whose verdict is Outdated.
+bool mayAuthenticateForOthers(const AuthenticationInputs&);
 
 }
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -296,7 +296,9 @@
     Common::MetricsPage page;
     page.counter("requests_total", static_cast<double>(counters.requests));
     page.counter("forwarded_total", static_cast<double>(counters.forwarded));
+    page.counter("forwarded_outdated_total", static_cast<double>(counters.forwardedAsOutdated));
     page.counter("accepted_forwarded_total", static_cast<double>(counters.acceptedForwarded));
+    page.counter("accepted_unauthenticated_total", static_cast<double>(counters.acceptedUnauthenticated));
     page.counter("answered_total", static_cast<double>(counters.answered));
     page.counter("refused_total", static_cast<double>(counters.refused));
     page.counter("refused_blocked_total", static_cast<double>(counters.blocked));
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -63,6 +63,7 @@
 
     // Bound addresses as ip:port.
     std::string callersAddress() const { return m_callers.address(); }
+    std::string forwardingAddress() const { return m_forwarding.address(); }
     std::string readyAddress() const { return m_ready.address(); }
     std::string directoryAddress() const { return m_directory.address(); }
     std::string metricsAddress() const { return m_metrics.address(); }
--- a/Source/Core/Gateway/ForwardedRequest.cpp
+++ b/Source/Core/Gateway/ForwardedRequest.cpp
@@ -11,6 +11,8 @@
     constexpr int maxPriority = 1'000'000;
     constexpr int maxAttempts = 1000;
     constexpr int maxGoalMs = 86'400'000;
+    // Of an unauthenticated request. Without the fields of other forwarded requests, which earlier versions require.
+    constexpr std::string_view unauthenticatedPrefix = "unauthenticated;configuration=";
 
     std::optional<int> intValue(const std::string& query, const char* name, int low, int high)
     {
@@ -49,4 +51,20 @@
     return request;
 }
 
+std::string toHeaderValue(const UnauthenticatedRequest& request)
+{
+    return fmt::format("{}{}", unauthenticatedPrefix, request.configurationVersion);
+}
+
+std::optional<UnauthenticatedRequest> parseUnauthenticatedRequest(std::string_view text)
+{
+    if (!text.starts_with(unauthenticatedPrefix))
+        return std::nullopt;
+    text.remove_prefix(unauthenticatedPrefix.size());
+    UnauthenticatedRequest request;
+    auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), request.configurationVersion);
+    auto isValid = ec == std::errc() && rest == text.data() + text.size();
+    return isValid ? std::optional(request) : std::nullopt;
+}
+
 }
--- a/Source/Core/Gateway/PeerGateways.cpp
+++ b/Source/Core/Gateway/PeerGateways.cpp
@@ -23,6 +23,9 @@
     constexpr auto refusalMemory = std::chrono::seconds(10);
     // Bounds the search while no gateway reaches the service.
     constexpr std::size_t maxAvoided = 32;
+    // The same while no gateway can authenticate callers. Fewer, since an outage of the store takes all gateways of the fleet at once, and
+    // members tell most of those that can't, as these are not ready.
+    constexpr std::size_t maxAvoidedForAuthentication = 16;
     // For which a gateway that has answered counts as one that reaches the service.
     constexpr auto answerMemory = std::chrono::seconds(2);
     // Connections are closed when no request has been forwarded for this long.
@@ -44,11 +47,11 @@
 {
 }
 
-BackendOptions PeerGateways::optionsFor(const std::string& service) const
+BackendOptions PeerGateways::optionsFor(PeerNeed need, const std::string& service) const
 {
     return {
         .headers = &m_options.headers,
-        .healthPath = std::string(peerProbePath) + "?" + peerProbeService + "=" + Net::percentEncoded(service),
+        .healthPath = std::string(need == PeerNeed::Servers ? peerProbePath : authenticationProbePath) + "?" + peerProbeService + "=" + Net::percentEncoded(service),
         .failureDomain = m_options.failureDomain,
         .maxConnections = connectionsPerGateway,
         .client = m_options.client,
@@ -68,7 +71,7 @@
     return static_cast<std::size_t>(lost) >= maxChosenOfOwnDomain;
 }
 
-void PeerGateways::fill(Pool& pool, const std::string& service)
+void PeerGateways::fill(Pool& pool, PeerNeed need, const std::string& service)
 {
     pool.filledAt = m_loop.now();
     std::vector<Member> own;
@@ -104,21 +107,21 @@
             .failureDomain = member.failureDomain,
             .startedMs = member.startedMs,
         };
-        pool.chosen.push_back(std::make_shared<Backend>(m_loop, record, optionsFor(service)));
+        pool.chosen.push_back(std::make_shared<Backend>(m_loop, record, optionsFor(need, service)));
     }
 }
 
-std::vector<std::shared_ptr<Backend>> PeerGateways::candidates(const std::string& service)
+std::vector<std::shared_ptr<Backend>> PeerGateways::candidates(PeerNeed need, const std::string& service)
 {
     auto now = m_loop.now();
-    auto& pool = m_pools[service];
+    auto& pool = m_pools[{ need, service }];
     pool.usedAt = now;
     std::erase_if(pool.refusals, [&](const auto& it) { return now - it.second.at >= refusalMemory; });
     std::erase_if(pool.chosen, [&](const auto& it) { return !isUsable(*it); });
     auto isDue = pool.chosen.empty() || (pool.chosen.size() < maxChosen && now - pool.filledAt > fillInterval);
     auto avoided = static_cast<std::size_t>(std::count_if(pool.refusals.begin(), pool.refusals.end(), [&](const auto& it) { return isAvoided(it.second); }));
-    if (isDue && avoided < maxAvoided)
-        fill(pool, service);
+    if (isDue && avoided < (need == PeerNeed::Servers ? maxAvoided : maxAvoidedForAuthentication))
+        fill(pool, need, service);
     std::vector<std::shared_ptr<Backend>> picked;
     auto pickOneOf = [&](std::vector<std::shared_ptr<Backend>>& from) {
         auto& chosen = from[Common::randomBelow(m_loop.hooks(), from.size())];
@@ -148,20 +151,20 @@
     return age && *age <= answerMemory;
 }
 
-void PeerGateways::probe(const std::shared_ptr<Backend>& peer, Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done)
+void PeerGateways::probe(PeerNeed need, const std::shared_ptr<Backend>& peer, Common::Duration timeout, const std::function<void(const ProbeAnswer&)>& done)
 {
     std::weak_ptr<Backend> weak = peer;
-    peer->probe(timeout, [this, weak, done](const ProbeAnswer& answer) {
+    peer->probe(timeout, [this, need, weak, done](const ProbeAnswer& answer) {
         auto asked = weak.lock();
         if (asked && !answer.healthy)
-            avoid(*asked);
+            avoid(need, *asked);
         done(answer);
     });
 }
 
-void PeerGateways::avoid(const Backend& peer)
+void PeerGateways::avoid(PeerNeed need, const Backend& peer)
 {
-    auto it = m_pools.find(peer.record().service);
+    auto it = m_pools.find({ need, peer.record().service });
     if (it == m_pools.end())
         return;
     it->second.refusals[peer.record().id] = { .at = m_loop.now(), .isOfOwnDomain = isOfOwnDomain(peer) };
@@ -182,7 +185,7 @@
 void PeerGateways::closeIdleConnections()
 {
     std::erase_if(m_pools, [&](const auto& it) { return m_loop.now() - it.second.usedAt > unusedPeriod; });
-    for (const auto& [service, pool] : m_pools) {
+    for (const auto& [key, pool] : m_pools) {
         for (const auto& peer : pool.chosen)
             peer->closeIdleConnections(m_loop.now());
     }
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -65,6 +65,7 @@
     , m_body(m_exchange->isBodyWhole())
     , m_deadline(plan.deadline)
     , m_origin(plan.origin)
+    , m_authenticator(plan.authenticator)
     , m_configurationVersion(router.configuration()->version)
 {
     setOrganisation(std::move(plan.organisation));
@@ -81,7 +82,7 @@
 bool RequestForwarder::confirmCaller()
 {
     const auto& configuration = m_router.configuration();
-    if (m_origin == RequestOrigin::Gateway || m_configurationVersion == configuration->version)
+    if (m_authenticator != Authenticator::Self || m_configurationVersion == configuration->version)
         return true;
     auto identity = m_router.identify(m_exchange->request(), m_route);
     if (identity.verdict == Decisions::AuthenticationVerdict::Serve) {
@@ -95,10 +96,28 @@
         giveUp("the API key was revoked", RefusalReason::Shed, 0);
         return false;
     }
+    if (identity.verdict == Decisions::AuthenticationVerdict::Outdated && m_origin == RequestOrigin::Caller && m_attemptCount == 0) {
+        m_authenticator = Authenticator::Receiver;
+        m_organisation.reset();
+        m_router.countHandedOver(m_service);
+        selectTarget();
+        return false;
+    }
+    rejectCaller(identity.verdict);
+    return false;
+}
+
+void RequestForwarder::rejectCaller(Decisions::AuthenticationVerdict verdict)
+{
+    auto isReturned = m_origin == RequestOrigin::Gateway && verdict == Decisions::AuthenticationVerdict::Outdated;
+    if (isReturned)
+        m_router.countHandedOver(m_service);
+    const auto* reason = !isReturned ? "" : m_attemptCount > 0 ? "1"
+        : m_router.isConfigurationOutdated()                   ? outdatedReason
+                                                               : undecidedReason;
     auto exchange = m_exchange;
     finish();
-    m_router.rejectCaller(exchange, m_route, identity.verdict);
-    return false;
+    m_router.rejectCaller(exchange, m_route, verdict, reason);
 }
 
 double RequestForwarder::timeLeftMs() const
@@ -128,7 +147,9 @@
         ++m_router.counters().blocked;
         return refuse(RefusalReason::Blocked, 0);
     }
-    m_router.countRequest(m_service);
+    // The gateway that authenticates the caller counts it.
+    if (m_authenticator != Authenticator::Receiver)
+        m_router.countRequest(m_service);
     m_deadlineTimer = m_router.loop().after(m_deadline - m_router.loop().now(), [weak] {
         if (auto self = weak.lock())
             self->onDeadline();
@@ -138,6 +159,11 @@
 
 void RequestForwarder::selectTarget()
 {
+    if (m_authenticator == Authenticator::Receiver) {
+        if (!probePeers())
+            giveUp("no other gateway is known that can authenticate the caller", RefusalReason::Outdated, 0);
+        return;
+    }
     if (m_router.backends().reachability(m_service) != Decisions::Reachability::Unreachable || !probePeers())
         probeServers(CandidateScope::OwnDomain);
 }
@@ -211,7 +237,7 @@
     if (m_origin == RequestOrigin::Gateway || m_peerRounds >= maxPeerRounds)
         return false;
     auto keepAlive = shared_from_this();
-    auto peers = m_router.peers().candidates(m_service);
+    auto peers = m_router.peers().candidates(peerNeed(), m_service);
     if (peers.empty())
         return false;
     ++m_peerRounds;
@@ -236,7 +262,7 @@
                 self->onProbeResult(index, round, answer);
         };
         if (m_scope == CandidateScope::Peers)
-            m_router.peers().probe(targets[i], probeTimeout, done);
+            m_router.peers().probe(peerNeed(), targets[i], probeTimeout, done);
         else
             targets[i]->probe(probeTimeout, done);
     }
@@ -400,6 +426,8 @@
         return giveUp("another gateway returned the request when a part of its body had been sent", RefusalReason::Shed, 0);
     if (probePeers())
         return;
+    if (m_authenticator == Authenticator::Receiver)
+        return giveUp("no other gateway can authenticate the caller", RefusalReason::Outdated, 0);
     if (!m_hasProbedServers)
         return probeServers(CandidateScope::OwnDomain);
     giveUp("neither a server with room nor another gateway answered", m_foundFullServers ? RefusalReason::Busy : RefusalReason::NoReport, 0);
@@ -414,10 +442,14 @@
         return Net::equalsIgnoringCase(header.name, names.deadline) || Net::equalsIgnoringCase(header.name, names.expectInstance)
             || Net::equalsIgnoringCase(header.name, forwardedHeader);
     });
-    if (m_router.needsKeys()) {
-        // Another gateway has set the organisation's name already.
+    auto isToReceiver = m_authenticator == Authenticator::Receiver;
+    // The gateway that this request comes from needed keys, whatever the configuration here says.
+    auto isFromUnauthenticated = m_origin == RequestOrigin::Gateway && m_authenticator == Authenticator::Self;
+    if (m_router.needsKeys() || isToReceiver || isFromUnauthenticated) {
+        // The name of the organisation is the caller's, unless another gateway has authenticated the caller and set it.
         std::erase_if(request.headers, [&](const auto& header) {
-            return Net::equalsIgnoringCase(header.name, names.apiKey) || (m_origin == RequestOrigin::Caller && Net::equalsIgnoringCase(header.name, names.organisation));
+            return (!isToReceiver && Net::equalsIgnoringCase(header.name, names.apiKey))
+                || (m_authenticator != Authenticator::Sender && Net::equalsIgnoringCase(header.name, names.organisation));
         });
     }
     if (m_organisation)
@@ -455,17 +487,25 @@
     auto& router = m_router;
     if (!confirmCaller())
         return;
+    auto isToReceiver = m_authenticator == Authenticator::Receiver;
     ++router.counters().forwarded;
+    router.counters().forwardedAsOutdated += isToReceiver ? 1 : 0;
     m_lastServer = peer->record().id;
     auto attemptsLeft = std::max(1, m_route.maxAttempts - m_attemptCount);
     ForwardedRequest forwarded { .route = m_route, .service = m_service };
     forwarded.route.maxAttempts = attemptsLeft;
     m_attemptCount += attemptsLeft;
-    router.countHandedOver(m_service);
+    if (!isToReceiver)
+        router.countHandedOver(m_service);
     m_router.log().log(EventId::CallForwarded,
-        { { "request", m_id }, { "service", m_service }, { "entry", peer->record().id }, { "domain", peer->record().failureDomain }, { "left_ms", fmt::format("{:.1f}", timeLeftMs()) } });
+        { { "request", m_id },
+            { "service", m_service },
+            { "entry", peer->record().id },
+            { "domain", peer->record().failureDomain },
+            { "left_ms", fmt::format("{:.1f}", timeLeftMs()) },
+            { "cause", isToReceiver ? "the configuration is too old to tell whether the API key is valid" : "no server of the service answers" } });
     startAttempt({ .backend = peer, .attemptsGiven = attemptsLeft, .connection = {}, .sentAt = router.loop().now() },
-        requestBytes({ forwardedHeader, toHeaderValue(forwarded) }));
+        requestBytes({ forwardedHeader, isToReceiver ? toHeaderValue(UnauthenticatedRequest { router.configuration()->version }) : toHeaderValue(forwarded) }));
 }
 
 std::function<bool(const Net::ResponseHead&)> RequestForwarder::responseMatcher(bool isPeer) const
@@ -616,10 +656,15 @@
         learnFromPeerResponse(response);
         return respond(std::move(response), attempt);
     }
-    if (*notExecuted == unreachableReason) {
-        m_router.peers().avoid(*attempt.backend);
+    if (*notExecuted == unreachableReason || *notExecuted == outdatedReason) {
+        m_router.peers().avoid(peerNeed(), *attempt.backend);
         return onReturnedByPeer(attempt);
     }
+    // Others are as undecided until they have seen the store again. The gateway takes requests with other keys.
+    if (*notExecuted == undecidedReason) {
+        m_attemptCount -= attempt.attemptsGiven;
+        return giveUp("another gateway does not know the API key, which may be new", RefusalReason::Outdated, 0);
+    }
     if (m_openAttempts > 0)
         return;
     if (m_serverFailure || m_mayHaveExecuted)
@@ -630,7 +675,7 @@
 
 void RequestForwarder::onPeerFailure(const Attempt& attempt, const Net::ClientFailure& failure)
 {
-    m_router.peers().avoid(*attempt.backend);
+    m_router.peers().avoid(peerNeed(), *attempt.backend);
     if (!failure.bytesSent)
         return onReturnedByPeer(attempt);
     m_mayHaveExecuted = true;
@@ -640,7 +685,8 @@
 void RequestForwarder::onReturnedByPeer(const Attempt& attempt)
 {
     m_attemptCount -= attempt.attemptsGiven;
-    m_router.countRequest(m_service);
+    if (m_authenticator != Authenticator::Receiver)
+        m_router.countRequest(m_service);
     onNoPeer();
 }
 
@@ -976,6 +1022,9 @@
 
 void RequestForwarder::refuse(RefusalReason reason, double excessMs)
 {
+    // The state of this gateway's servers is not why it is refused.
+    if (m_authenticator == Authenticator::Receiver && reason != RefusalReason::Blocked && reason != RefusalReason::Memory)
+        return rejectCaller(Decisions::AuthenticationVerdict::Outdated);
     auto& router = m_router;
     auto pauseLeft = router.backends().pauseLeft(m_service);
     auto limitLeft = router.backends().limitLeft(m_service);
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -19,12 +19,20 @@
     Gateway,
 };
 
+// Which gateway authenticates the caller of a request.
+enum class Authenticator {
+    Self, // this one has, and does so again if its configuration has changed meanwhile
+    Sender, // the one that has forwarded the request here
+    Receiver, // one that the request has to be forwarded to, since the configuration of this one is too old
+};
+
 // How a request is to be served, as decided when it arrived.
 struct RequestPlan {
     Route route;
     std::string service;
     Common::TimePoint deadline;
     RequestOrigin origin = RequestOrigin::Caller;
+    Authenticator authenticator = Authenticator::Self;
     std::optional<Organisation> organisation; // of the caller
 };
 
@@ -63,14 +71,15 @@
         Peers, // other gateways, of any domain
     };
 
-    // Begins the choice of a server or, where no server of the service answers this gateway, of another gateway.
+    // Begins the choice of a server or, where no server of the service answers this gateway or its configuration is too old to authenticate the
+    // caller, of another gateway.
     void selectTarget();
     std::vector<std::shared_ptr<Backend>> rankedCandidates(CandidateScope);
     void probeServers(CandidateScope);
-    // Asks other gateways whether they reach the service. Returns false if none can be asked.
+    // Asks other gateways whether they take the request. Returns false if none can be asked.
     bool probePeers();
     void sendProbes(std::vector<std::shared_ptr<Backend>>);
-    // Called when no gateway that was asked reaches the service.
+    // Called when no gateway that was asked takes the request.
     void onNoPeer();
     void placeAtPeer();
     void sendToPeer(const std::shared_ptr<Backend>&);
@@ -126,12 +135,15 @@
     void recordAnswered(int status, const Attempt&);
     void closeAttempt(Attempt&);
     void refuse(Decisions::RefusalReason, double excessMs);
+    // Ends a request that can't be served, since the caller is not authenticated.
+    void rejectCaller(Decisions::AuthenticationVerdict);
     // `isUnreachable`: this gateway reaches no server and has sent the request to none; tells a gateway that forwarded it.
     void respondRefused(const char* cause, const std::string& retryAfterS, bool isUnreachable);
     void fail(int status, const char* cause);
     void onDeadline();
     void finish();
     bool isSafeToRepeat() const { return m_route.repeat == Records::Repeat::Safe; }
+    PeerNeed peerNeed() const { return m_authenticator == Authenticator::Receiver ? PeerNeed::Authentication : PeerNeed::Servers; }
     bool isProbing() const { return m_probeTimer != 0; }
     // Whether a probe of the current round has neither been answered nor failed.
     bool isProbePending() const;
@@ -152,6 +164,7 @@
     std::optional<std::size_t> m_bodyAttempt; // the attempt that the body is streamed to
     Common::TimePoint m_deadline;
     RequestOrigin m_origin;
+    Authenticator m_authenticator;
     std::optional<Organisation> m_organisation; // of the caller; empty on public routes and where the configuration has none
     std::uint64_t m_configurationVersion = 0; // by which the caller was identified
     CandidateScope m_scope = CandidateScope::OwnDomain;
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -207,6 +207,17 @@
     return needsKeys() && m_options.revokeTime && (!age || *age > *m_options.revokeTime - revokeMargin);
 }
 
+Decisions::AuthenticationInputs RequestRouter::authenticationInputs(bool isKeyKnown) const
+{
+    return {
+        .needsKey = true,
+        .isKeyKnown = isKeyKnown,
+        .age = m_options.configurationAge(),
+        .maxAge = m_options.revokeTime ? std::optional(*m_options.revokeTime - revokeMargin) : std::nullopt,
+        .applyTime = m_options.applyTime,
+    };
+}
+
 CallerIdentity RequestRouter::identify(const Net::Request& request, const Route& route) const
 {
     auto needsKey = needsKeys() && !route.isPublic;
@@ -217,17 +228,11 @@
     auto first = std::find_if(request.headers.begin(), request.headers.end(), isKey);
     auto isOnlyOne = first != request.headers.end() && std::find_if(std::next(first), request.headers.end(), isKey) == request.headers.end();
     const auto* organisation = isOnlyOne ? m_configuration->organisations.find(first->value) : nullptr;
-    auto verdict = Decisions::authenticate({
-        .needsKey = needsKey,
-        .isKeyKnown = organisation != nullptr,
-        .age = m_options.configurationAge(),
-        .maxAge = m_options.revokeTime ? std::optional(*m_options.revokeTime - revokeMargin) : std::nullopt,
-        .applyTime = m_options.applyTime,
-    });
+    auto verdict = Decisions::authenticate(authenticationInputs(organisation != nullptr));
     return { .verdict = verdict, .organisation = organisation ? std::optional(*organisation) : std::nullopt };
 }
 
-void RequestRouter::rejectCaller(const std::shared_ptr<Net::Exchange>& exchange, const Route& route, Decisions::AuthenticationVerdict verdict)
+void RequestRouter::rejectCaller(const std::shared_ptr<Net::Exchange>& exchange, const Route& route, Decisions::AuthenticationVerdict verdict, const char* notExecuted)
 {
     auto id = std::string(Net::findHeader(exchange->request().headers, m_options.headers.requestId).value_or(""));
     auto age = m_options.configurationAge();
@@ -254,7 +259,10 @@
     fields.push_back({ "cause", "the configuration is too old to tell whether the API key is valid" });
     fields.push_back({ "retry_after_s", retryAfterS });
     m_log.log(Common::EventId::CallRefused, std::move(fields));
-    exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { m_options.headers.retryAfter, retryAfterS } }, .body = {} });
+    Net::Headers headers { { m_options.headers.retryAfter, retryAfterS } };
+    if (*notExecuted)
+        headers.push_back({ m_options.headers.notExecuted, notExecuted });
+    exchange->respond({ .status = Unavailable, .reason = {}, .headers = std::move(headers), .body = {} });
 }
 
 void RequestRouter::refuseForAllowance(const std::shared_ptr<Net::Exchange>& exchange, const Route& route, const Organisation& organisation, Common::Duration wait)
@@ -279,14 +287,22 @@
     ++m_counters.requests;
     if (!m_configuration)
         return respondNotConfigured(exchange);
+    serveCaller(exchange, RequestOrigin::Caller);
+}
+
+void RequestRouter::serveCaller(const std::shared_ptr<Net::Exchange>& exchange, RequestOrigin origin)
+{
     const auto& request = exchange->request();
     const auto* route = m_configuration->find(Net::findHeader(request.headers, "Host").value_or(""), Net::pathOf(request.target));
     if (!route || route->parts.empty())
         return respondNoRoute(exchange);
     auto identity = identify(request, *route);
-    if (identity.verdict != Decisions::AuthenticationVerdict::Serve)
-        return rejectCaller(exchange, *route, identity.verdict);
-    if (identity.organisation && identity.organisation->hasAllowance()) {
+    auto isOutdated = identity.verdict == Decisions::AuthenticationVerdict::Outdated;
+    auto isForwarded = isOutdated && origin == RequestOrigin::Caller;
+    if (identity.verdict != Decisions::AuthenticationVerdict::Serve && !isForwarded)
+        return rejectCaller(exchange, *route, identity.verdict, !isOutdated ? "" : isConfigurationOutdated() ? outdatedReason
+                                                                                                             : undecidedReason);
+    if (!isForwarded && identity.organisation && identity.organisation->hasAllowance()) {
         auto verdict = m_allowances.gate().admit(identity.organisation->name, m_loop.now(), Common::randomUnit(m_loop.hooks()));
         if (!verdict.isAdmitted)
             return refuseForAllowance(exchange, *route, *identity.organisation, verdict.wait);
@@ -297,8 +313,9 @@
             .route = *route,
             .service = chooseService(*route),
             .deadline = deadline,
-            .origin = RequestOrigin::Caller,
-            .organisation = std::move(identity.organisation),
+            .origin = origin,
+            .authenticator = isForwarded ? Authenticator::Receiver : Authenticator::Self,
+            .organisation = isForwarded ? std::nullopt : std::move(identity.organisation),
         }));
 }
 
@@ -323,13 +340,21 @@
     if (!text)
         return respondToPeerProbe(exchange);
     auto forwarded = parseForwardedRequest(std::string(*text));
-    if (!forwarded || !m_configuration) {
+    auto unauthenticated = parseUnauthenticatedRequest(*text);
+    // One with an older configuration than that of the other gateway may hold revoked keys.
+    if (unauthenticated && (!m_configuration || m_configuration->version < unauthenticated->configurationVersion))
+        return exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { m_options.headers.notExecuted, outdatedReason } }, .body = {} });
+    if (!unauthenticated && (!forwarded || !m_configuration)) {
         if (!forwarded)
             m_log.log(Common::EventId::PeerMessageRefused, { { "cause", "malformed header of a forwarded request" }, { "value", std::string(*text) } });
         return exchange->respond({ .status = Unavailable, .reason = {}, .headers = { { m_options.headers.notExecuted, unreachableReason } }, .body = {} });
     }
     ++m_counters.acceptedForwarded;
     std::erase_if(request.headers, [](const auto& header) { return Net::equalsIgnoringCase(header.name, forwardedHeader); });
+    if (unauthenticated) {
+        ++m_counters.acceptedUnauthenticated;
+        return serveCaller(exchange, RequestOrigin::Gateway);
+    }
     auto deadline = exchange->received() + timeAllowed(request, forwardedTimeLimit);
     // The other gateway has identified the caller, and named the organisation in the request.
     start(std::make_shared<RequestForwarder>(*this, exchange,
@@ -338,19 +363,31 @@
             .service = forwarded->service,
             .deadline = deadline,
             .origin = RequestOrigin::Gateway,
+            .authenticator = Authenticator::Sender,
             .organisation = {},
         }));
 }
 
-// Tells another gateway whether this one reaches the servers of a service, and its load.
+bool RequestRouter::acceptsPeerProbe(const std::string& target) const
+{
+    if (!m_peers.self().serving || !m_configuration)
+        return false;
+    auto service = Net::queryValue(target, peerProbeService);
+    auto isReached = m_backends.usableCount(service) > 0 && m_backends.reachability(service) == Decisions::Reachability::Reachable;
+    if (Net::pathOf(target) == peerProbePath)
+        return isReached;
+    // A newer configuration may route the request to another service.
+    return (isReached || !m_configuration->services.contains(service)) && Decisions::mayAuthenticateForOthers(authenticationInputs(false));
+}
+
+// Tells another gateway whether this one takes requests to a service, and its load.
 void RequestRouter::respondToPeerProbe(const std::shared_ptr<Net::Exchange>& exchange)
 {
-    auto service = Net::queryValue(exchange->request().target, peerProbeService);
-    auto isReached = m_peers.self().serving && m_backends.usableCount(service) > 0 && m_backends.reachability(service) == Decisions::Reachability::Reachable;
-    auto isProbe = Net::pathOf(exchange->request().target) == peerProbePath;
+    const auto& target = exchange->request().target;
+    auto isProbe = Net::pathOf(target) == peerProbePath || Net::pathOf(target) == authenticationProbePath;
     exchange->respond({
-        .status = !isProbe ? NotFound : isReached ? Ok
-                                                  : Unavailable,
+        .status = !isProbe ? NotFound : acceptsPeerProbe(target) ? Ok
+                                                                 : Unavailable,
         .reason = {},
         // A gateway has no slots: the third figure only completes the report.
         .headers = { { m_options.headers.instanceId, m_peers.self().control }, { m_options.headers.load, fmt::format("{},0,1,100", m_forwarders.size()) } },
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -25,6 +25,7 @@
 namespace Gateway {
 
 class RequestForwarder;
+enum class RequestOrigin;
 
 struct RequestRouterOptions {
     WireHeaders headers;
@@ -52,7 +53,9 @@
 struct RequestCounters {
     std::uint64_t requests = 0; // of callers
     std::uint64_t forwarded = 0; // sent to other gateways
+    std::uint64_t forwardedAsOutdated = 0; // of the forwarded ones: the configuration was too old to tell whether the key is valid
     std::uint64_t acceptedForwarded = 0; // that other gateways have sent here
+    std::uint64_t acceptedUnauthenticated = 0; // of the accepted ones: this gateway authenticates the caller
     std::uint64_t answered = 0;
     std::uint64_t refused = 0; // answered with 503, not executed by any server
     std::uint64_t blocked = 0; // of the refused ones: requests that end the servers that run them
@@ -104,9 +107,9 @@
     // Whether keys in the configuration may have been revoked for too long, so that no request that needs one is served.
     bool isConfigurationOutdated() const;
     CallerIdentity identify(const Net::Request&, const Route&) const;
-    // Answers a request that identify() does not let pass.
-    void rejectCaller(const std::shared_ptr<Net::Exchange>&, const Route&, Decisions::AuthenticationVerdict);
-    // The organisations' allowances. Only requests that callers send to this gateway count, not those that others forward.
+    // Answers a request that identify() does not let pass. `notExecuted`: of a 503 to another gateway, the value of the header "not executed".
+    void rejectCaller(const std::shared_ptr<Net::Exchange>&, const Route&, Decisions::AuthenticationVerdict, const char* notExecuted = "");
+    // The organisations' allowances. Requests count at the gateway that authenticates their callers.
     Decisions::FleetAllowance& allowances() { return m_allowances; }
     RequestCounters& counters() { return m_counters; }
     const RequestCounters& counters() const { return m_counters; }
@@ -135,6 +138,10 @@
     void respondNotConfigured(const std::shared_ptr<Net::Exchange>&);
     // Answers a request beyond the organisation's allowance.
     void refuseForAllowance(const std::shared_ptr<Net::Exchange>&, const Route&, const Organisation&, Common::Duration wait);
+    // Routes a request and authenticates its caller, by the configuration in force.
+    void serveCaller(const std::shared_ptr<Net::Exchange>&, RequestOrigin);
+    Decisions::AuthenticationInputs authenticationInputs(bool isKeyKnown) const;
+    bool acceptsPeerProbe(const std::string& target) const;
     void respondToPeerProbe(const std::shared_ptr<Net::Exchange>&);
     // Until the time budget that the request names, or else the limit, is over.
     Common::Duration timeAllowed(const Net::Request&, Common::Duration limit) const;
--- a/Source/UnitTests/Decisions/AuthenticationTest.cpp
+++ b/Source/UnitTests/Decisions/AuthenticationTest.cpp
@@ -46,3 +46,35 @@
         CHECK(Decisions::authenticate({ .needsKey = row.needsKey, .isKeyKnown = row.isKeyKnown, .age = row.age, .maxAge = row.limit }) == row.verdict);
     }
 }
+
+namespace {
+
+struct OthersCase {
+    std::string what;
+    std::optional<Common::Duration> age;
+    std::optional<Common::Duration> limit;
+    bool isTaken;
+};
+
+const OthersCase othersCases[] = {
+    { "fresh", fresh, maxAge, true },
+    { "old for unknown keys, as between two answers of the store", old, maxAge, true },
+    { "soon too old itself", std::chrono::milliseconds(4001), maxAge, false },
+    { "too old itself", outdated, maxAge, false },
+    { "age not known", {}, maxAge, false },
+    { "fresh, revocation not strict", fresh, {}, true },
+    { "old, revocation not strict: unknown keys are all that others ask for", old, {}, false },
+    { "age not known, revocation not strict", {}, {}, false },
+};
+
+}
+
+// Guards against requests that go to gateways which can't authenticate their callers either, and against the last ones in an outage of the store that
+// get the requests of the whole fleet.
+TEST_CASE("A gateway authenticates callers for others while its own knowledge holds for a while yet")
+{
+    for (const auto& row : othersCases) {
+        CAPTURE(row.what);
+        CHECK(Decisions::mayAuthenticateForOthers({ .needsKey = true, .isKeyKnown = false, .age = row.age, .maxAge = row.limit }) == row.isTaken);
+    }
+}
--- a/Source/UnitTests/Gateway/ForwardedRequestTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardedRequestTest.cpp
@@ -1,7 +1,11 @@
 #include "Gateway/ForwardedRequest.h"
 
+#include <limits>
+
 #include <doctest/doctest.h>
 
+#include "Gateway/OldForwardedRequest.h"
+
 using namespace Gateway;
 
 TEST_CASE("What one gateway tells another of a forwarded request is read back as it was written")
@@ -41,3 +45,27 @@
         CHECK(!parseForwardedRequest(text).has_value());
     }
 }
+
+// Guards against gateways of the previous version that run a request whose caller nobody has authenticated.
+TEST_CASE("An unauthenticated request is told from others, and earlier versions take its header for malformed")
+{
+    for (std::uint64_t version : { std::uint64_t(0), std::uint64_t(7), std::numeric_limits<std::uint64_t>::max() }) {
+        CAPTURE(version);
+        auto text = toHeaderValue(UnauthenticatedRequest { version });
+        auto read = parseUnauthenticatedRequest(text);
+        REQUIRE(read.has_value());
+        CHECK(read->configurationVersion == version);
+        CHECK(!parseForwardedRequest(text).has_value());
+        CHECK(!UnitTests::isAcceptedByOldGateway(text));
+    }
+    ForwardedRequest request { .route = {}, .service = "unauthenticated;configuration=1" };
+    request.route.name = request.service;
+    request.route.maxAttempts = 1;
+    auto authenticated = toHeaderValue(request);
+    CHECK(UnitTests::isAcceptedByOldGateway(authenticated));
+    for (const std::string text : { "", "unauthenticated", "unauthenticated;configuration=", "unauthenticated;configuration=-1", "unauthenticated;configuration=1x",
+             "unauthenticated;configuration= 1", "unauthenticated;configuration=99999999999999999999", "Unauthenticated;configuration=1", authenticated.c_str() }) {
+        CAPTURE(text);
+        CHECK(!parseUnauthenticatedRequest(text).has_value());
+    }
+}
--- a/Source/UnitTests/Gateway/PeerGatewaysTest.cpp
+++ b/Source/UnitTests/Gateway/PeerGatewaysTest.cpp
@@ -14,6 +14,7 @@
 using Gateway::Member;
 using Gateway::Members;
 using Gateway::PeerGateways;
+using Gateway::PeerNeed;
 using std::chrono::milliseconds;
 
 constexpr auto service = "service";
@@ -31,6 +32,7 @@
     std::string reachingDomain; // their failure domain
     milliseconds interval {}; // between requests
     int mostInSearch = 2; // requests that may find none, until one is found
+    PeerNeed need = PeerNeed::Servers;
 };
 
 const SearchCase searchCases[] = {
@@ -40,6 +42,7 @@
     { "a single domain of sixty, nearly all lost", 60, 1, "a", milliseconds(20), 100 },
     { "a domain of sixty, many requests", 60, 6, "b", milliseconds(2) },
     { "a domain of 118, a request now and then", 118, 6, "b", milliseconds(150) },
+    { "a domain of sixty can't authenticate callers", 60, 6, "b", milliseconds(20), 2, PeerNeed::Authentication },
 };
 
 struct Search {
@@ -68,7 +71,7 @@
     PeerGateways peers(loop, members, { .headers = headers, .failureDomain = "a", .client = {} });
     auto end = now + length;
     std::function<void()> request = [&] {
-        auto asked = peers.candidates(service);
+        auto asked = peers.candidates(row.need, service);
         auto reaches = [&](const auto& peer) { return reaching.contains(peer->record().id); };
         ++result.requests;
         result.withoutReaching += std::none_of(asked.begin(), asked.end(), reaches) ? 1 : 0;
@@ -77,7 +80,7 @@
                 peer->learnFrom({ .status = 200, .reason = {}, .headers = { { headers.load, "1,0,1,100" } }, .body = {} });
             } else {
                 ++result.askedInVain;
-                peers.avoid(*peer);
+                peers.avoid(row.need, *peer);
             }
         }
         now += row.interval;
@@ -107,3 +110,17 @@
         CHECK(result.askedInVain <= row.cutOff + mostAskedInVainPerSecond * length.count());
     }
 }
+
+// Guards against a storm of load probes in an outage of the store, when all gateways of a fleet ask each other.
+TEST_CASE("While no gateway can authenticate callers, each asks a few others a second, however many requests come")
+{
+    constexpr auto length = std::chrono::seconds(4);
+    constexpr int mostPerSecond = 18;
+    for (auto interval : { milliseconds(2), milliseconds(20) }) {
+        CAPTURE(interval.count());
+        auto result = search({ "a fleet of 221", 220, 0, "b", interval, 0, PeerNeed::Authentication }, length);
+        CAPTURE(result.askedInVain);
+        CHECK(result.withoutReaching == result.requests);
+        CHECK(result.askedInVain <= mostPerSecond * length.count());
+    }
+}
