Tests: warm-ups that end by the header, a replaced leading relay, requests that wait while keys change

Change: WarmupTest plays two gateways and a server that tells of its warm-up in all answers, in those to load probes or requests alone, or in the registry only; AllowanceTest replaces the leading relay of four gateways (killed, told to stop) while an organisation is limited; ApiKeyTest changes the configuration while a request waits for the answer to a load probe, at the gateway that the caller has sent it to and at one that another gateway has forwarded it to.

--- a/Source/UnitTests/Gateway/AllowanceTest.cpp
+++ b/Source/UnitTests/Gateway/AllowanceTest.cpp
@@ -117,3 +117,92 @@
         CHECK(callWithKey(fleet.gateway(n % gateways), "u" + std::to_string(n), "ks").status == 200);
     CHECK(Fleet::metric(fleet.gateway(0), "limited_organisations") == 0);
 }
+
+namespace {
+
+struct LeaderCase {
+    std::string what;
+    bool isKilled; // else it is told to stop
+    int firstPort;
+};
+
+const LeaderCase leaderCases[] = {
+    { "the leading relay is killed", true, 20680 },
+    { "the leading relay is told to stop", false, 20684 },
+};
+
+// The gateway that reads the store for all; nullopt while there are none or several.
+std::optional<int> leader(Fleet& fleet, const std::vector<int>& running)
+{
+    std::optional<int> found;
+    for (int i : running) {
+        if (Fleet::metric(fleet.gateway(i), "reading_store") != 1)
+            continue;
+        if (found)
+            return std::nullopt;
+        found = i;
+    }
+    return found;
+}
+
+}
+
+// Guards against a fleet that admits everything, or nothing, while the new leading relay does not know the demand yet.
+TEST_CASE("When the leading relay is replaced, the fractions of limited organisations stay in force")
+{
+    constexpr int gateways = 4;
+    constexpr auto before = std::chrono::seconds(8);
+    constexpr auto after = std::chrono::seconds(8);
+    // Requests a second of the limited organisation, far beyond its rate.
+    constexpr auto interval = std::chrono::milliseconds(20);
+    for (const auto& row : leaderCases) {
+        CAPTURE(row.what);
+        Fleet fleet(gateways, row.firstPort);
+        putConfiguration(fleet, 2, tenants(R"(,"rate_per_s":4,"burst":4)"));
+        REQUIRE(fleet.waitReady());
+        REQUIRE(waitConfigured(fleet, gateways, 2));
+        std::vector<int> running { 0, 1, 2, 3 };
+        REQUIRE(eventually([&] { return leader(fleet, running).has_value(); }));
+        Surge surge;
+        int n = 0;
+        auto callUntil = [&](Common::TimePoint end) {
+            for (; std::chrono::steady_clock::now() < end; ++n) {
+                auto response = callWithKey(fleet.gateway(running[static_cast<std::size_t>(n) % running.size()]), "s" + std::to_string(n), "ks");
+                ++surge.sent;
+                if (response.status == 200)
+                    surge.served.push_back(std::chrono::steady_clock::now());
+                else
+                    ++(response.status == 429 ? surge.limited : surge.others);
+                std::this_thread::sleep_for(interval);
+            }
+        };
+        callUntil(std::chrono::steady_clock::now() + before);
+        REQUIRE(surge.limited > 0);
+        auto old = leader(fleet, running);
+        REQUIRE(old);
+        std::erase(running, *old);
+        auto replacedAt = std::chrono::steady_clock::now();
+        if (row.isKilled)
+            fleet.stop(*old);
+        else
+            fleet.gateway(*old).daemon().shutDown();
+        // The fractions are in force at each moment until the new one has its first reports, and afterwards.
+        auto lowestLimited = gateways;
+        while (std::chrono::steady_clock::now() < replacedAt + after) {
+            callUntil(std::chrono::steady_clock::now() + std::chrono::milliseconds(100));
+            for (int i : running)
+                lowestLimited = std::min(lowestLimited, Fleet::metric(fleet.gateway(i), "limited_organisations").value_or(0));
+        }
+        CHECK(lowestLimited == 1);
+        auto next = leader(fleet, running);
+        CHECK(next.has_value());
+        auto servedAfter = std::count_if(surge.served.begin(), surge.served.end(), [&](const auto& at) { return at >= replacedAt + after / 2; });
+        auto bound = (rate * windowS + burst) * 1.1 + 20;
+        MESSAGE(row.what << ": sent " << surge.sent << ", served " << surge.served.size() << ", worst window " << surge.worstWindow() << " of " << bound << ", in the last 4 s "
+                         << servedAfter << ", others " << surge.others);
+        CHECK(surge.others == 0);
+        CHECK(surge.worstWindow() <= bound);
+        // Half of the rate at least, once the new one knows the demand.
+        CHECK(static_cast<double>(servedAfter) >= rate * 2);
+    }
+}
--- a/Source/UnitTests/Gateway/ApiKeyTest.cpp
+++ b/Source/UnitTests/Gateway/ApiKeyTest.cpp
@@ -1,6 +1,9 @@
+#include <atomic>
+
 #include <doctest/doctest.h>
 
-#include "Gateway/GatewayFixture.h"
+#include "Gateway/FleetFixture.h"
+#include "Gateway/ForwardedRequest.h"
 
 namespace {
 
@@ -130,3 +133,93 @@
     fixture.thread.call([&] { fixture.store->setMode(PlatformStandIn::StoreMode::Serving); });
     CHECK(eventually([&] { return gateway.call(withHeaders("again", key + "k1\r\n")).status == 200; }));
 }
+
+namespace {
+
+struct WaitingCase {
+    std::string what;
+    std::string tenants; // of the configuration that arrives while the request waits
+    std::string organisation; // that the server is told
+    int status;
+    bool isForwarded; // by another gateway, which has not authenticated the caller
+};
+
+const WaitingCase waitingCases[] = {
+    { "its key is revoked", R"({"one":{"api_keys":["k2"]}})", "", 401, false },
+    { "its key moves to another organisation", R"({"one":{"api_keys":["k2"]},"two":{"api_keys":["k1"]}})", "two", 200, false },
+    { "its key stays", R"({"one":{"api_keys":["k1"]}})", "one", 200, false },
+    { "forwarded, its key is revoked", R"({"one":{"api_keys":["k2"]}})", "", 401, true },
+    { "forwarded, its key moves to another organisation", R"({"one":{"api_keys":["k2"]},"two":{"api_keys":["k1"]}})", "two", 200, true },
+};
+
+}
+
+// Guards against requests that run with a key that was revoked while they waited, or for an organisation that no longer holds it.
+TEST_CASE("A request that waits for a server is authenticated again when the configuration changes")
+{
+    // The answer to a load probe takes 1.6 s here, and 160 ms by the gateway's clock, so that the configuration arrives before it.
+    constexpr auto pieceDelay = std::chrono::milliseconds(800);
+    const int clockFactor = 10;
+    auto hooks = Common::systemHooks();
+    auto slowFrom = std::make_shared<std::atomic<Common::TimePoint>>(Common::TimePoint::max());
+    hooks.now = [system = hooks.now, slowFrom, clockFactor]() -> Common::TimePoint {
+        auto now = system();
+        auto from = slowFrom->load();
+        return now <= from ? now : from + (now - from) / clockFactor;
+    };
+    GatewayFixture fixture(1);
+    std::unique_ptr<Soak::FaultProxy> proxy;
+    fixture.thread.call([&] {
+        proxy = std::make_unique<Soak::FaultProxy>(fixture.thread.loop(), fixture.servers[0]->address());
+        proxy->setDelay(pieceDelay);
+        auto value = fixture.servers[0]->registryValue();
+        value.replace(value.find(fixture.servers[0]->address()), fixture.servers[0]->address().size(), proxy->address());
+        fixture.store->put(Names::registryTable, "server-1", value);
+        fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(2, twoTenants));
+    });
+    {
+        auto settings = RunningGateway::settings(fixture.storeAddress(), {}, "127.0.0.1:0", Common::LogFormat::Off);
+        // Above all ages that the configuration reaches here, or an unknown key is answered with 503.
+        settings.applyMs = 4500;
+        // With few load probes the request would be sent at once, by what is known.
+        settings.probesPerServer = 10'000;
+        RunningGateway gateway(settings, -1, hooks);
+        REQUIRE(gateway.waitReady());
+        int version = 2;
+        auto apply = [&](const std::string& tenants) {
+            ++version;
+            fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(version, tenants)); });
+            return eventually([&] { return Fleet::metric(gateway, "configuration_version") == version; });
+        };
+        // From then on it waits at the store for the next configuration.
+        REQUIRE(eventually([&] { return Fleet::metric(gateway, "reading_store") == 1; }));
+        REQUIRE(apply(twoTenants));
+        REQUIRE(apply(twoTenants));
+        slowFrom->store(std::chrono::steady_clock::now());
+        for (const auto& row : waitingCases) {
+            CAPTURE(row.what);
+            REQUIRE(apply(twoTenants));
+            // Opens a connection, so that the next load probe is a single piece.
+            REQUIRE(gateway.call(withHeaders("warm", key + "k2\r\n")).status == 200);
+            fixture.thread.call([&] { proxy->setMode(Soak::ProxyMode::Delay); });
+            auto sent = Fleet::metric(gateway, "sends_total");
+            auto id = "waiting" + std::to_string(version);
+            CallerConnection caller(row.isForwarded ? gateway.daemon().forwardingAddress() : gateway.daemon().callersAddress());
+            auto headers = row.isForwarded ? std::string(Gateway::forwardedHeader) + ": unauthenticated;configuration=2\r\n" : std::string();
+            caller.send(withHeaders(id, headers.append(key).append("k1\r\n")));
+            REQUIRE(apply(row.tenants));
+            // It has waited until here, or the test shows nothing.
+            CHECK(Fleet::metric(gateway, "sends_total") == sent);
+            auto response = caller.receive();
+            CHECK(response.status == row.status);
+            CHECK(!Net::findHeader(response.headers, Names::notExecuted));
+            fixture.thread.call([&] { proxy->setMode(Soak::ProxyMode::Pass); });
+            CHECK(fixture.runs.runs(id) == (row.status == 200 ? 1 : 0));
+            auto lastHeaders = fixture.thread.call([&] { return fixture.servers[0]->lastHeaders(); });
+            if (row.status == 200)
+                CHECK(std::string(Net::findHeader(lastHeaders, Names::organisation).value_or("")) == row.organisation);
+            CHECK(!Net::findHeader(lastHeaders, Names::apiKey));
+        }
+    }
+    fixture.thread.call([&] { proxy.reset(); });
+}
--- a/Source/UnitTests/Gateway/OutdatedForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/OutdatedForwardingTest.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include "Gateway/ForwardedRequest.h"
 #include "Gateway/OldForwardedRequest.h"
@@ -97,28 +98,27 @@
     std::string method;
     std::string target;
     std::string headers;
+    std::string organisation; // that the server is told
     int status = 200;
-    std::string organisation = {}; // that the server is told
+    bool isForwarded = true;
     std::size_t bodyBytes = 0;
     std::size_t paddingBytes = 0; // of the answer
-    bool isForwarded = true;
 };
 
 const ForwardedCase forwardedCases[] = {
-    { "known key", "GET", "/safe/x", key + "k1\r\n", 200, "one" },
-    { "the caller names an organisation itself", "GET", "/safe/x", key + "k2\r\n" + tenant + "two\r\n", 200, "one" },
-    { "not safe to repeat", "POST", "/once/x", key + "k1\r\n", 200, "one", 4 },
-    { "streamed body", "POST", "/once/x", key + "k1\r\n", 200, "one", 900'000 },
-    { "answer beyond what a gateway holds", "GET", "/safe/x", key + "k1\r\n", 200, "one", 0, 3'000'000 },
-    { "the caller claims to be a gateway", "GET", "/safe/x", key + "k1\r\n" + Gateway::forwardedHeader + ": ?service=service&route=r&repeat=safe&goal_ms=300&priority=1&attempts=2\r\n", 200, "one" },
-    { "no key, the caller names an organisation", "GET", "/safe/x", tenant + "one\r\n", 401 },
-    { "unknown key", "GET", "/safe/x", key + "k4\r\n", 401 },
-    { "two keys", "GET", "/safe/x", key + "k1\r\n" + key + "k3\r\n", 401 },
-    { "unknown key, body", "POST", "/once/x", key + "k4\r\n", 401, {}, 4 },
-    { "public route", "GET", "/open/x", key + "k4\r\n" + tenant + "two\r\n", 200, {}, 0, 0, false },
-    { "unknown route", "GET", "/unknown/x", key + "k1\r\n", 404, {}, 0, 0, false },
+    { "known key", "GET", "/safe/x", key + "k1\r\n", "one" },
+    { "the caller names an organisation itself", "GET", "/safe/x", key + "k2\r\n" + tenant + "two\r\n", "one" },
+    { "not safe to repeat", "POST", "/once/x", key + "k1\r\n", "one", 200, true, 4 },
+    { "streamed body", "POST", "/once/x", key + "k1\r\n", "one", 200, true, 900'000 },
+    { "answer beyond what a gateway holds", "GET", "/safe/x", key + "k1\r\n", "one", 200, true, 0, 3'000'000 },
+    { "the caller claims to be a gateway", "GET", "/safe/x", key + "k1\r\n" + Gateway::forwardedHeader + ": ?service=service&route=r&repeat=safe&goal_ms=300&priority=1&attempts=2\r\n", "one" },
+    { "no key, the caller names an organisation", "GET", "/safe/x", tenant + "one\r\n", "", 401 },
+    { "unknown key", "GET", "/safe/x", key + "k4\r\n", "", 401 },
+    { "two keys", "GET", "/safe/x", key + "k1\r\n" + key + "k3\r\n", "", 401 },
+    { "unknown key, body", "POST", "/once/x", key + "k4\r\n", "", 401, true, 4 },
+    { "public route", "GET", "/open/x", key + "k4\r\n" + tenant + "two\r\n", "", 200, false },
+    { "unknown route", "GET", "/unknown/x", key + "k1\r\n", "", 404, false },
 };
-
 }
 
 // Guards against keys and organisations that callers name themselves which reach servers, requests that run without a valid key, and requests that are
@@ -269,23 +269,23 @@
 
 struct PortCase {
     std::string what;
-    int gateway; // 0: its configuration is too old
     std::string forwarded; // value of the header of forwarded requests
     std::string headers;
-    int status;
     std::string notExecuted; // header of the answer
+    int gateway = 1; // 0: its configuration is too old
+    int status = 503;
 };
 
 const PortCase portCases[] = {
-    { "known key", 1, "unauthenticated;configuration=2", key + "k1\r\n", 200, "" },
-    { "unknown key", 1, "unauthenticated;configuration=2", key + "k4\r\n", 401, "" },
-    { "no key", 1, "unauthenticated;configuration=2", tenant + "one\r\n", 401, "" },
-    { "the sender's configuration is newer", 1, "unauthenticated;configuration=3", key + "k1\r\n", 503, Gateway::outdatedReason },
-    { "the receiver's configuration is too old as well", 0, "unauthenticated;configuration=2", key + "k1\r\n", 503, Gateway::outdatedReason },
-    { "unknown key, the receiver's configuration is too old as well", 0, "unauthenticated;configuration=2", key + "k4\r\n", 503, Gateway::outdatedReason },
-    { "malformed", 1, "unauthenticated", key + "k1\r\n", 503, Gateway::unreachableReason },
-    { "malformed version", 1, "unauthenticated;configuration=x", key + "k1\r\n", 503, Gateway::unreachableReason },
-    { "empty header", 1, "", key + "k1\r\n", 503, Gateway::unreachableReason },
+    { "known key", "unauthenticated;configuration=2", key + "k1\r\n", "", 1, 200 },
+    { "unknown key", "unauthenticated;configuration=2", key + "k4\r\n", "", 1, 401 },
+    { "no key", "unauthenticated;configuration=2", tenant + "one\r\n", "", 1, 401 },
+    { "the sender's configuration is newer", "unauthenticated;configuration=3", key + "k1\r\n", Gateway::outdatedReason },
+    { "the receiver's configuration is too old as well", "unauthenticated;configuration=2", key + "k1\r\n", Gateway::outdatedReason, 0 },
+    { "unknown key, the receiver's configuration is too old as well", "unauthenticated;configuration=2", key + "k4\r\n", Gateway::outdatedReason, 0 },
+    { "malformed", "unauthenticated", key + "k1\r\n", Gateway::unreachableReason },
+    { "malformed version", "unauthenticated;configuration=x", key + "k1\r\n", Gateway::unreachableReason },
+    { "empty header", "", key + "k1\r\n", Gateway::unreachableReason },
 };
 
 }
@@ -323,7 +323,8 @@
     fixture.thread.call([&] { fixture.store->setMode(PlatformStandIn::StoreMode::Busy); });
     auto call = [&](const std::string& id, const std::string& apiKey) {
         CallerConnection connection(gateway->daemon().forwardingAddress());
-        connection.send(get(id, std::string(Gateway::forwardedHeader) + ": unauthenticated;configuration=2\r\n" + key + apiKey + "\r\n"));
+        auto headers = std::string(Gateway::forwardedHeader) + ": unauthenticated;configuration=2\r\n";
+        connection.send(get(id, headers.append(key).append(apiKey).append("\r\n")));
         return connection.receive();
     };
     REQUIRE(eventually([&] { return call("learn", "k4").status == 503; }));
@@ -341,13 +342,12 @@
 public:
     struct Behaviour {
         std::string what;
-        int reachStatus = 200; // to a load probe that asks for servers
-        int authenticationStatus = 200; // to one that asks for authentication as well; 0: no answer
         // Answers a request; nullopt closes the connection.
         std::function<std::optional<Net::Response>(const Net::Request&)> serve;
         int status = 0; // that the caller gets
-        std::string retryAfter = {}; // header of that answer
+        int probeStatus = 200; // to a load probe that asks for authentication; 0: no answer
         int arrivals = 1; // requests that the gateway gets
+        std::string retryAfter = {}; // header of the answer that the caller gets
     };
 
     FakePeer(Net::EventLoop& loop, const Behaviour& behaviour)
@@ -390,8 +390,8 @@
         }
         ++m_probes;
         auto path = Net::pathOf(request.target);
-        auto status = path == Gateway::peerProbePath ? m_behaviour.reachStatus : path == Gateway::authenticationProbePath ? m_behaviour.authenticationStatus
-                                                                                                                          : 404;
+        auto status = path == Gateway::peerProbePath ? 200 : path == Gateway::authenticationProbePath ? m_behaviour.probeStatus
+                                                                                                      : 404;
         if (status == 0) {
             m_unanswered.push_back(exchange);
             return;
@@ -424,19 +424,24 @@
     return std::nullopt;
 }
 
+std::function<std::optional<Net::Response>(const Net::Request&)> always(int status, Net::Headers headers = {})
+{
+    return [response = answer(status, std::move(headers))](const auto&) { return std::optional(response); };
+}
+
 const FakePeer::Behaviour peerCases[] = {
-    { "serves it", 200, 200, [](const auto&) { return std::optional(answer(200)); }, 200 },
-    { "previous version", 200, 404, serveAsOldGateway, 503, {}, 0 },
-    { "previous version in place of the one that has answered the load probe", 200, 200, serveAsOldGateway, 503 },
-    { "its configuration is too old", 200, 503, serveNothing, 503, {}, 0 },
-    { "its configuration has become too old since the load probe", 200, 200, [](const auto&) { return std::optional(answer(503, { { Names::notExecuted, Gateway::outdatedReason }, { Names::retryAfter, "7" } })); }, 503 },
-    { "does not know the key, which may be new", 200, 200, [](const auto&) { return std::optional(answer(503, { { Names::notExecuted, Gateway::undecidedReason }, { Names::retryAfter, "7" } })); }, 503 },
-    { "reaches no server", 200, 200, [](const auto&) { return std::optional(answer(503, { { Names::notExecuted, Gateway::unreachableReason } })); }, 503 },
-    { "has refused it without executing it", 200, 200, [](const auto&) { return std::optional(answer(503, { { Names::notExecuted, "1" }, { Names::retryAfter, "7" } })); }, 503, "7" },
-    { "no valid key", 200, 200, [](const auto&) { return std::optional(answer(401)); }, 401 },
-    { "allowance used up", 200, 200, [](const auto&) { return std::optional(answer(429, { { Names::retryAfter, "7.5" } })); }, 429, "7.5" },
-    { "answer lost", 200, 200, serveNothing, 502 },
-    { "silent", 200, 0, serveNothing, 503, {}, 0 },
+    { "serves it", always(200), 200 },
+    { "previous version", serveAsOldGateway, 503, 404, 0 },
+    { "previous version in place of the one that has answered the load probe", serveAsOldGateway, 503 },
+    { "its configuration is too old", serveNothing, 503, 503, 0 },
+    { "its configuration has become too old since the load probe", always(503, { { Names::notExecuted, Gateway::outdatedReason }, { Names::retryAfter, "7" } }), 503 },
+    { "does not know the key, which may be new", always(503, { { Names::notExecuted, Gateway::undecidedReason }, { Names::retryAfter, "7" } }), 503 },
+    { "reaches no server", always(503, { { Names::notExecuted, Gateway::unreachableReason } }), 503 },
+    { "has refused it without executing it", always(503, { { Names::notExecuted, "1" }, { Names::retryAfter, "7" } }), 503, 200, 1, "7" },
+    { "no valid key", always(401), 401 },
+    { "allowance used up", always(429, { { Names::retryAfter, "7.5" } }), 429, 200, 1, "7.5" },
+    { "answer lost", serveNothing, 502 },
+    { "silent", serveNothing, 503, 0, 0 },
 };
 
 }
@@ -464,7 +469,7 @@
                     fixture.thread.call([&] { peer->announceTo(control); });
                     return Fleet::metric(gateway, "members") == 2;
                 }));
-                auto headers = key + "k1\r\n" + tenant + "two\r\n";
+                const auto headers = fmt::format("{}k1\r\n{}two\r\n", key, tenant);
                 auto start = std::chrono::steady_clock::now();
                 auto response = gateway.call(isSafe ? get("id", headers) : withHeaders(requestBytes("POST", "/once/x", "id", 1000, "body"), headers));
                 auto took = std::chrono::steady_clock::now() - start;
--- a/Source/UnitTests/Gateway/WarmupTest.cpp
+++ b/Source/UnitTests/Gateway/WarmupTest.cpp
@@ -1,4 +1,4 @@
-#include "GatewayFixture.h"
+#include "FleetFixture.h"
 
 #include <doctest/doctest.h>
 
@@ -74,3 +74,72 @@
         CHECK((limited <= 5) == row.isLimited);
     }
 }
+
+namespace {
+
+struct WarmCase {
+    std::string what;
+    std::function<void(GatewayFixture&)> becomesCold;
+    std::function<void(GatewayFixture&)> afterwards;
+    bool isLimited; // afterwards
+};
+
+using PlatformStandIn::ResponseKind;
+
+const WarmCase warmCases[] = {
+    { "all answers, then none", [](auto& it) { it.servers[0]->setWarmupLeft("60000"); }, [](auto& it) { it.servers[0]->setWarmupLeft({}); }, false },
+    { "all answers, then with no time left", [](auto& it) { it.servers[0]->setWarmupLeft("60000"); }, [](auto& it) { it.servers[0]->setWarmupLeft("0"); }, false },
+    { "answers to load probes alone, then none", [](auto& it) { it.servers[0]->setWarmupLeft("60000", ResponseKind::ToProbes); }, [](auto& it) { it.servers[0]->setWarmupLeft({}); }, false },
+    { "answers to requests alone, then none", [](auto& it) { it.servers[0]->setWarmupLeft("60000", ResponseKind::ToRequests); }, [](auto& it) { it.servers[0]->setWarmupLeft({}); }, false },
+    { "the registry, no answer ever", [](auto& it) { it.store->put(Names::registryTable, "server-1", replaced(it.store->value(Names::registryTable, "server-1"), R"("warmup_left_ms":0)", R"("warmup_left_ms":60000)")); }, [](auto&) {}, true },
+};
+
+// Calls to both gateways of the fleet in turn for `ms` milliseconds. Returns how many the first server got.
+int loadFleet(UnitTests::Fleet& fleet, int ms)
+{
+    static std::atomic<int> number = 0;
+    auto before = arrivals(fleet.fixture(), 0);
+    for (auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms); std::chrono::steady_clock::now() < end;) {
+        auto n = ++number;
+        fleet.gateway(n % 2).call(requestBytes("GET", "/safe/x", "f" + std::to_string(n)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return arrivals(fleet.fixture(), 0) - before;
+}
+
+}
+
+// Guards against a cold server that gets its usual share since answers of one kind leave out what those of another kind tell, and against one that
+// stays limited when it is warm.
+TEST_CASE("A server's warm-up ends when answers of a kind that told of it don't any more, and not before")
+{
+    constexpr int mostWhileCold = 42; // in 2 s, at 20 a second and one request in hand at each gateway
+    constexpr int leastWhenWarm = 80;
+    int port = 20700;
+    for (const auto& row : warmCases) {
+        CAPTURE(row.what);
+        // With few load probes hardly any goes to a cold server, which ranks behind the other one.
+        UnitTests::Fleet fleet(2, port, 2, [](auto& settings) { settings.probesPerServer = 1000; });
+        port += 2;
+        auto& fixture = fleet.fixture();
+        setWarmupRate(fixture, "20");
+        REQUIRE(fleet.waitReady());
+        for (int i = 0; i < 2; ++i)
+            REQUIRE(UnitTests::eventually([&] { return UnitTests::Fleet::metric(fleet.gateway(i), "configuration_version") == 2; }));
+        REQUIRE(loadFleet(fleet, 500) > 0);
+        fixture.thread.call([&] { row.becomesCold(fixture); });
+        loadFleet(fleet, 2500); // the gateways learn of it
+        fixture.setMode(1, PlatformStandIn::ServerMode::Sheds);
+        auto cold = loadFleet(fleet, 2000);
+        fixture.thread.call([&] { row.afterwards(fixture); });
+        loadFleet(fleet, 2500); // the gateways learn of it
+        auto after = loadFleet(fleet, 2000);
+        MESSAGE(row.what << ": " << cold << " requests in 2 s while cold, " << after << " afterwards");
+        CHECK(cold > 0);
+        CHECK(cold <= mostWhileCold);
+        if (row.isLimited)
+            CHECK(after <= mostWhileCold);
+        else
+            CHECK(after >= leastWhenWarm);
+    }
+}
