--- a/Source/UnitTests/Gateway/ApiKeyTest.cpp
+++ b/Source/UnitTests/Gateway/ApiKeyTest.cpp
@@ -207,6 +207,8 @@
             CallerConnection caller(row.isForwarded ? gateway.daemon().forwardingAddress() : gateway.daemon().callersAddress());
             auto headers = row.isForwarded ? std::string(Gateway::forwardedHeader) + ": unauthenticated;configuration=2\r\n" : std::string();
             caller.send(withHeaders(id, headers.append(key).append("k1\r\n")));
+            // It has been authenticated and has sent its load probe.
+            REQUIRE(eventually([&] { return Fleet::metric(gateway, "requests_in_flight") == 1; }));
             REQUIRE(apply(row.tenants));
             // It has waited until here, or the test shows nothing.
             CHECK(Fleet::metric(gateway, "sends_total") == sent);
--- a/Source/UnitTests/Gateway/WarmupTest.cpp
+++ b/Source/UnitTests/Gateway/WarmupTest.cpp
@@ -107,6 +107,12 @@
     return arrivals(fleet.fixture(), 0) - before;
 }
 
+// Gateways of the fleet that take the first server for cold.
+int gatewaysThatWarm(UnitTests::Fleet& fleet)
+{
+    return UnitTests::Fleet::metric(fleet.gateway(0), "warming_servers").value_or(0) + UnitTests::Fleet::metric(fleet.gateway(1), "warming_servers").value_or(0);
+}
+
 }
 
 // Guards against a cold server that gets its usual share since answers of one kind leave out what those of another kind tell, and against one that
@@ -130,11 +136,21 @@
         fixture.thread.call([&] { row.becomesCold(fixture); });
         loadFleet(fleet, 2500); // the gateways learn of it
         fixture.setMode(1, PlatformStandIn::ServerMode::Sheds);
-        auto cold = loadFleet(fleet, 2000);
+        // Long enough to see a gateway that takes the server for warm until the next answer.
+        fixture.thread.call([&] { fixture.servers[0]->setWork(std::chrono::milliseconds(80)); });
+        int cold = 0;
+        int fewestThatKnow = 2;
+        for (int i = 0; i < 40; ++i) {
+            cold += loadFleet(fleet, 50);
+            fewestThatKnow = std::min(fewestThatKnow, gatewaysThatWarm(fleet));
+        }
+        CHECK(fewestThatKnow == 2);
+        fixture.thread.call([&] { fixture.servers[0]->setWork(std::chrono::milliseconds(10)); });
         fixture.thread.call([&] { row.afterwards(fixture); });
         loadFleet(fleet, 2500); // the gateways learn of it
         auto after = loadFleet(fleet, 2000);
         MESSAGE(row.what << ": " << cold << " requests in 2 s while cold, " << after << " afterwards");
+        CHECK(gatewaysThatWarm(fleet) == (row.isLimited ? 2 : 0));
         CHECK(cold > 0);
         CHECK(cold <= mostWhileCold);
         if (row.isLimited)
