OutdatedForwardingTest: a machine that resumes after a suspension, a receiver without organisations

Cause: the fleet tests hold a configuration for too old by a setting; the case that the rule is for is a gateway whose knowledge has aged while it was suspended.

Change: a gateway's boot clock jumps by a minute; its requests go to the other one until it has seen the store again. Keys and organisations of unauthenticated requests are checked at a gateway whose configuration knows no organisations.

--- a/Source/UnitTests/Gateway/OutdatedForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/OutdatedForwardingTest.cpp
@@ -312,6 +312,65 @@
     CHECK(fleet.sum("forwarded_total") == forwarded);
 }
 
+// Guards against a gateway that refuses its callers, or serves them by what it knew before, when its machine resumes after a suspension.
+TEST_CASE("Requests to a gateway that resumes after a suspension are served by way of another one until it has seen the store again")
+{
+    GatewayFixture fixture(2);
+    fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(2, tenants)); });
+    const std::vector<std::string> controls { "127.0.0.1:20664", "127.0.0.1:20665" };
+    auto suspended = std::make_shared<std::atomic<Common::Duration>>(Common::Duration::zero());
+    std::vector<std::unique_ptr<RunningGateway>> gateways;
+    for (const auto& control : controls) {
+        auto settings = RunningGateway::settings(fixture.storeAddress(), controls, control, Common::LogFormat::Off);
+        settings.callers = "127.0.0.1:0";
+        settings.revokeMs = revokeMs;
+        auto hooks = Common::systemHooks();
+        if (gateways.empty())
+            hooks.bootTime = [system = hooks.bootTime, suspended] { return system() + suspended->load(); };
+        gateways.push_back(std::make_unique<RunningGateway>(settings, -1, hooks));
+    }
+    for (auto& gateway : gateways) {
+        REQUIRE(gateway->waitReady());
+        REQUIRE(eventually([&] { return Fleet::metric(*gateway, "members") == 2 && Fleet::metric(*gateway, "configuration_version") == 2; }));
+    }
+    auto& resumed = *gateways[0];
+    CHECK(resumed.call(get("before", key + "k1\r\n")).status == 200);
+    CHECK(Fleet::metric(resumed, "forwarded_total") == 0);
+    auto isConfirmed = [&] { return Fleet::metric(resumed, "configuration_age_ms").value_or(revokeMs) < revokeMs / 2; };
+    // The first time, it may not have heard yet that the other one is ready.
+    REQUIRE(eventually([&] {
+        suspended->store(suspended->load() + std::chrono::minutes(1));
+        return resumed.call(get("learn", key + "k1\r\n")).status == 200 && Fleet::metric(resumed, "forwarded_outdated_total").value_or(0) > 0;
+    }));
+    REQUIRE(eventually(isConfirmed));
+    auto before = Fleet::metric(resumed, "forwarded_outdated_total").value_or(0);
+    suspended->store(suspended->load() + std::chrono::minutes(1));
+    for (int n = 0; n < 10; ++n)
+        CHECK(resumed.call(get("resumed" + std::to_string(n), key + "k1\r\n")).status == 200);
+    CHECK(Fleet::metric(resumed, "forwarded_outdated_total").value_or(0) > before);
+    CHECK(Fleet::metric(*gateways[1], "accepted_unauthenticated_total") == Fleet::metric(resumed, "forwarded_outdated_total"));
+    REQUIRE(eventually(isConfirmed));
+    auto forwarded = Fleet::metric(resumed, "forwarded_total");
+    CHECK(resumed.call(get("after", key + "k1\r\n")).status == 200);
+    CHECK(Fleet::metric(resumed, "forwarded_total") == forwarded);
+}
+
+// Guards against a key that reaches a server since the gateway that takes the request knows no organisations.
+TEST_CASE("Keys and organisations of unauthenticated requests are dropped also by a gateway whose configuration has no organisations")
+{
+    GatewayFixture fixture(1);
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    CallerConnection connection(gateway->daemon().forwardingAddress());
+    auto forwarded = std::string(Gateway::forwardedHeader) + ": unauthenticated;configuration=1\r\n";
+    connection.send(get("none", forwarded.append(key).append("k1\r\n").append(tenant).append("one\r\n")));
+    CHECK(connection.receive().status == 200);
+    auto headers = fixture.thread.call([&] { return fixture.servers[0]->lastHeaders(); });
+    CHECK(Net::findHeader(headers, Names::requestId) == "none");
+    CHECK(!Net::findHeader(headers, Names::apiKey));
+    CHECK(!Net::findHeader(headers, Names::organisation));
+}
+
 // Guards against 401 for keys that are newer than the configuration of the gateway that was asked, and against a refusal of one key for which it is
 // left out with all others.
 TEST_CASE("A gateway that does not know whether a key is new says so, and serves known ones")
