--- a/Source/UnitTests/Gateway/OutdatedForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/OutdatedForwardingTest.cpp
@@ -558,3 +558,75 @@
         }
     }
 }
+
+// Guards against a request that runs by a configuration which has become too old while it waited, or that is refused though another gateway
+// could serve it.
+TEST_CASE("A request that waits while the configuration is replaced by one of unproved age goes to another gateway")
+{
+    // The answer to a load probe takes 1.6 s here, and 160 ms by the gateway's clock, so that the configuration arrives before it.
+    constexpr auto pieceDelay = milliseconds(800);
+    const int clockFactor = 10;
+    const std::string control = "127.0.0.1:20668";
+    GatewayFixture fixture(1);
+    auto put = [&](int version) { fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(version, tenants)); }); };
+    auto hooks = Common::systemHooks();
+    auto slowFrom = std::make_shared<std::atomic<Common::TimePoint>>(Common::TimePoint::max());
+    auto suspended = std::make_shared<std::atomic<Common::Duration>>(Common::Duration::zero());
+    hooks.now = [system = hooks.now, slowFrom, clockFactor]() -> Common::TimePoint {
+        auto now = system();
+        auto from = slowFrom->load();
+        return now <= from ? now : from + (now - from) / clockFactor;
+    };
+    hooks.bootTime = [system = hooks.bootTime, suspended] { return system() + suspended->load(); };
+    std::unique_ptr<Soak::FaultProxy> proxy;
+    auto peer = fixture.thread.call([&] { return std::make_unique<FakePeer>(fixture.thread.loop(), peerCases[0]); });
+    fixture.thread.call([&] {
+        proxy = std::make_unique<Soak::FaultProxy>(fixture.thread.loop(), fixture.servers[0]->address());
+        proxy->setDelay(pieceDelay);
+        auto value = fixture.servers[0]->registryValue();
+        value.replace(value.find(fixture.servers[0]->address()), fixture.servers[0]->address().size(), proxy->address());
+        fixture.store->put(Names::registryTable, "server-1", value);
+    });
+    put(2);
+    {
+        auto settings = RunningGateway::settings(fixture.storeAddress(), {}, control, Common::LogFormat::Off);
+        settings.callers = "127.0.0.1:0";
+        settings.revokeMs = revokeMs;
+        settings.probesPerServer = 10'000;
+        RunningGateway gateway(settings, -1, hooks);
+        REQUIRE(gateway.waitReady());
+        REQUIRE(eventually([&] { return Fleet::metric(gateway, "reading_store") == 1; }));
+        for (int version : { 3, 4 }) {
+            put(version);
+            REQUIRE(eventually([&] { return Fleet::metric(gateway, "configuration_version") == version; }));
+        }
+        slowFrom->store(std::chrono::steady_clock::now());
+        REQUIRE(eventually([&] {
+            fixture.thread.call([&] { peer->announceTo(control); });
+            return Fleet::metric(gateway, "members") == 2;
+        }));
+        REQUIRE(gateway.call(get("first", key + "k1\r\n")).status == 200);
+        fixture.thread.call([&] { proxy->setMode(Soak::ProxyMode::Delay); });
+        auto sent = Fleet::metric(gateway, "sends_total");
+        CallerConnection caller(gateway.daemon().callersAddress());
+        caller.send(get("waiting", fmt::format("{}k1\r\n{}two\r\n", key, tenant)));
+        REQUIRE(eventually([&] { return Fleet::metric(gateway, "requests_in_flight") == 1; }));
+        put(5);
+        REQUIRE(eventually([&] { return Fleet::metric(gateway, "configuration_version") == 5; }));
+        suspended->store(std::chrono::minutes(1));
+        CHECK(Fleet::metric(gateway, "sends_total") == sent);
+        CHECK(caller.receive().status == 200);
+        CHECK(Fleet::metric(gateway, "sends_total") == sent);
+        CHECK(Fleet::metric(gateway, "forwarded_outdated_total") == 1);
+        CHECK(fixture.runs.runs("waiting") == 0);
+    }
+    auto requests = fixture.thread.call([&] { return peer->requests(); });
+    REQUIRE(requests.size() == 1);
+    CHECK(Net::findHeader(requests[0].headers, Gateway::forwardedHeader) == "unauthenticated;configuration=5");
+    CHECK(Net::findHeader(requests[0].headers, Names::apiKey) == "k1");
+    CHECK(!Net::findHeader(requests[0].headers, Names::organisation));
+    fixture.thread.call([&] {
+        proxy.reset();
+        peer.reset();
+    });
+}
