RelayClient: gateways answered together report at different times

Cause: after a relay has answered all gateways at once, all of them ask again at the same moment, with the same wait.

Change: where organisations have limits, a gateway whose request was answered before its wait was over asks for a random part of the wait next. The field is the one that relays of all versions know.

--- a/Source/Core/Gateway/RelayClient.cpp
+++ b/Source/Core/Gateway/RelayClient.cpp
@@ -142,6 +142,18 @@
             .failed = [closeConnection](const Net::ClientFailure&) { closeConnection(); } });
 }
 
+Common::Duration RelayClient::nextWait() const
+{
+    // A relay that had no recent data is asked what it has now: while it held the request open, it would not tell.
+    if (m_lastAnswerOutdated)
+        return Common::Duration::zero();
+    // Gateways that were answered together would also report their usage together from then on, and the relay would learn of a surge only
+    // once in each wait.
+    if (m_allowances.isActive() && m_answeredEarly)
+        return Common::fromMilliseconds(Common::toMilliseconds(m_wait) * Common::randomUnit(m_loop.hooks()));
+    return m_wait;
+}
+
 void RelayClient::sendRequest()
 {
     if (!m_running || m_requestPending)
@@ -159,8 +171,8 @@
         m_roundStartedAt = m_loop.now();
     if (m_allowances.isActive())
         m_allowances.recordOwn(m_members.self().control, m_members.self().startedMs, m_loop.now());
-    // A relay that had no recent data is asked what it has now: while it held the request open, it would not tell.
-    auto wait = m_lastAnswerOutdated ? Common::Duration::zero() : m_wait;
+    auto wait = nextWait();
+    m_requestedWait = wait;
     auto request = updateRequest(relay, wait);
     m_requestPending = true;
     m_requestSentAt = Common::bootTime(m_loop.hooks());
@@ -172,6 +184,7 @@
 void RelayClient::onResponse(const std::string& relay, Net::ResponseHead&& head, Reported reported)
 {
     m_requestPending = false;
+    m_answeredEarly = Common::bootTime(m_loop.hooks()) - m_requestSentAt < m_requestedWait;
     auto now = m_loop.now();
     auto response = head.response.status == Net::HttpStatus::Ok
         ? parseUpdateResponse(head.response.body)
--- a/Source/Core/Gateway/RelayClient.h
+++ b/Source/Core/Gateway/RelayClient.h
@@ -75,6 +75,7 @@
     // Delay of the next request when all relays are avoided.
     Common::Duration pauseLeft() const;
     Common::Duration retryInterval() const { return m_options.retryInterval + m_options.marginPerGateway * static_cast<int>(m_members.size()); }
+    Common::Duration nextWait() const;
     Common::Duration timeoutMargin() const { return m_options.timeoutMargin + m_options.marginPerGateway * static_cast<int>(m_members.size()); }
     // Revisions of what a request reports, to be remembered once it is answered.
     struct Reported {
@@ -119,6 +120,8 @@
     Common::TimePoint m_lastFreshResponse;
     Common::TimePoint m_lastResponse;
     Common::TimePoint m_requestSentAt; // boot time
+    Common::Duration m_requestedWait {}; // of that request
+    bool m_answeredEarly = true; // the last request was answered before its wait was over
     Common::TimePoint m_roundStartedAt; // last request to a relay that was avoided, since all were
     Net::EventLoop::TimerId m_timer = 0;
     bool m_running = false;
--- a/Source/UnitTests/Gateway/AllowanceTest.cpp
+++ b/Source/UnitTests/Gateway/AllowanceTest.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "Gateway/FakeRelay.h"
 #include "Gateway/FleetFixture.h"
 
 namespace {
@@ -16,11 +17,16 @@
     return R"({"small":{"api_keys":["ks"])" + limit + R"(},"large":{"api_keys":["kl"],"rate_per_s":5000,"burst":5000},"free":{"api_keys":["kf"]}})";
 }
 
-void putConfiguration(Fleet& fleet, int version, const std::string& tenants)
+std::string configuration(int version, const std::string& tenants)
 {
     auto value = PlatformStandIn::configurationValue(version, "service");
     value.pop_back();
-    value += ",\"tenants\":" + tenants + "}";
+    return value + ",\"tenants\":" + tenants + "}";
+}
+
+void putConfiguration(Fleet& fleet, int version, const std::string& tenants)
+{
+    auto value = configuration(version, tenants);
     fleet.fixture().thread.call([&] { fleet.fixture().store->put(Names::operatorTable, Names::configurationKey, value); });
 }
 
@@ -117,3 +123,44 @@
         CHECK(callWithKey(fleet.gateway(n % gateways), "u" + std::to_string(n), "ks").status == 200);
     CHECK(Fleet::metric(fleet.gateway(0), "limited_organisations") == 0);
 }
+
+// Guards against gateways that report all at the same time, after they were answered together: the relay would learn of a surge only once in each
+// wait. Guards also against more requests where there is nothing to report.
+TEST_CASE("After an early answer a gateway asks a relay for a random part of its wait, if organisations have limits")
+{
+    struct Row {
+        std::string limit;
+        bool isPart = false;
+    };
+    for (const auto& row : { Row { R"(,"rate_per_s":4,"burst":4)", true }, Row { "", false } }) {
+        CAPTURE(row.limit);
+        constexpr std::size_t requests = 12;
+        GatewayFixture fixture(1);
+        fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configuration(2, R"({"small":{"api_keys":["ks"])" + row.limit + "}}")); });
+        auto relay = fixture.thread.call([&] { return std::make_unique<FakeRelay>(fixture.thread.loop(), *fixture.store, 4); });
+        auto waits = [&] { return fixture.thread.call([&] { return relay->waits(); }); };
+        auto gateway = fixture.gateway({ relay->address() }, "127.0.0.1:18439");
+        REQUIRE(gateway->waitReady());
+        auto isSteady = [&] {
+            auto all = waits();
+            return all.size() > 2 && all.back() > Common::Duration::zero() && all.back() == all[all.size() - 2] && all.back() == all[all.size() - 3];
+        };
+        REQUIRE(eventually(isSteady));
+        auto whole = waits().back();
+        fixture.thread.call([&] { relay->setHolding(false); });
+        auto before = waits().size() + 1; // the one that is held has the whole wait
+        REQUIRE(eventually([&] { return waits().size() >= before + requests; }));
+        auto all = waits();
+        auto parts = std::count_if(all.begin() + static_cast<std::ptrdiff_t>(before), all.end(), [&](auto wait) { return wait < whole; });
+        MESSAGE("whole wait " << Common::toMilliseconds(whole) << " ms, of " << all.size() - before << " requests after early answers " << parts << " with a part of it");
+        // The answer to a very short wait is not early.
+        if (row.isPart)
+            CHECK(parts >= static_cast<std::ptrdiff_t>(requests) / 2);
+        else
+            CHECK(parts == 0);
+        fixture.thread.call([&] { relay->setHolding(true); });
+        CHECK(eventually([&] { return isSteady() && waits().back() == whole; }));
+        gateway.reset();
+        fixture.thread.call([&] { relay.reset(); });
+    }
+}
--- a/Source/UnitTests/Gateway/FakeRelay.h
+++ b/Source/UnitTests/Gateway/FakeRelay.h
@@ -39,6 +39,11 @@
     // The shortest time after which a request is answered; one that may be held open is held for all of its wait.
     void setDelay(Common::Duration delay) { m_delay = delay; }
 
+    // Answers all requests after the shortest time, as if each had news.
+    void setHolding(bool isHolding) { m_isHolding = isHolding; }
+    // The waits that were asked for, in order of arrival.
+    const std::vector<Common::Duration>& waits() const { return m_waits; }
+
     // Whether its position is beyond that of each request, as after removals that it does not tell.
     void setAhead(bool isAhead) { m_isAhead = isAhead; }
     // Whether it says that it knows all removals; versions before that do not.
@@ -93,7 +98,8 @@
             : m_answer == RelayAnswer::AlmostOutdated         ? std::chrono::milliseconds(950)
                                                               : std::chrono::seconds(60);
         response.members = { .isFull = true, .revision = 1, .total = m_members, .members = m_knownMembers, .departed = {} };
-        auto hold = isRelay ? request.value().wait : Common::Duration::zero();
+        m_waits.push_back(request.value().wait);
+        auto hold = isRelay && m_isHolding ? request.value().wait : Common::Duration::zero();
         m_loop.after(std::max(hold, m_delay), [exchange, response] {
             exchange->respond({ .status = Net::HttpStatus::Ok, .reason = {}, .headers = {}, .body = Gateway::toText(response, Gateway::encodeRows({})) });
         });
@@ -103,6 +109,8 @@
     int m_members;
     RelayAnswer m_answer = RelayAnswer::Fresh;
     Common::Duration m_delay = std::chrono::milliseconds(5);
+    bool m_isHolding = true;
+    std::vector<Common::Duration> m_waits;
     bool m_isAhead = false;
     bool m_knowsRemovals = true;
     int m_fullRequests = 0;
