--- a/Source/UnitTests/Gateway/AllowanceTest.cpp
+++ b/Source/UnitTests/Gateway/AllowanceTest.cpp
@@ -133,8 +133,8 @@
 };
 
 const LeaderCase leaderCases[] = {
-    { "the leading relay is killed", true, 20680 },
-    { "the leading relay is told to stop", false, 20684 },
+    { "the leading relay is killed", true, 20740 },
+    { "the leading relay is told to stop", false, 20744 },
 };
 
 // The gateway that reads the store for all; nullopt while there are none or several.
