--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -150,6 +150,7 @@
     }
 
     Gateway::Daemon& daemon() { return m_daemon; }
+    std::thread& thread() { return m_thread; }
     bool waitReady()
     {
         return eventually([&] { return get(m_daemon.readyAddress(), Names::readyPath).status == 200; });
