Memory of 100,000 API keys: fewer copies, smaller slots, free memory given back

Cause: a gateway held 45 to 61 MB, since the JSON tree of the configuration was copied twice, the relay kept rows that it had encoded for earlier positions, the store's answer was held in four forms while it was applied, and the allocator kept what was freed.

--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -44,13 +44,17 @@
 std::optional<Json::Value> parseJsonObject(std::string_view text)
 {
     auto json = parseJson(text);
-    return json && json->isObject() ? json : std::nullopt;
+    if (json && !json->isObject())
+        json.reset();
+    return json;
 }
 
 std::optional<Json::Value> parseJsonArray(std::string_view text)
 {
     auto json = parseJson(text);
-    return json && json->isArray() ? json : std::nullopt;
+    if (json && !json->isArray())
+        json.reset();
+    return json;
 }
 
 }
--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -5,6 +5,7 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
+#include "Common/FreeMemory.h"
 #include "Entry/Daemon.h"
 #include "Gateway/Daemon.h"
 #include "Operator/CheckCommand.h"
@@ -114,6 +115,8 @@
     auto settings = readGatewaySettings(path);
     if (!settings)
         return Operator::toInt(Operator::ExitCode::InvalidFile);
+    // Before the first thread.
+    Common::returnLargeBlocks();
     auto signals = blockSignals();
     sigaddset(&signals, SIGHUP);
     Gateway::Daemon daemon({
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
+#include "Common/FreeMemory.h"
 #include "Common/MetricsPage.h"
 #include "Gateway/RequestIdentity.h"
 
@@ -24,6 +26,8 @@
     constexpr auto peerSilenceLimit = std::chrono::seconds(3);
     // That a gateway adds to the head of a request that it forwards.
     constexpr std::size_t forwardedHeadBytes = 4 * 1024;
+    // Fewer leave too little free memory to give back.
+    constexpr std::size_t manyKeys = 5000;
     constexpr std::size_t maxControlBodyBytes = 1024 * 1024;
     // Events kept in memory. Few, since the log on standard output is what operators read.
     constexpr std::size_t eventRingSize = 64;
@@ -223,6 +227,7 @@
     m_router.crashSuspects().expire(m_loop.now());
     m_budget.wake();
     logMemory();
+    releaseMemoryOfChange();
     m_router.setGatewayCount(m_catalogSync.gatewayCount());
     m_backends.setGateways(m_members.self().control, m_members.servingInOwnDomain(), m_members.size());
     m_catalogComplete = m_catalog.isComplete();
@@ -235,6 +240,16 @@
     m_loop.after(m_catalogComplete ? Common::Duration(housekeepingInterval) : Common::Duration(startupPollInterval), [this] { doHousekeeping(); });
 }
 
+// Reading a configuration with 100,000 API keys takes 30 MB for a moment.
+void Daemon::releaseMemoryOfChange()
+{
+    const auto& configuration = m_router.configuration();
+    if (!configuration || std::exchange(m_releasedVersion, configuration->version) == configuration->version)
+        return;
+    if (configuration->organisations.keyCount() >= manyKeys)
+        Common::releaseFreeMemory();
+}
+
 void Daemon::logMemory()
 {
     auto isShort = !m_budget.takesLargeBodies();
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -76,6 +76,7 @@
     Net::ServerOptions forwardingServerOptions();
     void doHousekeeping();
     void logMemory();
+    void releaseMemoryOfChange();
     void logConfigurationAge();
     void updateServingState();
     void beginShutdown();
@@ -107,6 +108,7 @@
     bool m_shuttingDown = false;
     bool m_shutdownClean = true;
     bool m_isMemoryShort = false; // as logged last
+    std::uint64_t m_releasedVersion = 0; // of the configuration after which free memory was given back
     bool m_isConfigurationOutdated = false; // as logged last
     std::uint64_t m_malformedRequests = 0; // of callers
 };
--- a/Source/Core/Gateway/Organisations.cpp
+++ b/Source/Core/Gateway/Organisations.cpp
@@ -1,7 +1,6 @@
 #include "Gateway/Organisations.h"
 
 #include <algorithm>
-#include <bit>
 
 #include <fmt/format.h>
 
@@ -13,7 +12,13 @@
 
     constexpr std::size_t maxKeyBytes = 256; // and of an organisation's name
     // Of the slots: a longer search for a free one would cost more than the memory.
-    constexpr double maxUsedShare = 0.7;
+    constexpr double maxUsedShare = 0.75;
+
+    // The first 96 bits: a key that is not known has the digest of one among 100,000 with a probability of 1 in 10^24.
+    std::uint32_t middleBits(const Common::Digest& digest)
+    {
+        return static_cast<std::uint32_t>(digest.high);
+    }
 
     bool isVisibleText(std::string_view text)
     {
@@ -35,7 +40,7 @@
     std::size_t keys = 0;
     for (const auto& entry : entries)
         keys += entry.keys.size();
-    made.m_slots.resize(std::bit_ceil(static_cast<std::size_t>(static_cast<double>(keys) / maxUsedShare) + 1));
+    made.m_slots.resize(static_cast<std::size_t>(static_cast<double>(keys) / maxUsedShare) + 1);
     for (const auto& entry : entries) {
         const auto& name = entry.organisation.name;
         if (!isVisibleText(name))
@@ -48,7 +53,7 @@
             auto& slot = made.m_slots[made.slotOf(digest)];
             if (slot.organisation != 0)
                 return invalid(name, fmt::format("an API key is listed twice, here and for organisation '{}'", made.m_organisations[slot.organisation - 1].name));
-            slot = { .digest = digest, .organisation = static_cast<std::uint32_t>(made.m_organisations.size()) };
+            slot = { .low = digest.low, .middle = middleBits(digest), .organisation = static_cast<std::uint32_t>(made.m_organisations.size()) };
             ++made.m_keyCount;
         }
     }
@@ -58,10 +63,10 @@
 // The slot of the digest, or the free one where it would be. There is always a free one.
 std::size_t Organisations::slotOf(const Common::Digest& digest) const
 {
-    auto mask = m_slots.size() - 1;
-    auto i = static_cast<std::size_t>(digest.low) & mask;
-    while (m_slots[i].organisation != 0 && m_slots[i].digest != digest)
-        i = (i + 1) & mask;
+    auto isOther = [&](const Slot& slot) { return slot.organisation != 0 && (slot.low != digest.low || slot.middle != middleBits(digest)); };
+    auto i = static_cast<std::size_t>(digest.low % m_slots.size());
+    while (isOther(m_slots[i]))
+        i = i + 1 == m_slots.size() ? 0 : i + 1;
     return i;
 }
 
--- a/Source/Core/Gateway/Organisations.h
+++ b/Source/Core/Gateway/Organisations.h
@@ -27,8 +27,8 @@
     std::vector<std::string> keys;
 };
 
-// The organisations of one configuration, by API key. Immutable. Keeps digests of the keys, not the keys: 24 bytes a key and
-// 7 tenths of the slots in use.
+// The organisations of one configuration, by API key. Immutable. Keeps digests of the keys, not the keys: 16 bytes a slot, of which
+// three quarters are in use.
 class Organisations {
 public:
     Organisations() = default;
@@ -46,14 +46,15 @@
 
 private:
     struct Slot {
-        Common::Digest digest;
+        std::uint64_t low = 0; // of the digest
+        std::uint32_t middle = 0;
         std::uint32_t organisation = 0; // index in m_organisations, plus 1; 0: the slot is free
     };
 
     std::size_t slotOf(const Common::Digest&) const;
 
     std::vector<Organisation> m_organisations; // by ascending name
-    std::vector<Slot> m_slots; // open addressing; the size is a power of two
+    std::vector<Slot> m_slots; // open addressing
     std::size_t m_keyCount = 0;
     std::uint64_t m_seed = 0;
 };
--- a/Source/Core/Gateway/RelayMessages.cpp
+++ b/Source/Core/Gateway/RelayMessages.cpp
@@ -253,6 +253,7 @@
     for (const auto& row : rows)
         json.append(toJson(row));
     EncodedRows encoded { .bytes = Common::jsonBytes(json), .isDeflated = false };
+    json.clear(); // the configuration may have several megabytes
     if (encoded.bytes.size() >= minDeflateBytes)
         encoded = { .bytes = Net::zlibCompress(encoded.bytes), .isDeflated = true };
     return encoded;
@@ -387,13 +388,17 @@
     auto list = rows ? Common::parseJsonArray(*rows) : std::nullopt;
     if (!list)
         return malformed("the rows are not a JSON array");
+    // A large configuration is held once at a time.
+    rows.reset();
     try {
-        for (const auto& row : *list)
+        for (auto& row : *list) {
             response.catalog.rows.push_back(toRow(row));
+            row = Json::Value();
+        }
     } catch (const Json::Exception& ec) {
         return malformed(ec.what());
     }
-    return response;
+    return std::move(response);
 }
 
 std::string toText(const RelayList& list)
--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -111,6 +111,8 @@
     auto it = std::find_if(m_cachedRows.begin(), m_cachedRows.end(), [&](const auto& cached) { return cached.from == from && cached.to == update.position; });
     if (it != m_cachedRows.end())
         return it->rows;
+    // Rows of an earlier position would only take memory: with a large configuration, megabytes.
+    std::erase_if(m_cachedRows, [&](const auto& cached) { return cached.to != update.position; });
     m_cachedRows.push_front({ .from = from, .to = update.position, .rows = encodeRows(update.rows) });
     if (m_cachedRows.size() > maxCachedRows)
         m_cachedRows.pop_back();
