Tests of bad API keys in requests

Cause: only some forms of a bad key had a row, and none was checked on a public route, in logs and in metrics.

Change: 35 forms (two keys in any order, blanks, odd bytes, long keys, names in other cases, malformed field lines), each on a closed and on a public route: 401, or 400 by docs/HTTP-SYNTAX.md; no run, no key at a server, in a log line or in the metrics. A key in a trailer identifies no one.

--- a/Source/UnitTests/Gateway/ApiKeyTest.cpp
+++ b/Source/UnitTests/Gateway/ApiKeyTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "Gateway/GatewayFixture.h"
+#include "Gateway/LogFile.h"
 
 namespace {
 
@@ -80,6 +81,141 @@
     CHECK(metrics.find("k1") == std::string::npos);
 }
 
+namespace {
+
+struct BadKeyCase {
+    std::string what;
+    std::string headers; // with "sesame", a valid key, wherever one could be guessed
+    int status; // on a route that needs a key
+    int openStatus; // on a public route
+};
+
+const std::string chunkedBody = "Transfer-Encoding: chunked\r\n\r\n0\r\n" + key + "sesame\r\n\r\n";
+
+// 400: docs/HTTP-SYNTAX.md; the rest is no key of anyone.
+const BadKeyCase badKeyCases[] = {
+    { "the same key twice", key + "sesame\r\n" + key + "sesame\r\n", 401, 200 },
+    { "a valid key before an unknown one", key + "sesame\r\n" + key + "other\r\n", 401, 200 },
+    { "an unknown key before a valid one", key + "other\r\n" + key + "sesame\r\n", 401, 200 },
+    { "a valid key and an empty one", key + "sesame\r\n" + key + "\r\n", 401, 200 },
+    { "two header names that differ in case", key + "sesame\r\nx-COWSLIPLEDGE-kEY: sesame\r\n", 401, 200 },
+    { "keys of two organisations", key + "sesame\r\n" + key + "mellon\r\n", 401, 200 },
+    { "list of the same key", key + "sesame,sesame\r\n", 401, 200 },
+    { "blank within the key", key + "ses ame\r\n", 401, 200 },
+    { "tab within the key", key + "ses\tame\r\n", 401, 200 },
+    { "text after a blank", key + "sesame open\r\n", 401, 200 },
+    { "quoted key", key + "\"sesame\"\r\n", 401, 200 },
+    { "scheme before the key", key + "Bearer sesame\r\n", 401, 200 },
+    { "percent-encoded key", key + "%73esame\r\n", 401, 200 },
+    { "key in upper case", key + "SESAME\r\n", 401, 200 },
+    { "start of a key", key + "sesam\r\n", 401, 200 },
+    { "longer than a key", key + "sesame1\r\n", 401, 200 },
+    { "no-break space after the key", key + "sesame\xc2\xa0\r\n", 401, 200 },
+    { "byte above ASCII in the key", key + "sesame\xff\r\n", 401, 200 },
+    { "overlong UTF-8 for a letter of the key", key + "\xc1\xb3"
+                                                      "esame\r\n",
+        401, 200 },
+    { "only blanks", key + " \t \r\n", 401, 200 },
+    { "organisation's name as the key", key + "one\r\n", 401, 200 },
+    { "key of 257 bytes", key + std::string(257, 's') + "\r\n", 401, 200 },
+    { "key of 60 KB", key + std::string(60 * 1024, 's') + "\r\n", 401, 200 },
+    { "60 KB that begin with a key", key + "sesame" + std::string(60 * 1024, ' ') + "s\r\n", 401, 200 },
+    { "key under another name", "X-Cowslipledge-Key2: sesame\r\n", 401, 200 },
+    { "key in the query of a header", "Cookie: X-Cowslipledge-Key=sesame\r\n", 401, 200 },
+    { "NUL in the key", key + std::string("ses\0ame", 7) + "\r\n", 400, 400 },
+    { "NUL after the key", key + std::string("sesame\0", 7) + "\r\n", 400, 400 },
+    { "carriage return in the key", key + "sesame\rx\r\n", 400, 400 },
+    { "line feed in the key", key + "ses\name\r\n", 400, 400 },
+    { "escape character in the key", key + "sesame\x1b\r\n", 400, 400 },
+    { "delete character in the key", key + "sesame\x7f\r\n", 400, 400 },
+    { "folded line", key + "\r\n sesame\r\n", 400, 400 },
+    { "blank before the colon", "X-Cowslipledge-Key : sesame\r\n", 400, 400 },
+    { "blank before the name", " X-Cowslipledge-Key: sesame\r\n", 400, 400 },
+};
+
+struct GoodKeyCase {
+    std::string what;
+    std::string headers;
+    std::string organisation;
+};
+
+const GoodKeyCase goodKeyCases[] = {
+    { "blanks around the key, which are no part of it", key + " \t sesame \t \r\n", "one" },
+    { "no blank before the key", "X-Cowslipledge-Key:sesame\r\n", "one" },
+    { "header name in upper case", "X-COWSLIPLEDGE-KEY: mellon\r\n", "two" },
+    { "header name in mixed case", "x-cOWSLIPLEDGE-kEY: sesame\r\n", "one" },
+};
+
+}
+
+// Guards against a gateway that guesses which key a caller meant, and against keys that reach servers, logs or metrics on such a way.
+TEST_CASE("A request whose key is not exactly one known key is answered with 401, or 400 if it is malformed, and its key goes nowhere")
+{
+    LogFile log;
+    std::string metrics;
+    int received = 0;
+    {
+        GatewayFixture fixture(1);
+        fixture.thread.call([&] {
+            auto value = configurationWith(2, R"({"one":{"api_keys":["sesame"]},"two":{"api_keys":["mellon"]}})");
+            // So that a key of 60 KB is answered because of its length.
+            constexpr std::string_view limit = "\"max_header_bytes\":";
+            auto at = value.find(limit) + limit.size();
+            value.replace(at, value.find_first_of(",}", at) - at, "131072");
+            fixture.store->put(Names::operatorTable, Names::configurationKey, value);
+        });
+        auto gateway = fixture.gateway({}, "127.0.0.1:0", log.descriptor());
+        REQUIRE(gateway->waitReady());
+        auto checkServed = [&](const std::string& id, const std::string& organisation) {
+            CHECK(fixture.runs.runs(id) == 1);
+            auto headers = fixture.thread.call([&] { return fixture.servers[0]->lastHeaders(); });
+            CHECK(!Net::findHeader(headers, Names::apiKey));
+            CHECK(Net::findHeader(headers, Names::organisation).value_or("") == organisation);
+        };
+        for (const auto& row : badKeyCases) {
+            CAPTURE(row.what);
+            auto id = "bad" + std::to_string(++received);
+            CHECK(gateway->call(withHeaders(id, row.headers)).status == row.status);
+            CHECK(fixture.runs.runs(id) == 0);
+            auto openId = "open" + std::to_string(received);
+            CHECK(gateway->call(withHeaders(openId, row.headers, "/open/x")).status == row.openStatus);
+            if (row.openStatus == 200)
+                checkServed(openId, "");
+        }
+        for (const auto& row : goodKeyCases) {
+            CAPTURE(row.what);
+            auto id = "good" + std::to_string(++received);
+            CHECK(gateway->call(withHeaders(id, row.headers)).status == 200);
+            checkServed(id, row.organisation);
+        }
+        metrics = RunningGateway::get(gateway->daemon().metricsAddress(), "/metrics").body;
+    }
+    for (const auto* text : { "sesame", "mellon", "ssssssss" }) {
+        CHECK(log.text().find(text) == std::string::npos);
+        CHECK(metrics.find(text) == std::string::npos);
+    }
+    CHECK(log.text().find("call-unauthorized") != std::string::npos);
+}
+
+// Guards against keys that pass in a place that is no header of the request.
+TEST_CASE("A key in the trailer of a body identifies no one and does not reach a server")
+{
+    GatewayFixture fixture(1);
+    fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(2, R"({"one":{"api_keys":["sesame"]}})")); });
+    auto gateway = fixture.gateway();
+    REQUIRE(gateway->waitReady());
+    auto send = [&](const std::string& id, const std::string& target) {
+        auto bytes = requestBytes("POST", target, id);
+        bytes.resize(bytes.size() - 2);
+        return gateway->call(bytes + chunkedBody);
+    };
+    CHECK(send("closed", "/safe/x").status == 401);
+    CHECK(fixture.runs.runs("closed") == 0);
+    CHECK(send("open", "/open/x").status == 200);
+    auto headers = fixture.thread.call([&] { return fixture.servers[0]->lastHeaders(); });
+    CHECK(!Net::findHeader(headers, Names::apiKey));
+}
+
 // Guards against deployments without organisations whose headers of that name would be changed.
 TEST_CASE("Without organisations, headers of keys and organisations are passed on as any other")
 {
