Fuzz targets: chunked bodies, forwarded requests and organisations are read back as written

Cause: the http target wrote accepted bodies with a length only, and no target read the header of forwarded requests or checked the organisations of an accepted configuration.

--- a/Source/Fuzz/HttpTarget.cpp
+++ b/Source/Fuzz/HttpTarget.cpp
@@ -103,6 +103,21 @@
         require(decoded == Decoded { .state = State::Complete, .body = body, .rest = {} }, "body is not read back as written");
     }
 
+    // An accepted body, written in two chunks behind the head and followed by the next message. `head` is a Request or a Response.
+    void checkChunkedBody(const std::string& head, const std::string& body)
+    {
+        const std::string next = "GET /next HTTP/1.1\r\n";
+        for (std::size_t split : { std::size_t(0), body.size() / 2 }) {
+            auto bytes = head;
+            // A chunk without bytes would end the body.
+            for (const auto& part : { body.substr(0, split), body.substr(split) })
+                bytes += part.empty() ? std::string() : Net::chunkBytes(part);
+            bytes += Net::lastChunk;
+            auto decoded = decode(bytes.substr(*Net::headSize(bytes)) + next, Framing::Chunked, 0, noLimit, 0);
+            require(decoded == Decoded { .state = State::Complete, .body = body, .rest = next }, "chunked body is not read back as written");
+        }
+    }
+
     void checkRequest(const std::string& headText, const std::string& rest)
     {
         auto head = Net::parseRequestHead(headText).head;
@@ -123,6 +138,10 @@
         if (decoded.state != State::Complete)
             return;
         head->request.body = decoded.body;
+        head->framing = Framing::Chunked;
+        auto chunkedHead = Net::headBytes(request, Framing::Chunked, 0);
+        check(chunkedHead, *head);
+        checkChunkedBody(chunkedHead, decoded.body);
         head->framing = Framing::Length;
         head->length = decoded.body.size();
         auto bytes = Net::toBytes(request);
@@ -156,6 +175,10 @@
         if (decoded.state != State::Complete || !hasBody || !Net::mayHaveBody(response.status))
             return;
         head->response.body = decoded.body;
+        head->framing = Framing::Chunked;
+        auto chunkedHead = Net::headBytes(response, true, Framing::Chunked, 0);
+        check(chunkedHead, *head, true);
+        checkChunkedBody(chunkedHead, decoded.body);
         head->framing = Framing::Length;
         head->length = decoded.body.size();
         auto bytes = Net::toBytes(response, true);
--- a/Source/Fuzz/RowsTarget.cpp
+++ b/Source/Fuzz/RowsTarget.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/ForwardedRequest.h"
 #include "Gateway/RelayMessages.h"
 #include "Targets.h"
 #include "platform/Rows.h"
@@ -48,6 +49,30 @@
         }
     }
 
+    void checkForwardedRequest(const std::string& input)
+    {
+        auto request = Gateway::parseForwardedRequest(input);
+        if (!request)
+            return;
+        auto text = Gateway::toHeaderValue(*request);
+        auto again = Gateway::parseForwardedRequest(text);
+        require(again.has_value(), "accepted forwarded request is refused when written again");
+        require(Gateway::toHeaderValue(*again) == text && again->service == request->service && again->route.name == request->route.name
+                && again->route.goal == request->route.goal && again->route.priority == request->route.priority,
+            "forwarded request is not read back as written");
+    }
+
+    void checkOrganisations(const Gateway::Organisations& organisations)
+    {
+        for (const auto& organisation : organisations.all()) {
+            require(organisations.named(organisation.name) == &organisation, "accepted organisation is not found by its name");
+            require(organisation.ratePerSecond >= 0 && organisation.burst >= 0 && (organisation.burst == 0 || organisation.ratePerSecond > 0),
+                "accepted organisation has a negative rate, or a burst without a rate");
+        }
+        for (const auto* text : { "", " ", "\t" })
+            require(!organisations.find(text), "a blank key belongs to an organisation");
+    }
+
 }
 
 // Invariants: no exception leaves a parser, and what a relay message's parser accepts is read back as it is written. Rows of the store
@@ -57,10 +82,13 @@
     checkUpdateRequest(input);
     checkUpdateResponse(input);
     checkLists(input);
+    checkForwardedRequest(input);
     auto server = PlatformAdapter::parseServer("server-1", input);
     require(!server || (!server.value().service.empty() && server.value().slots >= 0), "accepted server has no service or a negative number of slots");
     auto configuration = PlatformAdapter::parseConfiguration(input);
     require(!configuration || configuration.value().limits.readTimeout >= Common::Duration::zero(), "accepted configuration has a negative time limit");
+    if (configuration)
+        checkOrganisations(configuration.value().organisations);
 }
 
 }
