Organisations: a test bounds the memory of API keys

Cause: nothing failed when a key took 63 bytes.

Change: the test of 100,000 keys allows 24 bytes a key.

--- a/Source/Core/Gateway/Organisations.h
+++ b/Source/Core/Gateway/Organisations.h
@@ -43,6 +43,8 @@
     // nullptr if there is none of that name.
     const Organisation* named(std::string_view name) const;
     std::size_t keyCount() const { return m_keyCount; }
+    // Memory of the keys.
+    std::size_t keyBytes() const { return m_slots.capacity() * sizeof(Slot); }
 
 private:
     struct Slot {
--- a/Source/UnitTests/Gateway/OrganisationsTest.cpp
+++ b/Source/UnitTests/Gateway/OrganisationsTest.cpp
@@ -55,6 +55,10 @@
         const auto& all = made.value();
         CHECK(all.empty() == (organisations == 0));
         CHECK(all.keyCount() == static_cast<std::size_t>(organisations * keysEach));
+        // Guards against keys that take up the memory of a small gateway, which holds two configurations during an update.
+        constexpr std::size_t bytesOfKey = 24;
+        constexpr std::size_t bytesOfNone = 64;
+        CHECK(all.keyBytes() <= all.keyCount() * bytesOfKey + bytesOfNone);
         for (int i = 0; i < organisations; ++i) {
             for (int j = 0; j < keysEach; ++j) {
                 const auto* found = all.find(fmt::format("key-{}-{}", i, j));
