Merge branch 'costs'

# Conflicts: # Source/Core/Common/JsonText.cpp # Source/Core/Gateway/Organisations.cpp # Source/Core/Gateway/Organisations.h # Source/UnitTests/Gateway/ApiKeyTest.cpp # platform/Rows.cpp

--- a/Source/Core/Common/JsonText.cpp
+++ b/Source/Core/Common/JsonText.cpp
@@ -77,7 +77,9 @@
 {
     SyntaxError error;
     auto json = parseJson(text, error);
-    return json && json->isObject() ? json : std::nullopt;
+    if (json && !json->isObject())
+        json.reset();
+    return json;
 }
 
 Result<Json::Value> readJsonObject(std::string_view bytes)
@@ -102,7 +104,9 @@
 {
     SyntaxError error;
     auto json = parseJson(text, error);
-    return json && json->isArray() ? json : std::nullopt;
+    if (json && !json->isArray())
+        json.reset();
+    return json;
 }
 
 }
--- a/Source/Core/Gateway/Organisations.cpp
+++ b/Source/Core/Gateway/Organisations.cpp
@@ -1,7 +1,6 @@
 #include "Gateway/Organisations.h"
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
 #include <fmt/format.h>
@@ -14,7 +13,13 @@
 
     constexpr std::size_t maxKeyBytes = 256; // and of an organisation's name
     // Of the slots: a longer search for a free one would cost more than the memory.
-    constexpr double maxUsedShare = 0.7;
+    constexpr double maxUsedShare = 0.75;
+
+    // The first 96 bits: a key that is not known has the digest of one among 100,000 with a probability of 1 in 10^24.
+    std::uint32_t middleBits(const Common::Digest& digest)
+    {
+        return static_cast<std::uint32_t>(digest.high);
+    }
 
     bool isVisibleText(std::string_view text)
     {
@@ -53,7 +58,7 @@
     std::size_t keys = 0;
     for (const auto& entry : entries)
         keys += entry.keys.size();
-    made.m_slots.resize(std::bit_ceil(static_cast<std::size_t>(static_cast<double>(keys) / maxUsedShare) + 1));
+    made.m_slots.resize(static_cast<std::size_t>(static_cast<double>(keys) / maxUsedShare) + 1);
     std::map<std::string, std::string> names; // by their lower case
     for (const auto& entry : entries) {
         const auto& name = entry.organisation.name;
@@ -86,7 +91,7 @@
         auto digest = Common::digest(key, m_seed);
         auto& slot = m_slots[slotOf(digest)];
         if (slot.organisation == 0) {
-            slot = { .digest = digest, .organisation = number };
+            slot = { .low = digest.low, .middle = middleBits(digest), .organisation = number };
             ++m_keyCount;
         } else if (!std::exchange(hasKnown, true)) {
             errors.push_back({ .organisation = name, .text = fmt::format("API key {} of {} is listed twice, here and at '{}'", i + 1, keys.size(), forLogs(m_organisations[slot.organisation - 1].name)) });
@@ -101,7 +106,7 @@
         digests[organisation.name];
     for (const auto& slot : m_slots) {
         if (slot.organisation != 0)
-            digests[m_organisations[slot.organisation - 1].name].push_back(slot.digest);
+            digests[m_organisations[slot.organisation - 1].name].push_back({ .low = slot.low, .high = slot.middle });
     }
     for (auto& [name, list] : digests)
         std::sort(list.begin(), list.end());
@@ -111,10 +116,10 @@
 // The slot of the digest, or the free one where it would be. There is always a free one.
 std::size_t Organisations::slotOf(const Common::Digest& digest) const
 {
-    auto mask = m_slots.size() - 1;
-    auto i = static_cast<std::size_t>(digest.low) & mask;
-    while (m_slots[i].organisation != 0 && m_slots[i].digest != digest)
-        i = (i + 1) & mask;
+    auto isOther = [&](const Slot& slot) { return slot.organisation != 0 && (slot.low != digest.low || slot.middle != middleBits(digest)); };
+    auto i = static_cast<std::size_t>(digest.low % m_slots.size());
+    while (isOther(m_slots[i]))
+        i = i + 1 == m_slots.size() ? 0 : i + 1;
     return i;
 }
 
--- a/Source/Core/Gateway/Organisations.h
+++ b/Source/Core/Gateway/Organisations.h
@@ -34,8 +34,8 @@
     std::string text;
 };
 
-// The organisations of one configuration, by API key. Immutable. Keeps digests of the keys, not the keys: 24 bytes a key and
-// 7 tenths of the slots in use.
+// The organisations of one configuration, by API key. Immutable. Keeps digests of the keys, not the keys: 16 bytes a slot, of which
+// three quarters are in use.
 class Organisations {
 public:
     Organisations() = default;
@@ -54,12 +54,15 @@
     // nullptr if there is none of that name.
     const Organisation* named(std::string_view name) const;
     std::size_t keyCount() const { return m_keyCount; }
-    // Digests of the keys in ascending order, by organisation. Those of another seed can't be compared with them.
+    // The kept bits of the digests of the keys in ascending order, by organisation. Those of another seed can't be compared with them.
     std::map<std::string, std::vector<Common::Digest>, std::less<>> keyDigests() const;
+    // Memory of the keys.
+    std::size_t keyBytes() const { return m_slots.capacity() * sizeof(Slot); }
 
 private:
     struct Slot {
-        Common::Digest digest;
+        std::uint64_t low = 0; // of the digest
+        std::uint32_t middle = 0;
         std::uint32_t organisation = 0; // index in m_organisations, plus 1; 0: the slot is free
     };
 
@@ -67,7 +70,7 @@
     std::size_t slotOf(const Common::Digest&) const;
 
     std::vector<Organisation> m_organisations; // by ascending name
-    std::vector<Slot> m_slots; // open addressing; the size is a power of two
+    std::vector<Slot> m_slots; // open addressing
     std::size_t m_keyCount = 0;
     std::uint64_t m_seed = 0;
 };
