--- a/Source/Core/CowslipledgeBench/Main.cpp
+++ b/Source/Core/CowslipledgeBench/Main.cpp
@@ -34,7 +34,7 @@
   cowslipledge-bench replay FILE...
   cowslipledge-bench gossip [--entries N] [--loss P] [--seconds T]
   cowslipledge-bench soak [--seed N] [--seconds T] [--seeds N] [--gateways N] [--domains N] [--callers N] [--drills] [--cuts]
-                          [--odd-answers] [--program FILE] [--old-program FILE]
+                          [--odd-answers] [--organisations] [--program FILE] [--old-program FILE]
   cowslipledge-bench tables DOCS
   cowslipledge-bench --help
 
@@ -65,6 +65,8 @@
   --cuts          Also cut gateways off from all servers, while callers, the store and other gateways reach them.
   --odd-answers   Also let servers answer long uploads early with a part of a body and reset the connection, and send odd heads: status 000,
                   099 or 600, field names that are no tokens, a length beside chunked.
+  --organisations  Also play organisations with API keys and limits, public routes, evacuations and cold servers. Its faults: revoke-key,
+                  add-key, change-limit, surge, evacuate, cold-server, cold-domain, revoke-while-frozen, revoke-in-outage.
   --program FILE  The shipped program; the one beside this one without it.
   --old-program FILE  The program of an older version (Tools/build-commit): gateways are replaced by it and back.
   --table         Print a table of the services before the line of JSON.
@@ -171,12 +173,13 @@
         return 2;
     }
     constexpr int minServers = 4;
+    constexpr int minServersOfOrganisations = 8; // some are cold or evacuated
     constexpr int gatewaysPerServer = 3;
-    auto servers = std::max(minServers, gateways / gatewaysPerServer);
+    auto servers = std::max(args["--organisations"].asBool() ? minServersOfOrganisations : minServers, gateways / gatewaysPerServer);
     auto good = true;
     for (auto seed = first; seed < first + args["--seeds"].asLong(); ++seed) {
         auto folder = std::filesystem::temp_directory_path() / ("cowslipledge-soak-" + std::to_string(seed) + "-" + std::to_string(::getpid()));
-        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .gateways = gateways, .servers = servers, .domains = domains, .callers = callers, .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .oddAnswers = args["--odd-answers"].asBool(), .program = program, .oldProgram = args["--old-program"] ? args["--old-program"].asString() : std::string(), .folder = folder.string() }) && good;
+        good = Soak::runSoak({ .seed = static_cast<std::uint64_t>(seed), .seconds = static_cast<int>(args["--seconds"].asLong()), .gateways = gateways, .servers = servers, .domains = domains, .callers = callers, .drills = args["--drills"].asBool(), .cuts = args["--cuts"].asBool(), .oddAnswers = args["--odd-answers"].asBool(), .organisations = args["--organisations"].asBool(), .program = program, .oldProgram = args["--old-program"] ? args["--old-program"].asString() : std::string(), .folder = folder.string() }) && good;
     }
     return good ? 0 : 1;
 }
--- a/Source/Core/Soak/GatewayProcess.cpp
+++ b/Source/Core/Soak/GatewayProcess.cpp
@@ -45,8 +45,8 @@
 
 [store]
 address = "{}"
-)",
-        m_options.name, m_options.failureDomain, callers(), ready(), directory(), control(), forwarding(), m_options.backendSource, fmt::join(m_options.seeds, "\",\""), m_options.store);
+{})",
+        m_options.name, m_options.failureDomain, callers(), ready(), directory(), control(), forwarding(), m_options.backendSource, fmt::join(m_options.seeds, "\",\""), m_options.store, m_options.bounds.empty() ? "" : "\n[bounds]\n" + m_options.bounds);
 }
 
 void GatewayProcess::start()
--- a/Source/Core/Soak/GatewayProcess.h
+++ b/Source/Core/Soak/GatewayProcess.h
@@ -18,6 +18,7 @@
     int port = 0; // the first of five: callers, ready, directory, control, forwarding
     std::string backendSource; // IP address that its connections to servers come from
     std::vector<std::string> seeds;
+    std::string bounds; // lines of the settings' table of this name; empty: none
 };
 
 // A gateway as a process of its own. Only ever signals the process that it started itself.
--- a/Source/Core/Soak/Soak.cpp
+++ b/Source/Core/Soak/Soak.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <random>
 #include <set>
 
@@ -13,6 +14,8 @@
 
 #include "Soak/FaultProxy.h"
 #include "Soak/GatewayProcess.h"
+#include "Soak/OrganisationChecks.h"
+#include "Soak/OrganisationHistory.h"
 #include "Soak/SoakCallers.h"
 #include "platform/Names.h"
 #include "platform/StandIn/LoopThread.h"
@@ -87,11 +90,42 @@
         return status == Unavailable || status == TooManyRequests || status == RequestTimeout || status == Misdirected;
     }
 
-    struct Interval {
-        Common::TimePoint from;
-        Common::TimePoint to;
+    enum class OrganisationFault {
+        RevokeKey,
+        AddKey,
+        ChangeLimit,
+        Surge, // of the callers of one organisation
+        Evacuate,
+        ColdServer,
+        ColdDomain,
+        RevokeWhileFrozen, // of gateways that are cut off from the store
+        RevokeInOutage, // no gateway reaches the store
     };
 
+    constexpr std::array organisationFaultNames {
+        Common::EnumName<OrganisationFault> { OrganisationFault::RevokeKey, "revoke-key" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::AddKey, "add-key" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::ChangeLimit, "change-limit" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::Surge, "surge" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::Evacuate, "evacuate" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::ColdServer, "cold-server" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::ColdDomain, "cold-domain" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::RevokeWhileFrozen, "revoke-while-frozen" },
+        Common::EnumName<OrganisationFault> { OrganisationFault::RevokeInOutage, "revoke-in-outage" },
+    };
+
+    // How often each is drawn: changes of limits and unheard revocations leave little to judge of what else happens.
+    constexpr std::array organisationFaultWeights { 5, 5, 1, 3, 2, 2, 1, 1, 1 };
+    static_assert(organisationFaultWeights.size() == organisationFaultNames.size());
+    constexpr auto isolationPause = std::chrono::seconds(10);
+    constexpr auto coldAfterEvacuation = milliseconds(3000);
+    // Faults that show something only when they last for seconds. A run begins with one of them.
+    constexpr std::array longOrganisationFaults { OrganisationFault::Evacuate, OrganisationFault::RevokeWhileFrozen, OrganisationFault::ChangeLimit, OrganisationFault::RevokeInOutage };
+    // One step in so many begins with a fault, and with one of the organisations'. Beside these the others are rarer, so that something is served.
+    constexpr int faultPeriod = 3;
+    constexpr int faultPeriodBesideOrganisations = 8;
+    constexpr int organisationFaultPeriod = 8;
+
     class Run {
     public:
         explicit Run(const SoakOptions& options)
@@ -123,10 +157,19 @@
             std::vector<std::string> addresses;
             for (const auto& gateway : m_gateways)
                 addresses.push_back(gateway->callers());
-            SoakCallers callers({ .gateways = addresses, .threads = m_options.callers, .deadlineMs = callerDeadlineMs, .longBodyPeriod = m_options.oddAnswers ? longBodyPeriodWithOddAnswers : longBodyPeriod, .seed = m_options.seed });
+            CallersOptions callersOptions { .gateways = addresses, .threads = m_options.callers, .deadlineMs = callerDeadlineMs, .longBodyPeriod = m_options.oddAnswers ? longBodyPeriodWithOddAnswers : longBodyPeriod, .seed = m_options.seed };
+            if (m_options.organisations)
+                callersOptions.vary = [this](auto& random, auto& outcome) { return m_organisations.vary(random, outcome); };
+            SoakCallers callers(callersOptions);
             auto end = Clock::now() + std::chrono::seconds(m_options.seconds);
+            if (m_options.organisations) {
+                startOrganisationFault(longOrganisationFaults[m_options.seed % longOrganisationFaults.size()]);
+                m_isolatedUntil = std::max(m_isolatedUntil, Clock::now() + isolationPause);
+            }
             while (Clock::now() < end) {
-                if (below(3) == 0 && Clock::now() >= m_quietUntil)
+                if (m_options.organisations && below(organisationFaultPeriod) == 0)
+                    startOrganisationFault(drawOrganisationFault());
+                if (below(m_options.organisations ? faultPeriodBesideOrganisations : faultPeriod) == 0 && Clock::now() >= m_quietUntil)
                     startFault();
                 step(milliseconds(50));
             }
@@ -137,6 +180,8 @@
             m_outcomes = callers.outcomes();
             checkOutcomes();
             checkCuts();
+            if (m_options.organisations)
+                checkOrganisations();
             report();
             return m_broken.empty();
         }
@@ -146,6 +191,7 @@
         struct ActiveFault {
             Clock::time_point until;
             Undo undo;
+            bool isBeside = false; // does not keep others from beginning
         };
 
         int below(int bound) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(bound)); }
@@ -156,7 +202,11 @@
         {
             m_store = std::make_unique<PlatformStandIn::Store>(m_thread.loop());
             for (int i = 0; i < m_options.servers; ++i) {
-                m_servers.push_back(std::make_unique<PlatformStandIn::Server>(m_thread.loop(), m_runs, PlatformStandIn::ServerOptions { .id = "server-" + std::to_string(i), .failureDomain = domainOf(i), .work = milliseconds(20) }));
+                PlatformStandIn::ServerOptions options { .id = "server-" + std::to_string(i), .failureDomain = domainOf(i), .work = milliseconds(20) };
+                if (m_options.organisations)
+                    options.observe = [this, i](auto event, const auto& request) { m_evidence.sightings.push_back(sightingOf(static_cast<std::size_t>(i), event, request)); };
+                m_evidence.domains.push_back(options.failureDomain);
+                m_servers.push_back(std::make_unique<PlatformStandIn::Server>(m_thread.loop(), m_runs, options));
                 m_serverProxies.push_back(std::make_unique<FaultProxy>(m_thread.loop(), m_servers.back()->address()));
                 putServer(static_cast<std::size_t>(i), false);
             }
@@ -184,8 +234,24 @@
 
         void writeConfiguration()
         {
-            auto extra = fmt::format(R"(,"probe":{{"host":"host.example","prefix":"/v{}/","route_type":"safe","timeout_ms":1000,"target_latency_ms":300,"priority":1,"service":"service","max_attempts":2}})", m_version);
-            m_store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(m_version, "service", extra));
+            auto route = [this](const std::string& name, const std::string& prefix) {
+                return fmt::format(R"(,"{}":{{"host":"host.example","prefix":"{}","route_type":"safe","timeout_ms":1000,"target_latency_ms":300,"priority":1,"service":"service","max_attempts":2{}}})", name, prefix, m_options.organisations ? R"(,"public":true)" : "");
+            };
+            auto probe = route("probe", fmt::format("/v{}/", m_version));
+            if (!m_options.organisations) {
+                m_store->put(Names::operatorTable, Names::configurationKey, PlatformStandIn::configurationValue(m_version, "service", probe));
+                return;
+            }
+            auto value = PlatformStandIn::withOrganisations(PlatformStandIn::configurationValue(m_version, "service", probe + route("public", "/public/")), m_organisations.entries(), Bounds::warmupPerSecond);
+            m_organisations.record(written([&] { m_store->put(Names::operatorTable, Names::configurationKey, value); }));
+        }
+
+        static Change written(const std::function<void()>& write)
+        {
+            Change change { .asked = Clock::now(), .acknowledged = {} };
+            write();
+            change.acknowledged = Clock::now();
+            return change;
         }
 
         void startGateways()
@@ -201,10 +267,17 @@
                 seeds.push_back("127.0.0.1:" + std::to_string(port + i * portsEach + 3));
             for (int i = 0; i < m_options.gateways; ++i) {
                 auto store = m_thread.call([&] { return m_storeProxies[static_cast<std::size_t>(i)]->address(); });
-                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = beginsOld ? m_options.oldProgram : m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = domainOf(i), .port = port + i * portsEach, .backendSource = sourceHost(static_cast<std::size_t>(i)), .seeds = seeds }));
+                m_gateways.push_back(std::make_unique<GatewayProcess>(GatewayProcessOptions { .program = beginsOld ? m_options.oldProgram : m_options.program, .folder = m_options.folder, .name = "gateway-" + std::to_string(i), .store = store, .failureDomain = domainOf(i), .port = port + i * portsEach, .backendSource = sourceHost(static_cast<std::size_t>(i)), .seeds = seeds, .bounds = m_options.organisations ? boundsOfSettings() : "" }));
                 m_gateways.back()->start();
             }
             m_expected.resize(m_gateways.size());
+            m_frozen.resize(m_gateways.size());
+            m_storeCuts.resize(m_gateways.size());
+        }
+
+        static std::string boundsOfSettings()
+        {
+            return fmt::format("revoke_ms = {}\nallowance_window_ms = {}\nallowance_overage = {}\nallowance_slack = {}\n", Bounds::revoke.count(), Bounds::allowanceWindow.count(), Bounds::allowanceOverage, Bounds::allowanceSlack);
         }
 
         void disturb(const std::string& gateway, milliseconds length)
@@ -227,7 +300,7 @@
 
         void startFault()
         {
-            if (m_active.size() >= 3)
+            if (std::count_if(m_active.begin(), m_active.end(), [](const auto& it) { return !it.isBeside; }) >= 3)
                 return;
             auto length = milliseconds(300 + below(2500));
             auto until = Clock::now() + length;
@@ -240,11 +313,13 @@
             // Drawn on its own, so that runs without odd answers keep the faults of their seeds.
             if (m_options.oddAnswers && below(faults + faultsOfOddAnswers) < faultsOfOddAnswers)
                 return startOddAnswers(server, length);
-            auto fault = below(faults + (m_options.drills ? faultsOfDrills : 0) + (m_options.cuts ? cuts : 0));
+            // Of a store that is restored, when its rows are in force is not known.
+            auto drills = m_options.drills ? faultsOfDrills - (m_options.organisations ? 1 : 0) : 0;
+            auto fault = below(faults + drills + (m_options.cuts ? cuts : 0));
             constexpr int chanceOfUpgrade = 3; // one in so many
             if (!m_options.oldProgram.empty() && below(chanceOfUpgrade) == 0)
                 return replaceGateway(gateway);
-            if (fault >= faults && m_options.drills && fault < faults + faultsOfDrills)
+            if (fault >= faults && fault < faults + drills)
                 return startDrill(fault - faults, server, until);
             if (fault >= faults)
                 return startCut();
@@ -264,14 +339,24 @@
                 auto mode = proxyModeNames[1 + static_cast<std::size_t>(below(4))].value;
                 note(fmt::format("store proxy {} {}", gateway, Common::nameOf(proxyModeNames, mode)));
                 m_thread.call([&] { m_storeProxies[gateway]->setMode(mode); });
-                m_active.push_back({ until, [this, gateway] { m_thread.call([&] { m_storeProxies[gateway]->setMode(ProxyMode::Pass); }); } });
+                addBlindness(m_storeCuts[gateway], 1);
+                m_active.push_back({ until, [this, gateway] {
+                                        m_thread.call([&] { m_storeProxies[gateway]->setMode(ProxyMode::Pass); });
+                                        addBlindness(m_storeCuts[gateway], -1);
+                                    } });
                 return;
             }
             case 4: {
                 auto mode = static_cast<StoreMode>(1 + below(3));
                 note(fmt::format("store mode {}", static_cast<int>(mode)));
                 m_thread.call([&] { m_store->setMode(mode); });
-                m_active.push_back({ until, [this] { m_thread.call([&] { m_store->setMode(StoreMode::Serving); }); } });
+                // Reads are answered while writes lose their responses.
+                auto outages = mode == StoreMode::LosesResponses ? 0 : 1;
+                addBlindness(m_storeOutages, outages);
+                m_active.push_back({ until, [this, outages] {
+                                        m_thread.call([&] { m_store->setMode(StoreMode::Serving); });
+                                        addBlindness(m_storeOutages, -outages);
+                                    } });
                 return;
             }
             case 5: {
@@ -473,9 +558,213 @@
             auto endsByHangUp = number == SIGHUP && gateway.age() < loadTime;
             if (number == SIGTERM || number == SIGKILL || endsByHangUp)
                 m_expected[index] = true;
-            gateway.signal(number);
             if (number == SIGSTOP)
-                m_active.push_back({ Clock::now() + length, [this, index] { m_gateways[index]->signal(SIGCONT); } });
+                freeze(index, length, false);
+            else
+                gateway.signal(number);
+        }
+
+        void freeze(std::size_t index, milliseconds length, bool isBeside)
+        {
+            m_gateways[index]->signal(SIGSTOP);
+            addBlindness(m_frozen[index], 1);
+            m_active.push_back({ Clock::now() + length,
+                [this, index] {
+                    m_gateways[index]->signal(SIGCONT);
+                    addBlindness(m_frozen[index], -1);
+                },
+                isBeside });
+        }
+
+        // Changes one of the counts of causes, and notes which gateways can't hear of changes now.
+        void addBlindness(int& causes, int n)
+        {
+            causes += n;
+            auto isStoreReached = false;
+            for (std::size_t i = 0; i < m_gateways.size(); ++i)
+                isStoreReached = isStoreReached || (m_storeOutages == 0 && m_storeCuts[i] == 0 && m_frozen[i] == 0);
+            for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+                auto& intervals = m_evidence.blind[m_gateways[i]->callers()];
+                auto wasBlind = !intervals.empty() && intervals.back().to == Common::TimePoint::max();
+                auto isBlind = !isStoreReached || m_frozen[i] > 0;
+                if (isBlind && !wasBlind)
+                    intervals.push_back({ .from = Clock::now() });
+                else if (!isBlind && wasBlind)
+                    intervals.back().to = Clock::now();
+            }
+        }
+
+        OrganisationFault drawOrganisationFault()
+        {
+            auto left = below(std::accumulate(organisationFaultWeights.begin(), organisationFaultWeights.end(), 0));
+            std::size_t index = 0;
+            for (; left >= organisationFaultWeights[index]; ++index)
+                left -= organisationFaultWeights[index];
+            return organisationFaultNames[index].value;
+        }
+
+        void startOrganisationFault(OrganisationFault fault)
+        {
+            auto length = milliseconds(1000 + below(2000));
+            switch (fault) {
+            case OrganisationFault::RevokeKey:
+            case OrganisationFault::AddKey:
+                return changeKeys(fault == OrganisationFault::AddKey, 1);
+            case OrganisationFault::ChangeLimit:
+                return changeLimit();
+            case OrganisationFault::Surge: {
+                auto organisation = below(static_cast<int>(m_organisations.limits().size()));
+                // Organisations are expected to send 3 to 5.5 times their usual rate; one whose limit was lowered does without a surge.
+                const auto& limits = m_organisations.limits()[static_cast<std::size_t>(organisation)];
+                if (limits.back().ratePerSecond > 0 && limits.back().ratePerSecond < limits.front().ratePerSecond)
+                    return;
+                noteOf(fault, fmt::format("of {}", OrganisationHistory::organisationOf(organisation)));
+                m_organisations.setFavourite(organisation);
+                m_active.push_back({ Clock::now() + length, [this] { m_organisations.setFavourite(std::nullopt); }, true });
+                return;
+            }
+            case OrganisationFault::Evacuate:
+                return evacuate(domainOf(below(m_options.domains)));
+            case OrganisationFault::ColdServer: {
+                auto server = static_cast<std::size_t>(below(m_options.servers));
+                return makeCold(
+                    fault, std::to_string(server), [server](auto index) { return index == server; }, length);
+            }
+            case OrganisationFault::ColdDomain: {
+                // Gateways prefer warm servers, so that one domain of several is seldom asked while it is cold.
+                constexpr int chanceOfAll = 3; // one in so many
+                if (below(chanceOfAll) == 0)
+                    return makeCold(
+                        fault, "all", [](auto) { return true; }, length);
+                return makeDomainCold(domainOf(below(m_options.domains)), length);
+            }
+            case OrganisationFault::RevokeWhileFrozen:
+            case OrganisationFault::RevokeInOutage:
+                return revokeUnheard(fault);
+            }
+        }
+
+        void noteOf(OrganisationFault fault, const std::string& what)
+        {
+            note(fmt::format("{} {}", Common::nameOf(organisationFaultNames, fault), what));
+        }
+
+        // A new key, or one that was revoked comes back. The first keys of all stay, so that some request is always valid.
+        void changeKeys(bool isAdded, int count)
+        {
+            auto firstKeys = static_cast<int>(m_organisations.limits().size());
+            std::string keys;
+            for (int i = 0; i < count; ++i) {
+                auto key = firstKeys + below(m_organisations.keyCount() - firstKeys);
+                if (isAdded && m_organisations.isValid(key))
+                    key = m_organisations.addKey();
+                m_organisations.setValid(key, isAdded);
+                keys += fmt::format(" {}", key);
+            }
+            m_thread.call([&] { putConfiguration(); });
+            noteOf(isAdded ? OrganisationFault::AddKey : OrganisationFault::RevokeKey, fmt::format("{} in configuration {}", keys.substr(1), m_version));
+        }
+
+        // Mostly lowers one, since a raised limit hides what the lower one was to show.
+        void changeLimit()
+        {
+            constexpr double low = 8;
+            constexpr double high = 40;
+            constexpr int raisePeriod = 4;
+            auto organisation = OrganisationHistory::firstLimited + below(static_cast<int>(m_organisations.limits().size()) - OrganisationHistory::firstLimited);
+            auto present = m_organisations.limits()[static_cast<std::size_t>(organisation)].back().ratePerSecond;
+            auto rate = present > low && below(raisePeriod) != 0 ? low : high;
+            m_organisations.setLimit(static_cast<std::size_t>(organisation), rate, rate);
+            m_thread.call([&] { putConfiguration(); });
+            noteOf(OrganisationFault::ChangeLimit, fmt::format("of {} to {} a second in configuration {}", OrganisationHistory::organisationOf(organisation), rate, m_version));
+        }
+
+        void evacuate(const std::string& domain)
+        {
+            auto& periods = m_evidence.evacuations[domain];
+            auto isEvacuated = [](const auto& it) { return !it.second.empty() && it.second.back().end.asked == Common::TimePoint::max(); };
+            auto evacuated = std::count_if(m_evidence.evacuations.begin(), m_evidence.evacuations.end(), isEvacuated);
+            constexpr int chanceOfLast = 12; // one in so many
+            if (isEvacuated(std::pair(domain, periods)) || (evacuated == m_options.domains - 1 && below(chanceOfLast) != 0))
+                return;
+            auto key = Names::evacuationPrefix + domain;
+            m_thread.call([&] { periods.push_back({ .begin = written([&] { m_store->put(Names::operatorTable, key, "{}"); }) }); });
+            noteOf(OrganisationFault::Evacuate, domain);
+            auto length = Bounds::evacuate + milliseconds(1000 + below(3000));
+            auto isColdAfterwards = below(2) == 0;
+            m_active.push_back({ Clock::now() + length,
+                [this, domain, key, isColdAfterwards] {
+                    if (isColdAfterwards)
+                        makeDomainCold(domain, coldAfterEvacuation);
+                    m_thread.call([&] { m_evidence.evacuations[domain].back().end = written([&] { m_store->remove(Names::operatorTable, key); }); });
+                    note(fmt::format("{} is used again", domain));
+                },
+                true });
+        }
+
+        void makeDomainCold(const std::string& domain, milliseconds length)
+        {
+            makeCold(
+                OrganisationFault::ColdDomain, domain, [this, domain](auto index) { return m_evidence.domains[index] == domain; }, length);
+        }
+
+        // Those that are cold already stay so.
+        void makeCold(OrganisationFault fault, const std::string& what, const std::function<bool(std::size_t)>& isChosen, milliseconds length)
+        {
+            m_evidence.cold.resize(m_servers.size());
+            auto isRestarted = below(2) == 0;
+            noteOf(fault, fmt::format("{} for {} ms{}", what, length.count(), isRestarted ? ", restarted" : ""));
+            m_thread.call([&] {
+                for (std::size_t i = 0; i < m_servers.size(); ++i) {
+                    auto now = Common::TimePoint(Clock::now());
+                    if (!isChosen(i) || (!m_evidence.cold[i].empty() && m_evidence.cold[i].back().to > now))
+                        continue;
+                    m_servers[i]->setColdUntil(now + length);
+                    if (isRestarted) {
+                        ++m_startedMs[i];
+                        m_serverProxies[i]->resetAll();
+                    }
+                    putServer(i, m_draining[i]);
+                    m_evidence.cold[i].push_back({ .from = Clock::now(), .to = now + length });
+                }
+            });
+            if (isRestarted)
+                disturbAll(milliseconds(0));
+        }
+
+        // Gateways that are frozen, one or all, or run without the store, until after the API keys' time has ended.
+        void revokeUnheard(OrganisationFault fault)
+        {
+            if (Clock::now() < m_isolatedUntil)
+                return;
+            auto isFrozen = fault == OrganisationFault::RevokeWhileFrozen;
+            auto isAll = !isFrozen || below(2) == 0;
+            auto chosen = static_cast<std::size_t>(below(m_options.gateways));
+            auto length = Bounds::revoke + milliseconds(500 + below(1000));
+            constexpr auto afterwards = milliseconds(1200);
+            m_isolatedUntil = Clock::now() + length + isolationPause;
+            noteOf(fault, isAll ? "of all gateways" : m_gateways[chosen]->options().name);
+            for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+                if (!isAll && i != chosen)
+                    continue;
+                // Goes before the mode that another fault sets or ends.
+                m_thread.call([&] { m_storeProxies[i]->setModeFor("127.0.0.1", ProxyMode::Silence); });
+                addBlindness(m_storeCuts[i], 1);
+                m_active.push_back({ Clock::now() + length + afterwards,
+                    [this, i] {
+                        m_thread.call([&] { m_storeProxies[i]->clearModeFor("127.0.0.1"); });
+                        addBlindness(m_storeCuts[i], -1);
+                    },
+                    true });
+            }
+            changeKeys(false, m_organisations.keyCount() / 2);
+            for (std::size_t i = 0; isFrozen && i < m_gateways.size(); ++i) {
+                if (!isAll && i != chosen)
+                    continue;
+                auto ownLength = length + milliseconds(below(static_cast<int>(afterwards.count())));
+                disturb(m_gateways[i]->callers(), ownLength);
+                freeze(i, ownLength, true);
+            }
         }
 
         // A planned replacement by the other version.
@@ -551,11 +840,14 @@
 
         void checkNewestConfiguration()
         {
+            // Of the first organisation, which has no limit.
+            while (m_options.organisations && m_organisations.addKey() % m_organisations.limits().size() != 0) { }
             m_thread.call([&] { putConfiguration(); });
             auto target = fmt::format("/v{}/x", m_version);
+            auto fields = m_options.organisations ? OrganisationHistory::fieldsOf(m_organisations.keyCount() - 1) : HeaderFields();
             auto end = Clock::now() + recoveryLimit;
             for (const auto& gateway : m_gateways) {
-                while (statusOf(gateway->callers(), target) != Ok) {
+                while (statusOf(gateway->callers(), target) != Ok || (m_options.organisations && statusOf(gateway->callers(), "/safe/x", fields) != Ok)) {
                     step(milliseconds(50));
                     if (Clock::now() > end) {
                         m_broken.push_back(fmt::format("{} does not serve the newest configuration, {}", gateway->options().name, m_version));
@@ -592,24 +884,47 @@
             }
         }
 
+        void checkOrganisations()
+        {
+            // Load probes go on.
+            auto evidence = m_thread.call([&] { return m_evidence; });
+            evidence.outcomes = m_outcomes;
+            for (const auto& finding : findBroken(m_organisations, evidence, m_coverage))
+                m_broken.push_back(fmt::format("{}: {} times, first at {:.3f} s: {}", Common::nameOf(promiseNames, finding.promise), finding.count, std::chrono::duration<double>(finding.at - Common::TimePoint(m_begun)).count(), finding.first));
+        }
+
+        std::string command() const
+        {
+            auto options = fmt::format("--seed {} --seconds {} --gateways {} --domains {} --callers {}", m_options.seed, m_options.seconds, m_options.gateways, m_options.domains, m_options.callers);
+            for (auto [isSet, name] : { std::pair(m_options.drills, " --drills"), std::pair(m_options.cuts, " --cuts"), std::pair(m_options.oddAnswers, " --odd-answers"), std::pair(m_options.organisations, " --organisations") })
+                options += isSet ? name : "";
+            return "cowslipledge-bench soak " + options + (m_options.oldProgram.empty() ? "" : " --old-program " + m_options.oldProgram);
+        }
+
         void report()
         {
             for (const auto& broken : m_broken)
-                fmt::print("broken: {}\n", broken);
+                fmt::print("broken: {} ({})\n", broken, command());
             if (!m_broken.empty()) {
                 for (const auto& line : m_history)
                     fmt::print("fault: {}\n", line);
             }
             auto [earlyAnswers, oddHeads] = m_thread.call([&] { return std::pair(m_odd.earlyAnswers(), m_odd.spoiledHeads()); });
+            std::string organisations;
+            if (m_options.organisations)
+                organisations = fmt::format("\"rejected\":{},\"limited\":{},\"sent_with_revoked_keys\":{},\"evacuations\":{},\"cold_arrivals\":{},\"full_windows\":{},", m_coverage.rejected, m_coverage.limited, m_coverage.sentTooLate, m_coverage.evacuations, m_coverage.coldArrivals, m_coverage.fullWindows);
             std::string statuses;
             for (const auto& [status, n] : m_statuses)
                 statuses += fmt::format("{}\"{}\":{}", statuses.empty() ? "" : ",", status, n);
-            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"replaced\":{},\"in_cuts\":{},\"served_in_cuts\":{},\"beside_cuts\":{},\"served_beside_cuts\":{},\"early_answers\":{},\"odd_heads\":{},\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_replaced, m_inCuts.sent, m_inCuts.ok, m_besideCuts.sent, m_besideCuts.ok, earlyAnswers, oddHeads, m_broken.size());
+            fmt::print("{{\"seed\":{},\"requests\":{},\"statuses\":{{{}}},\"faults\":{},\"replaced\":{},\"in_cuts\":{},\"served_in_cuts\":{},\"beside_cuts\":{},\"served_beside_cuts\":{},\"early_answers\":{},\"odd_heads\":{},{}\"broken\":{}}}\n", m_options.seed, m_outcomes.size(), statuses, m_history.size(), m_replaced, m_inCuts.sent, m_inCuts.ok, m_besideCuts.sent, m_besideCuts.ok, earlyAnswers, oddHeads, organisations, m_broken.size());
         }
 
         SoakOptions m_options;
         std::mt19937_64 m_random;
         OddAnswers m_odd; // used on the thread of m_thread
+        OrganisationHistory m_organisations; // changed only while the thread of m_thread waits, or on it
+        Evidence m_evidence;
+        Coverage m_coverage;
         PlatformStandIn::LoopThread m_thread;
         PlatformStandIn::ExecutionLog m_runs;
         std::unique_ptr<PlatformStandIn::Store> m_store;
@@ -621,6 +936,11 @@
         std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
         std::vector<bool> m_expected; // the gateway's end was asked for
         std::vector<ActiveFault> m_active;
+        // By gateway and in all: causes why it can't hear of changes.
+        std::vector<int> m_frozen;
+        std::vector<int> m_storeCuts;
+        int m_storeOutages = 0;
+        Clock::time_point m_isolatedUntil; // no other revokeUnheard() begins before
         std::map<std::string, std::vector<Interval>> m_disturbed; // by callers' address
         std::vector<Outcome> m_outcomes;
         std::vector<Cut> m_cuts;
--- a/Source/Core/Soak/Soak.h
+++ b/Source/Core/Soak/Soak.h
@@ -18,6 +18,7 @@
     bool drills = false; // also restores the store from copies, and lets servers leave or ask for pauses
     bool cuts = false; // also cuts gateways off from all servers
     bool oddAnswers = false; // also lets servers answer long uploads early and send odd heads
+    bool organisations = false; // also has API keys, limits, evacuations and cold servers
     std::string program; // path of the shipped binary
     // That of an older version: gateways are replaced by one of the other version, back and forth. Even seeds begin with the older version
     // on all, odd ones with the newer one. Empty: none.
--- a/Source/Core/Soak/SoakCallers.cpp
+++ b/Source/Core/Soak/SoakCallers.cpp
@@ -56,12 +56,16 @@
     }
 
     // Sends one request and reads its answer into the outcome; false when the connection is not to be used again.
-    bool exchange(HTTPClientSession& session, const CallersOptions& options, Outcome& outcome)
+    bool exchange(HTTPClientSession& session, const CallersOptions& options, const HeaderFields& fields, Outcome& outcome)
     {
-        Poco::Net::HTTPRequest request(outcome.once ? "POST" : "GET", outcome.once ? "/once/x" : "/safe/x", "HTTP/1.1");
+        Poco::Net::HTTPRequest request(outcome.once ? "POST" : "GET", outcome.isPublic ? "/public/x" : outcome.once ? "/once/x"
+                                                                                                                    : "/safe/x",
+            "HTTP/1.1");
         request.set("Host", "host.example");
         request.set(Names::requestId, outcome.id);
         request.set(Names::deadline, std::to_string(options.deadlineMs));
+        for (const auto& [name, value] : fields)
+            request.add(name, value);
         std::string body = outcome.once ? "body of " + outcome.id : "";
         if (outcome.once && outcome.hasLongBody)
             body.resize(longBodyBytes, 'x');
@@ -127,8 +131,9 @@
             gateway = m_options.gateways[random() % m_options.gateways.size()];
             session = connectTo(gateway);
         }
-        Outcome outcome { .id = std::to_string(number) + "-" + std::to_string(n), .once = random() % 2 == 0, .hasLongBody = n % m_options.longBodyPeriod == m_options.longBodyPeriod / 2, .status = 0, .wrongBody = false, .cutBody = false, .oddHead = {}, .connected = false, .gateway = gateway, .sent = Common::TimePoint(std::chrono::steady_clock::now()), .ended = {} };
-        if (!exchange(*session, m_options, outcome))
+        Outcome outcome { .id = std::to_string(number) + "-" + std::to_string(n), .once = random() % 2 == 0, .hasLongBody = n % m_options.longBodyPeriod == m_options.longBodyPeriod / 2, .isPublic = false, .key = noKey, .status = 0, .wrongBody = false, .cutBody = false, .oddHead = {}, .connected = false, .gateway = gateway, .sent = Common::TimePoint(std::chrono::steady_clock::now()), .ended = {} };
+        auto fields = m_options.vary ? m_options.vary(random, outcome) : HeaderFields();
+        if (!exchange(*session, m_options, fields, outcome))
             session.reset();
         outcome.ended = Common::TimePoint(std::chrono::steady_clock::now());
         {
@@ -139,13 +144,15 @@
     }
 }
 
-int statusOf(const std::string& address, const std::string& target)
+int statusOf(const std::string& address, const std::string& target, const HeaderFields& fields)
 {
     try {
         HTTPClientSession session { Poco::Net::SocketAddress(address) };
         session.setTimeout(Poco::Timespan(1, 0));
         Poco::Net::HTTPRequest request("GET", target, "HTTP/1.1");
         request.set("Host", "host.example");
+        for (const auto& [name, value] : fields)
+            request.add(name, value);
         session.sendRequest(request);
         Poco::Net::HTTPResponse response;
         session.receiveResponse(response);
--- a/Source/Core/Soak/SoakCallers.h
+++ b/Source/Core/Soak/SoakCallers.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,11 +12,16 @@
 
 namespace Soak {
 
+// A request without an API key, or with what is none.
+inline constexpr int noKey = -1;
+
 // What one caller saw of one request.
 struct Outcome {
     std::string id;
     bool once = false; // must not run twice
     bool hasLongBody = false; // of those that must not repeat
+    bool isPublic = false; // on a route that needs no API key
+    int key = noKey; // number of the only API key that was sent
     int status = 0; // 0: the connection ended without an answer
     bool wrongBody = false; // a success with other bytes than the server's
     bool cutBody = false; // a success that ended, visibly, in the middle of its body; counts as no answer
@@ -26,6 +32,8 @@
     Common::TimePoint ended;
 };
 
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
+
 struct CallersOptions {
     std::vector<std::string> gateways; // callers' addresses
     int threads = 8;
@@ -33,6 +41,8 @@
     Common::Duration pause = std::chrono::milliseconds(15); // between a caller's requests
     int longBodyPeriod = 16; // one request in so many has a body that gateways stream
     std::uint64_t seed = 1;
+    // Chooses isPublic and key of a request that is to be sent and returns further header fields. Called on the callers' threads; empty: none.
+    std::function<HeaderFields(std::mt19937_64&, Outcome&)> vary = {};
 };
 
 // Callers that keep their connections open until the process behind is gone.
@@ -57,6 +67,6 @@
 };
 
 // One request over a new connection; status 0 without an answer.
-int statusOf(const std::string& address, const std::string& target);
+int statusOf(const std::string& address, const std::string& target, const HeaderFields& fields = {});
 
 }
