Soak: callers notice a chunked body without its last chunk

The trace of one: status 200, chunked, 100,000 bytes, ended 270 ms after it was sent and 2 ms after its gateway got SIGKILL. The body had no last chunk; Poco's chunked stream takes the end of the connection for the end of the body.

Change: callers read chunks themselves; a body without its last chunk is cut.

Ruled out: a part passed on as whole by the gateway; it ends a whole body with a last chunk, and the killed one had not sent it.

--- a/Source/Core/Soak/SoakCallers.cpp
+++ b/Source/Core/Soak/SoakCallers.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdlib>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include <fmt/format.h>
@@ -26,9 +28,64 @@
     constexpr int ok = 200;
     constexpr std::size_t longBodyBytes = 400'000;
 
-    std::unique_ptr<HTTPClientSession> connectTo(const std::string& address)
+    // Reads chunked bodies itself: to the library's stream, the end of the connection is the end of the body.
+    class CallerSession : public HTTPClientSession {
+    public:
+        using HTTPClientSession::HTTPClientSession;
+
+        // nullopt: the body ended before its last chunk.
+        std::optional<std::string> readChunks()
+        {
+            try {
+                std::string body;
+                while (auto sizeLine = readLine()) {
+                    constexpr int hexadecimal = 16;
+                    auto size = std::strtoul(sizeLine->c_str(), nullptr, hexadecimal);
+                    if (size == 0)
+                        return skipTrailers() ? std::optional(body) : std::nullopt;
+                    auto end = body.size() + size;
+                    for (auto at = body.size(); at < end;) {
+                        body.resize(end);
+                        auto n = read(body.data() + at, static_cast<std::streamsize>(end - at));
+                        if (n <= 0)
+                            return std::nullopt;
+                        at += static_cast<std::size_t>(n);
+                    }
+                    readLine();
+                }
+            } catch (const Poco::Exception&) {
+                // A reset.
+            }
+            return std::nullopt;
+        }
+
+    private:
+        // Without its end; nullopt: the connection ended in it.
+        std::optional<std::string> readLine()
+        {
+            std::string line;
+            for (auto c = get(); c != std::char_traits<char>::eof(); c = get()) {
+                if (c == '\n')
+                    return line;
+                if (c != '\r')
+                    line += static_cast<char>(c);
+            }
+            return std::nullopt;
+        }
+
+        bool skipTrailers()
+        {
+            while (auto line = readLine()) {
+                if (line->empty())
+                    return true;
+            }
+            return false;
+        }
+    };
+
+    std::unique_ptr<CallerSession> connectTo(const std::string& address)
     {
-        auto session = std::make_unique<HTTPClientSession>(Poco::Net::SocketAddress(address));
+        auto session = std::make_unique<CallerSession>(Poco::Net::SocketAddress(address));
         session->setKeepAlive(true);
         session->setTimeout(Poco::Timespan(1, 0), Poco::Timespan(3, 0), Poco::Timespan(3, 0));
         // A second send by the library would look like a request run twice.
@@ -56,7 +113,7 @@
     }
 
     // Sends one request and reads its answer into the outcome; false when the connection is not to be used again.
-    bool exchange(HTTPClientSession& session, const CallersOptions& options, const HeaderFields& fields, Outcome& outcome)
+    bool exchange(CallerSession& session, const CallersOptions& options, const HeaderFields& fields, Outcome& outcome)
     {
         Poco::Net::HTTPRequest request(outcome.once ? "POST" : "GET", outcome.isPublic ? "/public/x" : outcome.once ? "/once/x"
                                                                                                                     : "/safe/x",
@@ -75,17 +132,20 @@
             session.sendRequest(request) << body << std::flush;
             outcome.connected = true;
             Poco::Net::HTTPResponse response;
-            std::string received;
             auto& stream = session.receiveResponse(response);
             outcome.oddHead = oddHeadOf(response);
-            Poco::StreamCopier::copyToString(stream, received);
+            std::optional<std::string> received;
+            if (response.getChunkedTransferEncoding())
+                received = session.readChunks();
+            else
+                Poco::StreamCopier::copyToString(stream, received.emplace());
             // The stream keeps the library's exception at a reset; the end of the connection is no error to it.
-            if (stream.bad() || (response.hasContentLength() && received.size() != static_cast<std::size_t>(response.getContentLength64()))) {
+            if (stream.bad() || !received || (response.hasContentLength() && received->size() != static_cast<std::size_t>(response.getContentLength64()))) {
                 outcome.cutBody = response.getStatus() == ok;
                 return false;
             }
             outcome.status = response.getStatus();
-            outcome.wrongBody = outcome.status == ok && received != "answer to " + outcome.id;
+            outcome.wrongBody = outcome.status == ok && *received != "answer to " + outcome.id;
             return response.getKeepAlive();
         } catch (const Poco::Exception&) {
             return false; // no answer: the outcome says so with status 0
@@ -124,7 +184,7 @@
 void SoakCallers::run(int number)
 {
     std::mt19937_64 random(m_options.seed * 1000 + static_cast<std::uint64_t>(number));
-    std::unique_ptr<HTTPClientSession> session;
+    std::unique_ptr<CallerSession> session;
     std::string gateway;
     for (int n = 0; !m_stopping; ++n) {
         if (!session) {
