--- a/Source/Core/Gateway/RelayServer.cpp
+++ b/Source/Core/Gateway/RelayServer.cpp
@@ -9,9 +9,9 @@
     // Changes that follow each other closely are sent in one response. The delay grows with the number of requests to answer.
     constexpr auto catalogBatchDelay = std::chrono::milliseconds(15);
     constexpr auto batchDelayPerRequest = std::chrono::microseconds(1200);
-    // Members often join and leave many at a time, and callers cache addresses for seconds anyway.
     // A surge of an organisation goes on until gateways are told. FleetAllowance limits how often that is.
     constexpr auto allowancesBatchDelay = std::chrono::milliseconds(15);
+    // Members often join and leave many at a time, and callers cache addresses for seconds anyway.
     constexpr auto membersBatchDelay = std::chrono::milliseconds(150);
     constexpr auto maxLongPollWait = std::chrono::seconds(5);
     // A gateway whose connection ended sends its next request within this time if it is alive.
