--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,99 +2,140 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "standin-2"))
 from small import *
 
-REQUESTS = 480
-CALLERS = 8
-SPOIL_EVERY = 50  # 2% of a faulty server's answers
-WORK_S = 0.02
+UPLOADS = 6
+SILENT = 1  # of their connections to servers: a share of 0.17
+BODY = 8 * 1024 * 1024  # max_body_bytes is 64 MB
+DEADLINE_MS = 6000
+PAUSE_S = 0.3  # between the two halves of an answer
+FIRST, SECOND = b"stored under number 4711; the first half of the answer, ", b"and its second half"
 
 record = Record(os.path.dirname(os.path.abspath(__file__)))
-runs = {}
 lock = threading.Lock()
+silenced = []
 
 
 class Server:
-    """Answers each request with its id, a seal and a body of its own. A faulty one sends, after a complete response and when the next
-    one is expected, the body of the last answer once more, as a response without an id and without a seal."""
-
-    def __init__(self, key, faulty):
-        self.key, self.faulty = key, faulty
-        self.running = 0
-        self.answers = 0
-        self.last_body = None
+    """Answers an upload before it has read all of it, reads on, and ends the answer, which has no length, with the connection."""
+
+    def __init__(self, key):
+        self.key = key
         self.socket = listener()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 128 * 1024)
         self.address = address(self.socket)
         serve(self.socket, self.handle)
 
     def handle(self, connection, reader):
         while True:
             line, headers = reader.head()
-            reader.body(headers)
             if line.split()[1] == "/health":
-                connection.sendall(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d,0,8\r\nContent-Length: 0\r\n\r\n" % (INSTANCE, self.key, LOAD, self.running)).encode())
+                connection.sendall(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 0,0,4\r\nContent-Length: 0\r\n\r\n" % (INSTANCE, self.key, LOAD)).encode())
                 continue
             request = headers[ID.lower()]
-            if headers.get(EXPECT.lower(), self.key) != self.key:
-                connection.sendall(("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n" % (ID, request, INSTANCE, self.key)).encode())
-                continue
-            with lock:
-                runs[request] = runs.get(request, 0) + 1
-                self.running += 1
-                self.answers += 1
-                spoils = TROUBLE and self.faulty and self.answers % SPOIL_EVERY == 0 and self.last_body
-            record("run    %s at %s" % (request, self.key))
-            if spoils:
-                extra = self.last_body
-                record("extra  %s sends '%s' once more, without an id, before its answer to %s" % (self.key, extra.decode(), request))
-                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(extra) + extra)
-            time.sleep(WORK_S)
-            body = ("private answer to %s" % request).encode()
-            with lock:
-                self.running -= 1
-                self.last_body = body
-            connection.sendall(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-of-%s\r\n%s: %d,0,8\r\nContent-Length: %d\r\n\r\n" % (ID, request, SEAL, request, LOAD, self.running, len(body))).encode() + body)
+            length = int(headers["content-length"])
+            record("run    %s begins at %s" % (request, self.key))
+            connection.sendall(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-of-%s\r\nConnection: close\r\n\r\n" % (ID, request, SEAL, request)).encode() + FIRST)
+            record("server %s has sent the head and the first half of its answer to %s" % (self.key, request))
+            time.sleep(PAUSE_S)
+            reader.exactly(length)
+            connection.sendall(SECOND)
+            connection.shutdown(socket.SHUT_WR)
+            record("server %s has read all of %s and sent the second half of its answer" % (self.key, request))
+            try:
+                while connection.recv(65536):
+                    pass
+            except OSError:
+                pass
+            return
+
+
+class Link:
+    """The way to a server. A connection may go silent for good: nothing passes on it any more, and it is not reset. New ones work."""
+
+    def __init__(self, to):
+        self.to = to
+        self.socket = listener()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 128 * 1024)
+        self.address = address(self.socket)
+        serve(self.socket, self.handle)
+
+    def handle(self, near, _):
+        far = connect(self.to, 2)
+        state = {"silent": False}
+
+        def copy(source, target, watches):
+            try:
+                while not state["silent"]:
+                    data = source.recv(65536)
+                    if state["silent"]:
+                        break
+                    if not data:
+                        target.shutdown(socket.SHUT_WR)
+                        return
+                    target.sendall(data)
+                    if watches and FIRST in data and TROUBLE:
+                        with lock:
+                            goes = len(silenced) < SILENT
+                            if goes:
+                                silenced.append(self.to)
+                                state["silent"] = True
+                        if goes:
+                            record("link   a connection to the server at %s goes silent" % self.to)
+            except OSError:
+                pass
+            if state["silent"]:
+                time.sleep(30)
+
+        back = threading.Thread(target=copy, args=(far, near, True), daemon=True)
+        back.start()
+        copy(near, far, False)
+        back.join()
+        far.close()
 
 
 store = Store()
-store.put("op", "config", desired(1, {"r-read": route("/read/", "safe", "svc", 1500, 400), "r-order": route("/order/", "unsafe", "svc", 2000, 500)}, ["svc"]))
+store.put("op", "config", desired(1, {"r-upload": route("/upload/", "upload", "intake", DEADLINE_MS, 1500)}, ["intake"]))
 entries = Servers(store)
-servers = [Server("i-%d" % i, faulty=i < 2) for i in range(4)]
-for server in servers:
-    entries.add(server.key, "svc", server.address, slots=8)
+for i in range(4):
+    link = Link(Server("i-%d" % i).address)
+    entries.add("i-%d" % i, "intake", link.address)
 gateways = Gateways(record, store, 2)
-
 wrong = []
-answered = [0]
-
-
-def caller(n):
-    for i in range(REQUESTS // CALLERS):
-        request = "c%d-%d" % (n, i)
-        unsafe = i % 2 == 1
-        try:
-            with connect(gateways.callers[n % 2], 2) as s:
-                s.settimeout(5)
-                s.sendall(head("POST", "/order/x", request, 2500, 5) + b"order" if unsafe else head("GET", "/read/x", request, 2500))
-                status, headers, body = Reader(s).response()
-        except (OSError, EOFError) as error:
-            record("answer %s none: %s" % (request, error))
-            continue
-        seal = headers.get(SEAL.lower())
-        record("answer %s %d seal=%s id=%s body='%s'" % (request, status, seal, headers.get(ID.lower()), body.decode(errors="replace")))
-        with lock:
-            answered[0] += 1 if status == 200 else 0
-            if 200 <= status < 300 and (seal != "seal-of-" + request or body != ("private answer to " + request).encode()):
-                wrong.append("%s (%s) got 200, seal %s, '%s'" % (request, "unsafe" if unsafe else "safe", seal, body.decode(errors="replace")))
-
-
-threads = [threading.Thread(target=caller, args=(n,)) for n in range(CALLERS)]
+whole = [0]
+
+
+def upload(n):
+    request = "upload-%d" % n
+    try:
+        with connect(gateways.callers[n % 2], 2) as s:
+            s.settimeout(DEADLINE_MS / 1000 + 2)
+            record("sent   %s: head and a body of %d bytes, as fast as it is taken" % (request, BODY))
+
+            def send():
+                try:
+                    s.sendall(head("POST", "/upload/x", request, DEADLINE_MS, BODY) + b"x" * BODY)
+                except OSError:
+                    pass
+
+            threading.Thread(target=send, daemon=True).start()
+            status, headers, body = Reader(s).response()
+    except (OSError, EOFError) as error:
+        record("answer %s none: %s" % (request, type(error).__name__))
+        return
+    record("answer %s %d seal=%s content-length=%s body='%s'" % (request, status, headers.get(SEAL.lower()), headers.get("content-length"), body.decode(errors="replace")))
+    with lock:
+        if 200 <= status < 300 and body != FIRST + SECOND:
+            wrong.append("%s got %d of %d bytes as a complete 200" % (request, len(body), len(FIRST + SECOND)))
+        elif status == 200:
+            whole[0] += 1
+
+
+threads = [threading.Thread(target=upload, args=(n,)) for n in range(UPLOADS)]
 for thread in threads:
     thread.start()
 for thread in threads:
-    thread.join(60)
-record("%d requests, %d answered 200, %d of them wrong" % (REQUESTS, answered[0], len(wrong)))
-for text in wrong:
-    record("wrong: " + text)
-if answered[0] < REQUESTS // 2:
+    thread.join(20)
+record("%d uploads, %d answered whole, %d connections went silent, %d answers cut and taken for whole" % (UPLOADS, whole[0], len(silenced), len(wrong)))
+if whole[0] < UPLOADS - SILENT or (TROUBLE and not silenced):
     gateways.end()
-    unable(record, "only %d of %d requests were served" % (answered[0], REQUESTS))
-finish(record, gateways, "%d successes without the server's seal: %s" % (len(wrong), wrong[0]) if wrong else "")
+    unable(record, "only %d uploads were answered whole, %d connections went silent" % (whole[0], len(silenced)))
+finish(record, gateways, "%d answers that were cut off look complete: %s" % (len(wrong), wrong[0]) if wrong else "")
