--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,118 +1,101 @@
-import os, signal, sys, threading, time
+import os, sys, threading, time
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "standin-2"))
 from small import *
 
-GATEWAYS = 10  # one of them freezes: a share of 0.1
-FREEZE_AT_S, FREEZE_S = 0.7, 3.5
-BODY = 8 * 1024 * 1024  # max_body_bytes is 64 MB
-BYTES_PER_S = 4 * 1024 * 1024  # at which a server takes a body: 2 s, less than header_timeout_ms
-DEADLINE_MS = 6000
-UPLOADS = 4
+CALLERS = 6
+ORDERS = 80  # by each of them
+SERVERS = 7  # one of them is grey: a share of 0.143
+GREY_OF_TEN = 4  # so many of ten of its requests fail: 0.4
+GREY_S = 5
+WORK_S = 0.03
 
 record = Record(os.path.dirname(os.path.abspath(__file__)))
 lock = threading.Lock()
-runs = {}  # id -> what became of it
+runs = {}  # attempt id -> how often it ran
+orders = {}  # order number -> attempts that placed it
+grey_until = 0.0
 
 
 class Server:
-    """Stores an upload as it arrives: begins with its first bytes, and answers when it has all of it."""
+    """Places orders. A grey one places the order and then fails: 503 with its seal, and without the header that says "not executed"."""
 
-    def __init__(self, key):
-        self.key = key
-        self.running = 0
+    def __init__(self, key, grey):
+        self.key, self.grey = key, grey
+        self.running = self.requests = 0
         self.socket = listener()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 128 * 1024)
         self.address = address(self.socket)
         serve(self.socket, self.handle)
 
     def handle(self, connection, reader):
         while True:
             line, headers = reader.head()
+            order = reader.body(headers).decode()
             if line.split()[1] == "/health":
-                connection.sendall(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d,0,4\r\nContent-Length: 0\r\n\r\n" % (INSTANCE, self.key, LOAD, self.running)).encode())
+                connection.sendall(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d,0,8\r\nContent-Length: 0\r\n\r\n" % (INSTANCE, self.key, LOAD, self.running)).encode())
                 continue
-            request = headers[ID.lower()]
+            attempt = headers[ID.lower()]
             if headers.get(EXPECT.lower(), self.key) != self.key:
-                connection.sendall(("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (ID, request, INSTANCE, self.key)).encode())
-                return
-            length = int(headers["content-length"])
-            began, stored = time.monotonic(), 0
+                connection.sendall(("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n" % (ID, attempt, INSTANCE, self.key)).encode())
+                continue
             with lock:
                 self.running += 1
-            try:
-                while stored < length:
-                    part = reader.exactly(min(32 * 1024, length - stored))
-                    if stored == 0:
-                        with lock:
-                            runs[request] = "begun"
-                        record("run    %s begins at %s" % (request, self.key))
-                    stored += len(part)
-                    ahead = stored / BYTES_PER_S - (time.monotonic() - began)
-                    if ahead > 0:
-                        time.sleep(ahead)
-                with lock:
-                    runs[request] = "done"
-                record("run    %s is done at %s: %d bytes stored" % (request, self.key, stored))
-            except (EOFError, OSError):
-                record("run    %s at %s: the connection ended after %d of %d bytes" % (request, self.key, stored, length))
-                raise
-            finally:
-                with lock:
-                    self.running -= 1
-            body = b"stored"
-            connection.sendall(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-of-%s\r\nContent-Length: %d\r\n\r\n" % (ID, request, SEAL, request, len(body))).encode() + body)
+                runs[attempt] = runs.get(attempt, 0) + 1
+                orders.setdefault(order, []).append(attempt)
+                self.requests += 1
+                fails = TROUBLE and self.grey and self.requests % 10 < GREY_OF_TEN and time.monotonic() < grey_until
+            time.sleep(WORK_S)
+            record("run    %s places %s at %s%s" % (attempt, order, self.key, "; then it fails" if fails else ""))
+            with lock:
+                self.running -= 1
+            status, body = (503, b"the confirmation could not be sent") if fails else (200, b"placed")
+            connection.sendall(("HTTP/1.1 %d X\r\n%s: %s\r\n%s: seal-of-%s\r\n%s: %d,0,8\r\nContent-Length: %d\r\n\r\n" % (status, ID, attempt, SEAL, attempt, LOAD, self.running, len(body))).encode() + body)
 
 
 store = Store()
-store.put("op", "config", desired(1, {"r-upload": route("/upload/", "upload", "intake", DEADLINE_MS, 1500)}, ["intake"]))
+store.put("op", "config", desired(1, {"r-order": route("/order/", "unsafe", "svc", 2000, 500)}, ["svc"]))
 entries = Servers(store)
-for i in range(4):
-    server = Server("i-%d" % i)
-    entries.add(server.key, "intake", server.address)
-gateways = Gateways(record, store, GATEWAYS)
-answers = {}
+for i in range(SERVERS):
+    server = Server("i-%d" % i, grey=i == 0)
+    entries.add(server.key, "svc", server.address, slots=8)
+gateways = Gateways(record, store, 2)
+false_refusals = []
+answered = [0]
+grey_until = time.monotonic() + GREY_S
 
 
-def upload(n):
-    request = "upload-%d" % n
+def ask(n, attempt, order):
     try:
-        with connect(gateways.callers[0], 2) as s:
-            s.settimeout(DEADLINE_MS / 1000 + 2)
-            record("sent   %s: head and a body of %d bytes, as fast as it is taken" % (request, BODY))
-            reader = Reader(s)
+        with connect(gateways.callers[n % 2], 2) as s:
+            s.settimeout(5)
+            s.sendall(head("POST", "/order/x", attempt, 4000, len(order)) + order.encode())
+            status, headers, body = Reader(s).response()
+    except (OSError, EOFError) as error:
+        record("answer %s none: %s" % (attempt, error))
+        return 0
+    record("answer %s %d seal=%s" % (attempt, status, headers.get(SEAL.lower())))
+    with lock:
+        answered[0] += 1 if status == 200 else 0
+        if status in (408, 421, 429, 503) and runs.get(attempt):
+            false_refusals.append("%s: %d" % (attempt, status))
+    return status
 
-            def send():
-                try:
-                    s.sendall(head("POST", "/upload/x", request, DEADLINE_MS, BODY) + b"x" * BODY)
-                    record("sent   %s: all of it" % request)
-                except OSError as error:
-                    record("sent   %s: not all, %s" % (request, error))
 
-            threading.Thread(target=send, daemon=True).start()
-            status, headers, body = reader.response()
-            with lock:
-                answers[request] = status, runs.get(request, "not begun")
-            record("answer %s %d seal=%s; its run: %s" % (request, status, headers.get(SEAL.lower()), runs.get(request)))
-    except (OSError, EOFError) as error:
-        record("answer %s none: %s" % (request, error))
+def caller(n):
+    for i in range(ORDERS):
+        order = "order-%d-%d" % (n, i)
+        # As PROTOCOL.md tells it: an unsafe request is sent again only after a promise that it has not run.
+        if ask(n, order + "-a", order) in (408, 421, 429, 503):
+            ask(n, order + "-b", order)
 
 
-threads = [threading.Thread(target=upload, args=(n,)) for n in range(UPLOADS)]
+threads = [threading.Thread(target=caller, args=(n,)) for n in range(CALLERS)]
 for thread in threads:
     thread.start()
-time.sleep(FREEZE_AT_S)
-if TROUBLE:
-    gateways.signal(0, signal.SIGSTOP)
-    record("front-0 freezes for %.1f s" % FREEZE_S)
-time.sleep(FREEZE_S)
-if TROUBLE:
-    gateways.signal(0, signal.SIGCONT)
-    record("front-0 goes on")
 for thread in threads:
-    thread.join(20)
-time.sleep(0.3)
-if not runs or len(answers) == 0:
+    thread.join(60)
+doubled = {order: attempts for order, attempts in orders.items() if len(attempts) > 1}
+record("%d orders, %d answered 200; %d placed twice: %s" % (CALLERS * ORDERS, answered[0], len(doubled), "; ".join("%s by %s" % (o, " and ".join(a)) for o, a in sorted(doubled.items()))))
+if answered[0] < CALLERS * ORDERS // 2:
     gateways.end()
-    unable(record, "no upload reached a server, or none was answered")
-refused = ["%s: %d, its run had %s" % (r, s, run) for r, (s, run) in sorted(answers.items()) if s in (408, 421, 429, 503) and run != "not begun"]
-finish(record, gateways, "%d of %d uploads were answered as not run and had run: %s" % (len(refused), UPLOADS, refused[0]) if refused else "")
+    unable(record, "too few requests were served")
+finish(record, gateways, "%d requests were answered as not run and had run (%s); %d orders were placed twice" % (len(false_refusals), false_refusals[0], len(doubled)) if false_refusals else "")
