--- a/review/standin-2/small.py
+++ b/review/standin-2/small.py
@@ -241,11 +241,23 @@
     return json.dumps(state)
 
 
+started = []  # Gateways, to be ended whatever happens
+
+
+def give_up(record, why):
+    for gateways in started:
+        gateways.end()
+    unable(record, why)
+
+
 class Gateways:
     """Gateways as the deploy file starts them, with settings as its template gives them for loopback addresses."""
 
     def __init__(self, record, store, n, extra_bounds=""):
         self.record = record
+        started.append(self)
+        sys.excepthook = lambda kind, error, _: give_up(record, "%s: %s" % (kind.__name__, error))
+        signal.signal(signal.SIGTERM, lambda number, frame: give_up(record, "it took too long"))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.processes = []
         self.callers = []
@@ -272,8 +284,7 @@
         for where in self.ready:
             while not self.is_ready(where):
                 if time.monotonic() > until:
-                    self.end()
-                    unable(record, "a gateway is not ready after 20 s")
+                    give_up(record, "a gateway is not ready after 20 s")
                 time.sleep(0.1)
         record("%d gateways are ready" % n)
         time.sleep(1)
@@ -303,9 +314,10 @@
                     pass
         for process in self.processes:
             process.wait()
-        for name in os.listdir(self.folder):
-            os.unlink(os.path.join(self.folder, name))
-        os.rmdir(self.folder)
+        if os.path.isdir(self.folder):
+            for name in os.listdir(self.folder):
+                os.unlink(os.path.join(self.folder, name))
+            os.rmdir(self.folder)
 
 
 def connect(where, timeout):
@@ -331,6 +343,7 @@
 def finish(record, gateways, broken):
     """Exit status as the issue asks: 1 if the rule was broken, 0 if it held."""
     gateways.end()
+    started.clear()
     record("rule %s" % ("BROKEN: " + broken if broken else "held"))
     print("broken: " + broken if broken else "held")
     sys.stdout.flush()
