Gateway: tells why it is not ready, in its log and at its ready address

'not-ready' (every 5 s) and the body of the 503 name the state, the age of the configuration, revoke_ms, and by how much the boot clock has run ahead of the steady one. A boot clock that can't be read counted as 0, so that every age was 0; the steady clock takes its place.

Not found: what it was on the users' machines.

--- a/Source/Core/Common/Clock.cpp
+++ b/Source/Core/Common/Clock.cpp
@@ -17,7 +17,9 @@
             return generator(); },
         .bootTime = [] {
             timespec time {};
-            clock_gettime(CLOCK_BOOTTIME, &time);
+            // Without a boot clock, ages would all be zero.
+            if (clock_gettime(CLOCK_BOOTTIME, &time) != 0)
+                return TimePoint(std::chrono::steady_clock::now());
             return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)); },
     };
 }
--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -29,6 +29,8 @@
         EventRow { AcceptFailed, "accept-failed", Severity::Warning, "A connection could not be accepted, mostly for lack of file descriptors; accepting goes on after a short pause." },
         EventRow { MemoryShort, "memory-short", Severity::Warning, "Requests and responses under way take half of the memory allowed for them; requests with long bodies are refused." },
         EventRow { MemoryFree, "memory-free", Severity::Info, "Requests with long bodies are taken again." },
+        EventRow { NotReady, "not-ready", Severity::Warning, "The entry does not take requests; the fields tell why." },
+        EventRow { Ready, "ready", Severity::Info, "The entry takes requests." },
         EventRow { CallFailed, "call-failed", Severity::Warning, "A call ended without a backend server's answer." },
         EventRow { CallAttempt, "call-attempt", Severity::Info, "A request was sent to a backend server." },
         EventRow { CallAnswered, "call-answered", Severity::Info, "A call ended with a backend server's answer." },
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -28,6 +28,8 @@
     AcceptFailed = 1008,
     MemoryShort = 1009,
     MemoryFree = 1010,
+    NotReady = 1011,
+    Ready = 1012,
     CallFailed = 2000,
     CallAttempt = 2001,
     CallAnswered = 2002,
--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -4,6 +4,8 @@
 #include <limits>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "Common/FreeMemory.h"
 #include "Common/MetricsPage.h"
 #include "Gateway/RequestIdentity.h"
@@ -24,6 +26,8 @@
     constexpr double drainPeriodShare = 0.94;
     // Connections to backend servers end when the server acknowledges nothing for this long.
     constexpr auto peerSilenceLimit = std::chrono::seconds(3);
+    // Interval of the log lines that tell why the gateway is not ready.
+    constexpr auto notReadyLogInterval = std::chrono::seconds(5);
     // That a gateway adds to the head of a request that it forwards.
     constexpr std::size_t forwardedHeadBytes = 4 * 1024;
     // Fewer leave too little free memory to give back.
@@ -212,6 +216,8 @@
 bool Daemon::run()
 {
     m_loop.onUnexpectedError([this](const std::string& what) { m_log.log(EventId::UnexpectedError, { { "error", what } }); });
+    m_started = m_readinessLoggedAt = m_loop.now();
+    m_startedBootTime = Common::bootTime(m_loop.hooks());
     m_catalogSync.start();
     doHousekeeping();
     m_loop.run();
@@ -232,6 +238,7 @@
     m_backends.setGateways(m_members.self().control, m_members.servingInOwnDomain(), m_members.size());
     m_catalogComplete = m_catalog.isComplete();
     logConfigurationAge();
+    logReadiness();
     updateServingState();
     if (m_options.settingsModifiedAt && m_options.settingsModifiedAt() != m_settingsModifiedAt)
         readSettings();
@@ -271,6 +278,48 @@
         { { "version", std::to_string(m_router.configuration()->version) }, { "age_ms", age ? std::to_string(static_cast<long>(Common::toMilliseconds(*age))) : "unknown" } });
 }
 
+Readiness Daemon::readiness() const
+{
+    if (m_shuttingDown)
+        return Readiness::ShuttingDown;
+    if (!m_catalogComplete)
+        return m_router.configuration() ? Readiness::RegistryUnknown : Readiness::ConfigurationUnknown;
+    return m_router.isConfigurationOutdated() ? Readiness::ConfigurationOutdated : Readiness::Ready;
+}
+
+std::vector<Common::EventField> Daemon::readinessFields() const
+{
+    auto toText = [](Common::Duration duration) { return std::to_string(static_cast<long>(Common::toMilliseconds(duration))); };
+    auto now = m_loop.now();
+    auto age = m_catalog.configurationAge();
+    // Grows while the machine is suspended, and with any other difference between the clocks.
+    auto suspended = Common::bootTime(m_loop.hooks()) - m_startedBootTime - (now - m_started);
+    return {
+        { "state", std::string(Common::nameOf(readinessNames, readiness())) },
+        { "since_start_ms", toText(now - m_started) },
+        { "configuration", m_router.configuration() ? std::to_string(m_router.configuration()->version) : "none" },
+        { "configuration_age_ms", age ? toText(*age) : "unknown" },
+        { "revoke_ms", std::to_string(m_options.settings.revokeMs) },
+        { "suspended_ms", toText(suspended) },
+        { "store_answers", m_catalogSync.reader().storeAnswers() ? "true" : "false" },
+        { "relayed", m_catalogSync.isRelayed() ? "true" : "false" },
+    };
+}
+
+void Daemon::logReadiness()
+{
+    auto state = readiness();
+    if (state == Readiness::ShuttingDown)
+        return; // entry-leaving tells it
+    auto isChanged = state != m_readiness && (state == Readiness::Ready || m_readiness == Readiness::Ready);
+    auto isDue = state != Readiness::Ready && m_loop.now() - m_readinessLoggedAt >= notReadyLogInterval;
+    m_readiness = state;
+    if (!isChanged && !isDue)
+        return;
+    m_readinessLoggedAt = m_loop.now();
+    m_log.log(state == Readiness::Ready ? EventId::Ready : EventId::NotReady, readinessFields());
+}
+
 void Daemon::updateServingState()
 {
     if (m_members.self().serving == isReady())
@@ -286,12 +335,14 @@
 
 void Daemon::serveReady(const std::shared_ptr<Net::Exchange>& exchange)
 {
-    auto isReadyPath = Net::pathOf(exchange->request().target) == m_options.platform.readyPath;
-    exchange->respond({ .status = !isReadyPath ? Net::HttpStatus::NotFound : isReady() ? Net::HttpStatus::Ok
-                                                                                       : Net::HttpStatus::Unavailable,
-        .reason = {},
-        .headers = {},
-        .body = {} });
+    if (Net::pathOf(exchange->request().target) != m_options.platform.readyPath)
+        return exchange->respond({ .status = Net::HttpStatus::NotFound, .reason = {}, .headers = {}, .body = {} });
+    if (isReady())
+        return exchange->respond({ .status = Net::HttpStatus::Ok, .reason = {}, .headers = {}, .body = {} });
+    std::string text;
+    for (const auto& field : readinessFields())
+        text += fmt::format("{}: {}\n", field.key, field.value);
+    exchange->respond(textResponse(Net::HttpStatus::Unavailable, std::move(text)));
 }
 
 void Daemon::serveDirectory(const std::shared_ptr<Net::Exchange>& exchange)
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -6,6 +6,7 @@
 
 #include "Common/EventLog.h"
 #include "Common/LogWriter.h"
+#include "Common/NameTable.h"
 #include "Decisions/Shutdown.h"
 #include "Gateway/Backends.h"
 #include "Gateway/Catalog.h"
@@ -44,6 +45,23 @@
     std::function<std::int64_t()> settingsModifiedAt = {};
 };
 
+// Whether a gateway takes requests, or the first reason why it doesn't.
+enum class Readiness {
+    Ready,
+    ShuttingDown,
+    RegistryUnknown, // neither the store nor another gateway has told the servers
+    ConfigurationUnknown, // nor the operators' configuration
+    ConfigurationOutdated, // API keys in it may have been revoked
+};
+
+inline constexpr std::array readinessNames {
+    Common::EnumName<Readiness> { Readiness::Ready, "ready" },
+    Common::EnumName<Readiness> { Readiness::ShuttingDown, "shutting-down" },
+    Common::EnumName<Readiness> { Readiness::RegistryUnknown, "registry-unknown" },
+    Common::EnumName<Readiness> { Readiness::ConfigurationUnknown, "configuration-unknown" },
+    Common::EnumName<Readiness> { Readiness::ConfigurationOutdated, "configuration-outdated" },
+};
+
 // One gateway process: its listeners and all controllers, on one event loop. All state is in memory and may be lost at any time.
 class Daemon {
 public:
@@ -67,7 +85,8 @@
     std::string readyAddress() const { return m_ready.address(); }
     std::string directoryAddress() const { return m_directory.address(); }
     std::string metricsAddress() const { return m_metrics.address(); }
-    bool isReady() const { return m_catalogComplete && !m_shuttingDown && !m_router.isConfigurationOutdated(); }
+    Readiness readiness() const;
+    bool isReady() const { return readiness() == Readiness::Ready; }
 
 private:
     void serveReady(const std::shared_ptr<Net::Exchange>&);
@@ -79,6 +98,9 @@
     void logMemory();
     void releaseMemoryOfChange();
     void logConfigurationAge();
+    void logReadiness();
+    // Readiness and what it depends on.
+    std::vector<Common::EventField> readinessFields() const;
     void updateServingState();
     void beginShutdown();
     void advanceShutdown();
@@ -111,6 +133,10 @@
     bool m_isMemoryShort = false; // as logged last
     std::uint64_t m_releasedVersion = 0; // of the configuration after which free memory was given back
     bool m_isConfigurationOutdated = false; // as logged last
+    Readiness m_readiness = Readiness::RegistryUnknown; // as logged last
+    Common::TimePoint m_readinessLoggedAt;
+    Common::TimePoint m_started;
+    Common::TimePoint m_startedBootTime; // at m_started
     std::uint64_t m_malformedRequests = 0; // of callers
 };
 
