--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -58,6 +58,7 @@
         EventRow { StoreEraRejected, "store-era-rejected", Severity::Warning, "An answer of the store names no valid era or an older one; the answer is not used." },
         EventRow { ConfigurationOutdated, "configuration-outdated", Severity::Error, "The configuration was not confirmed for so long that API keys in it may have been revoked; requests that need one are handed to other entries, or refused." },
         EventRow { ConfigurationConfirmed, "configuration-confirmed", Severity::Info, "The configuration is confirmed again; requests with API keys are served." },
+        EventRow { ConfigurationIncomplete, "configuration-incomplete", Severity::Error, "A part of the configuration in force can't be used and is left out." },
         EventRow { MemberJoined, "member-joined", Severity::Info, "An entry instance joined or came back." },
         EventRow { MemberSuspected, "member-suspected", Severity::Warning, "An entry instance missed its heartbeats." },
         EventRow { MemberFailed, "member-failed", Severity::Warning, "A suspected entry instance was removed." },
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -57,6 +57,7 @@
     StoreEraRejected = 3011,
     ConfigurationOutdated = 3012,
     ConfigurationConfirmed = 3013,
+    ConfigurationIncomplete = 3014,
     MemberJoined = 4000,
     MemberSuspected = 4001,
     MemberFailed = 4002,
--- a/Source/Core/Gateway/Catalog.cpp
+++ b/Source/Core/Gateway/Catalog.cpp
@@ -54,7 +54,8 @@
 
 void Catalog::confirmConfiguration(Common::TimePoint bootTime)
 {
-    m_configurationConfirmed = std::max(m_configurationConfirmed.value_or(bootTime), bootTime);
+    if (!m_unusableConfiguration)
+        m_configurationConfirmed = std::max(m_configurationConfirmed.value_or(bootTime), bootTime);
 }
 
 std::optional<Common::Duration> Catalog::configurationAge() const
@@ -86,6 +87,8 @@
     m_newestChange = 0;
     if (m_configuration)
         m_configuration->version = 0;
+    if (m_unusableConfiguration)
+        m_unusableConfiguration = 0;
     // What is evacuated stays so until the table has been read in the new era.
     for (auto& [key, version] : m_evacuations)
         version = 0;
@@ -400,24 +403,32 @@
         return applyEvacuation(row);
     if (row.key != m_options.decoder.configurationKey || !row.value || (m_configuration && m_configuration->version >= row.version))
         return;
-    auto decoded = m_options.decoder.configuration(*row.value);
-    if (!decoded) {
+    auto reading = m_options.decoder.configuration(*row.value);
+    if (!reading.isUsable()) {
+        m_unusableConfiguration = row.version;
         m_log.log(Common::EventId::ConfigurationRejected,
             { { "version", std::to_string(row.version) },
-                { "cause", decoded.error().text } });
+                { "cause", reading.errorText() } });
         return;
     }
+    if (m_unusableConfiguration && row.version > *m_unusableConfiguration)
+        m_unusableConfiguration.reset();
     // The store may hold an older configuration than the one in force, if it was restored from a copy or the operators made a mistake.
     // Neither this gateway nor those that learn from it go back.
     auto inForce = m_router.configuration();
-    if (m_configuration && inForce && decoded.value().version < inForce->version) {
+    if (m_configuration && inForce && reading.configuration.version < inForce->version) {
         m_log.log(Common::EventId::ConfigurationRejected,
             { { "version", std::to_string(row.version) },
-                { "cause", "configuration " + std::to_string(decoded.value().version) + " is older than the one in force, " + std::to_string(inForce->version) } });
+                { "cause", "configuration " + std::to_string(reading.configuration.version) + " is older than the one in force, " + std::to_string(inForce->version) } });
         return;
     }
+    if (!reading.errors.empty()) {
+        m_log.log(Common::EventId::ConfigurationIncomplete,
+            { { "version", std::to_string(row.version) },
+                { "cause", reading.errorText() } });
+    }
     m_configuration = row;
-    m_router.apply(std::make_shared<const Configuration>(std::move(decoded.value())));
+    m_router.apply(std::make_shared<const Configuration>(std::move(reading.configuration)));
 }
 
 bool Catalog::apply(const CatalogUpdate& update)
--- a/Source/Core/Gateway/Catalog.h
+++ b/Source/Core/Gateway/Catalog.h
@@ -23,7 +23,7 @@
     std::string configurationKey; // row of operatorTable
     std::string evacuationPrefix = {}; // of the keys of operatorTable's rows that name a failure domain to be evacuated
     std::function<Common::Result<ServerRecord>(const std::string& key, const std::string& value)> server;
-    std::function<Common::Result<Configuration>(const std::string& value)> configuration;
+    std::function<ConfigurationReading(const std::string& value)> configuration;
 };
 
 struct CatalogOptions {
@@ -79,9 +79,10 @@
     void applyChanges(const std::string& table, const std::vector<Platform::TableRow>&, std::uint64_t version);
     // The catalog was in line with the store at `asOf`, when the read that confirmed it began.
     void markFresh(Common::TimePoint asOf);
-    // The store held no newer configuration than the one known here when it was asked, at `bootTime`.
+    // The store held no newer configuration than the one received here when it was asked, at `bootTime`. Has no effect while the one
+    // received last can't be used: what is in force is older.
     void confirmConfiguration(Common::TimePoint bootTime);
-    // Upper bound on the time since then; nullopt: it was never confirmed, or not since the era of the store's data has changed.
+    // Upper bound on the time since the configuration in force was confirmed; nullopt: it never was.
     std::optional<Common::Duration> configurationAge() const;
     // The store's data were restored from an older copy. Positions start anew, and both tables have to be read in full. Servers that
     // are missing in the copy are kept for removalGracePeriod; rows that contradict what is known of an incarnation (it has left,
@@ -169,6 +170,7 @@
     std::map<std::string, ServerRow> m_servers; // by row key
     std::map<std::string, Common::Duration> m_rowAges; // of the update that is being applied
     std::optional<Platform::TableRow> m_configuration;
+    std::optional<std::uint64_t> m_unusableConfiguration; // version of the row of a newer configuration that can't be put in force
     std::map<std::string, std::uint64_t> m_evacuations; // row key -> version
     std::map<std::string, std::uint64_t> m_endedEvacuations; // row key -> version of the removal
     std::uint64_t m_evacuationFloor = 0; // evacuations that ended before this version may not be in m_endedEvacuations
--- a/Source/Core/Gateway/Configuration.h
+++ b/Source/Core/Gateway/Configuration.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "Common/NameTable.h"
 #include "Gateway/Organisations.h"
 #include "Net/HttpServer.h"
 #include "Records/ServiceRecord.h"
@@ -31,6 +33,7 @@
     int priority = 0; // 0 is the most urgent
     int maxAttempts = 1; // servers that one request may be sent to, retries and hedges included
     bool isPublic = false; // callers need no API key, also where the configuration has organisations
+    bool isUsable = true; // false: where its requests go is not known, since its entry has errors
     std::vector<RoutePart> parts;
 };
 
@@ -54,16 +57,35 @@
     const Route* find(std::string_view host, std::string_view path) const;
 };
 
+// How much of a configuration an error makes unusable.
+enum class ErrorScope {
+    Field, // a default counts instead; a list goes on without the item
+    Entry, // a route, service or organisation
+    Configuration,
+};
+
+inline constexpr std::array errorScopeNames {
+    Common::EnumName<ErrorScope> { ErrorScope::Field, "field" },
+    Common::EnumName<ErrorScope> { ErrorScope::Entry, "entry" },
+    Common::EnumName<ErrorScope> { ErrorScope::Configuration, "configuration" },
+};
+
 // An error in the operators' text of a configuration.
 struct ConfigurationError {
     std::string entry; // as the operators write it: the object's name, a dot, the entry's name; empty: the whole text
     std::string text;
+    ErrorScope scope = ErrorScope::Field;
 };
 
-// What a text of the operators holds.
+// What a text of the operators holds. What has errors is left out of the configuration.
 struct ConfigurationReading {
-    Configuration configuration; // incomplete if there are errors
+    Configuration configuration;
     std::vector<ConfigurationError> errors;
+
+    // Whether the configuration can be put in force.
+    bool isUsable() const;
+    // The first error, of those that make it unusable if there are any, and the number of others; empty if there are none.
+    std::string errorText() const;
 };
 
 // The names of a configuration's parts as operators write them.
--- a/Source/Core/Gateway/RequestRouter.cpp
+++ b/Source/Core/Gateway/RequestRouter.cpp
@@ -181,12 +181,12 @@
     return route.parts[it->second.next()].service;
 }
 
-void RequestRouter::respondNotConfigured(const std::shared_ptr<Net::Exchange>& exchange)
+void RequestRouter::respondNotConfigured(const std::shared_ptr<Net::Exchange>& exchange, const char* cause)
 {
     ++m_counters.refused;
     m_log.log(Common::EventId::CallRefused,
         { { "request", std::string(Net::findHeader(exchange->request().headers, m_options.headers.requestId).value_or("")) },
-            { "cause", "no configuration received yet" } });
+            { "cause", cause } });
     auto wait = Decisions::retryAfter({
         .reason = Decisions::RefusalReason::NotConfigured,
         .timeLeftMs = 3000,
@@ -286,7 +286,7 @@
 {
     ++m_counters.requests;
     if (!m_configuration)
-        return respondNotConfigured(exchange);
+        return respondNotConfigured(exchange, "no configuration received yet");
     serveCaller(exchange, RequestOrigin::Caller);
 }
 
@@ -294,6 +294,8 @@
 {
     const auto& request = exchange->request();
     const auto* route = m_configuration->find(Net::findHeader(request.headers, "Host").value_or(""), Net::pathOf(request.target));
+    if (route && !route->isUsable)
+        return respondNotConfigured(exchange, "the route's entry in the configuration can't be used");
     if (!route || route->parts.empty())
         return respondNoRoute(exchange);
     auto identity = identify(request, *route);
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -135,7 +135,7 @@
 private:
     std::string chooseService(const Route&);
     void respondNoRoute(const std::shared_ptr<Net::Exchange>&);
-    void respondNotConfigured(const std::shared_ptr<Net::Exchange>&);
+    void respondNotConfigured(const std::shared_ptr<Net::Exchange>&, const char* cause);
     // Answers a request beyond the organisation's allowance.
     void refuseForAllowance(const std::shared_ptr<Net::Exchange>&, const Route&, const Organisation&, Common::Duration wait);
     // Routes a request and authenticates its caller, by the configuration in force.
--- a/Source/Core/Operator/ConfigurationCheck.cpp
+++ b/Source/Core/Operator/ConfigurationCheck.cpp
@@ -158,6 +158,8 @@
                 auto entry = entryName(m_names.organisations, organisation.name);
                 if (keys[organisation.name].empty())
                     warn(entry, "has no API keys: no request can be its own, since {} is empty", m_names.keys);
+                if (!organisation.hasAllowance() && organisation.burst > 0)
+                    warn(entry, "{} ({}) has no effect without a {} above 0: there is no limit", m_names.burst, organisation.burst, m_names.ratePerSecond);
                 if (organisation.hasAllowance() && organisation.burst > organisation.ratePerSecond * windowS) {
                     warn(entry, "{} ({}) is never refilled within a window: {} ({}) gives {} in {} s",
                         m_names.burst, organisation.burst, m_names.ratePerSecond, organisation.ratePerSecond, organisation.ratePerSecond * windowS, windowS);
--- a/Source/Core/Operator/ConfigurationCheck.h
+++ b/Source/Core/Operator/ConfigurationCheck.h
@@ -12,7 +12,7 @@
 namespace Operator {
 
 enum class FindingLevel {
-    Error, // gateways reject the configuration
+    Error, // gateways can't use the configuration, or a part of it, which they leave out
     Warning, // gateways accept it, but a part has no effect or contradicts another
 };
 
--- a/Source/Fuzz/RowsTarget.cpp
+++ b/Source/Fuzz/RowsTarget.cpp
@@ -66,8 +66,8 @@
     {
         for (const auto& organisation : organisations.all()) {
             require(organisations.named(organisation.name) == &organisation, "accepted organisation is not found by its name");
-            require(organisation.ratePerSecond >= 0 && organisation.burst >= 0 && (organisation.burst == 0 || organisation.ratePerSecond > 0),
-                "accepted organisation has a negative rate, or a burst without a rate");
+            require(organisation.ratePerSecond >= 0 && organisation.burst >= 0 && organisation.hasAllowance() == (organisation.ratePerSecond > 0),
+                "accepted organisation has a negative rate or burst, or an allowance without a rate");
         }
         for (const auto* text : { "", " ", "\t" })
             require(!organisations.find(text), "a blank key belongs to an organisation");
@@ -86,7 +86,7 @@
     auto server = PlatformAdapter::parseServer("server-1", input);
     require(!server || (!server.value().service.empty() && server.value().slots >= 0), "accepted server has no service or a negative number of slots");
     auto configuration = PlatformAdapter::parseConfiguration(input);
-    require(configuration.has_value() == PlatformAdapter::readConfiguration(input, 1).errors.empty(), "a gateway and the check disagree whether a configuration is valid");
+    require(configuration.has_value() == PlatformAdapter::readConfiguration(input, 1).isUsable(), "a gateway and the check disagree whether a configuration can be used");
     require(!configuration || configuration.value().limits.readTimeout >= Common::Duration::zero(), "accepted configuration has a negative time limit");
     if (configuration)
         checkOrganisations(configuration.value().organisations);
--- a/Source/UnitTests/Gateway/ApiKeyTest.cpp
+++ b/Source/UnitTests/Gateway/ApiKeyTest.cpp
@@ -248,6 +248,69 @@
     CHECK(gateway->call(withHeaders("added", key + "k5\r\n")).status == 200);
 }
 
+namespace {
+
+struct RevokingCase {
+    std::string what;
+    std::string other; // fields of another organisation in the configuration that takes the key away
+};
+
+const RevokingCase revokingCases[] = {
+    { "a limit is lifted by a rate of 0, its burst stays", R"("api_keys":["k3"],"rate_per_s":0,"burst":250)" },
+    { "burst alone", R"("api_keys":["k3"],"burst":250)" },
+    { "fractional rate", R"("api_keys":["k3"],"rate_per_s":0.5,"burst":250)" },
+    { "negative rate", R"("api_keys":["k3"],"rate_per_s":-1)" },
+    { "key that is no text", R"("api_keys":["k3",7])" },
+    { "priority that is no number", R"("api_keys":["k3"],"priority":"high")" },
+};
+
+}
+
+// Guards against a key that works on for good, as its revocation came with a field of another organisation that was refused with the whole configuration.
+TEST_CASE("A key is revoked, and a new one accepted, whatever the limits and fields of another organisation are")
+{
+    for (const auto& row : revokingCases) {
+        CAPTURE(row.what);
+        GatewayFixture fixture(1);
+        auto put = [&](int version, const std::string& tenants) {
+            fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, configurationWith(version, tenants)); });
+        };
+        put(2, R"({"one":{"api_keys":["k1"]},"two":{"api_keys":["k3"],"rate_per_s":250,"burst":250}})");
+        auto gateway = fixture.gateway();
+        REQUIRE(gateway->waitReady());
+        CHECK(gateway->call(withHeaders("before", key + "k1\r\n")).status == 200);
+        put(3, R"({"one":{"api_keys":["k5"]},"two":{)" + row.other + "}}");
+        CHECK(eventually([&] { return gateway->call(withHeaders("revoked", key + "k1\r\n")).status == 401; }));
+        CHECK(gateway->call(withHeaders("added", key + "k5\r\n")).status == 200);
+        CHECK(gateway->call(withHeaders("other", key + "k3\r\n")).status == 200);
+    }
+}
+
+// Guards against a key that works on for good where the configuration without it can't be read at all.
+TEST_CASE("A gateway that can't use the newest configuration refuses keys once the one in force is too old, and its ready answer says why")
+{
+    GatewayFixture fixture(1);
+    auto put = [&](const std::string& value) {
+        fixture.thread.call([&] { fixture.store->put(Names::operatorTable, Names::configurationKey, value); });
+    };
+    put(configurationWith(2, twoTenants));
+    auto settings = RunningGateway::settings(fixture.storeAddress(), {}, "127.0.0.1:0", Common::LogFormat::Off);
+    settings.revokeMs = 3000;
+    RunningGateway gateway(settings);
+    REQUIRE(gateway.waitReady());
+    CHECK(gateway.call(withHeaders("before", key + "k1\r\n")).status == 200);
+    put(R"({"version":"00000003","routes":[]})");
+    auto ready = [&] { return RunningGateway::get(gateway.daemon().readyAddress(), Names::readyPath); };
+    REQUIRE(eventually([&] { return ready().status == 503; }));
+    CHECK(ready().body.find("state: configuration-outdated") != std::string::npos);
+    CHECK(gateway.call(withHeaders("refused", key + "k1\r\n")).status == 503);
+    CHECK(fixture.runs.runs("refused") == 0);
+    CHECK(gateway.call(withHeaders("open", "", "/open/x")).status == 200);
+    put(configurationWith(4, R"({"one":{"api_keys":["k5"]}})"));
+    CHECK(eventually([&] { return gateway.call(withHeaders("again", key + "k5\r\n")).status == 200; }));
+    CHECK(gateway.call(withHeaders("revoked", key + "k1\r\n")).status == 401);
+}
+
 // Guards against a key that works for longer than allowed at a gateway which can't hear of its revocation.
 TEST_CASE("A gateway whose configuration was not confirmed for too long refuses keys, is not ready, and serves public routes")
 {
--- a/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogEvacuationTest.cpp
@@ -36,7 +36,7 @@
             .server = [](const std::string& key, const std::string& domain) -> Common::Result<Gateway::ServerRecord> {
                 return Gateway::ServerRecord { .id = key, .service = "service", .address = "127.0.0.1:1", .failureDomain = domain, .slots = 1, .startedMs = 1 };
             },
-            .configuration = [](const std::string&) -> Common::Result<Gateway::Configuration> { return Gateway::Configuration(); },
+            .configuration = [](const std::string&) { return Gateway::ConfigurationReading(); },
         })
     {
         catalog.applySnapshot("registry", {}, 1);
--- a/Source/UnitTests/Gateway/CatalogWarmupTest.cpp
+++ b/Source/UnitTests/Gateway/CatalogWarmupTest.cpp
@@ -24,7 +24,7 @@
             .server = [](const std::string& key, const std::string& value) -> Common::Result<Gateway::ServerRecord> {
                 return Gateway::ServerRecord { .id = key, .service = "service", .address = "127.0.0.1:1", .failureDomain = "a", .slots = 1, .warmupLeftMs = std::stoi(value), .startedMs = 1 };
             },
-            .configuration = [](const std::string&) -> Common::Result<Gateway::Configuration> { return Gateway::Configuration(); },
+            .configuration = [](const std::string&) { return Gateway::ConfigurationReading(); },
         })
     {
     }
--- a/Source/UnitTests/Operator/CheckConfigCommandTest.cpp
+++ b/Source/UnitTests/Operator/CheckConfigCommandTest.cpp
@@ -108,11 +108,18 @@
         "new.json: removed: services.orders\n"
         "new.json: changed: tenants.large: api_keys: 2 keys, 1 of them removed -> 2 keys, 1 of them new\n"
         "new.json: version 0000002b, in force 0000002a, 0 errors, 3 warnings, 4 differences\n" },
-    { "errors: no warnings or differences", { newer, { "\"timeout_ms\": 5000", "\"timeout_ms\": \"500\"" }, { "example-key-of-large-2", "example-key-of-small" }, { "\"rate_per_s\": 250", "\"rate_per_s\": 0.5" } }, ExitCode::InvalidFile,
+    { "errors: no warnings or differences", { newer, { "\"timeout_ms\": 5000", "\"timeout_ms\": \"500\"" }, { "example-key-of-large-2", "example-key-of-small" }, { "\"rate_per_s\": 250", "\"rate_per_s\": -0.5" } }, ExitCode::InvalidFile,
         "new.json: error: routes.orders: timeout_ms must be a number from 0 to 1e12\n"
-        "new.json: error: tenants.large: rate_per_s must be a whole number\n"
+        "new.json: error: tenants.large: rate_per_s must be a number from 0 to 1e12\n"
         "new.json: error: tenants.small: API key 1 of 1 is listed twice, here and at 'large'\n"
         "new.json: in force 0000002a, 3 errors, 0 warnings\n" },
+    { "a limit that is lifted by a rate of 0, its burst is left", { newer, { "\"rate_per_s\": 250", "\"rate_per_s\": 0" } }, ExitCode::Ok,
+        "new.json: warning: tenants.large: burst (250) has no effect without a rate_per_s above 0: there is no limit\n"
+        "new.json: changed: tenants.large: rate_per_s: 250 -> 0\n"
+        "new.json: version 0000002b, in force 0000002a, 0 errors, 1 warning, 1 difference\n" },
+    { "a fractional rate", { newer, { "\"rate_per_s\": 250", "\"rate_per_s\": 249.5" } }, ExitCode::Ok,
+        "new.json: changed: tenants.large: rate_per_s: 250 -> 249.5\n"
+        "new.json: version 0000002b, in force 0000002a, 0 errors, 0 warnings, 1 difference\n" },
     { "no JSON: line and column, no difference", { newer, { "\"timeout_ms\": 2000,", "\"timeout_ms\": 2000" } }, ExitCode::InvalidFile,
         "new.json: error: expected a JSON object, found an error at line 9, column 13: Missing ',' or '}' in object declaration\n"
         "new.json: in force 0000002a, 1 error, 0 warnings\n" },
