--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -375,6 +375,7 @@
     page.gauge("buffered_bytes_peak", static_cast<double>(m_budget.peak()));
     page.gauge("buffered_bytes_limit", static_cast<double>(m_budget.limit()));
     page.counter("failed_total", static_cast<double>(counters.failed));
+    page.counter("unproven_rejections_total", static_cast<double>(counters.unprovenRejections));
     page.counter("cut_responses_total", static_cast<double>(counters.cut));
     page.counter("unknown_route_total", static_cast<double>(counters.unknownRoute));
     page.counter("unauthorized_total", static_cast<double>(counters.unauthorized));
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -53,6 +53,12 @@
         return status >= ServerError;
     }
 
+    // Statuses by which callers know that their request has not run and never will, so that they send it again even if it must not run twice.
+    bool promisesNotExecuted(int status)
+    {
+        return status == RequestTimeout || status == Misdirected || status == TooManyRequests || status == Unavailable;
+    }
+
 }
 
 RequestForwarder::RequestForwarder(RequestRouter& router, std::shared_ptr<Net::Exchange> exchange, RequestPlan plan)
@@ -617,8 +623,25 @@
     if (m_ended)
         return;
     auto keepAlive = shared_from_this();
-    auto attempt = finishAttempt(index);
-    auto& response = head.response;
+    onAttemptAnswered(finishAttempt(index), std::move(head.response));
+}
+
+RequestForwarder::AnswerUse RequestForwarder::answerUse(const Attempt& attempt, const Net::Response& response) const
+{
+    const auto& headers = response.headers;
+    auto isNotExecuted = (!attempt.isToPeer() && response.status == Misdirected) || Net::findHeader(headers, m_router.options().headers.notExecuted);
+    if (isNotExecuted)
+        return AnswerUse::Rejection;
+    // What another gateway refuses itself has not run.
+    auto isOfServer = !attempt.isToPeer() || Net::findHeader(headers, servedByHeader);
+    return !isSafeToRepeat() && isOfServer && promisesNotExecuted(response.status) ? AnswerUse::UnprovenRejection : AnswerUse::PassOn;
+}
+
+// Called when an attempt, which is not open any more, has got a response that is not passed on in parts.
+void RequestForwarder::onAttemptAnswered(const Attempt& attempt, Net::Response&& response)
+{
+    if (answerUse(attempt, response) == AnswerUse::UnprovenRejection)
+        return onUnprovenRejection(attempt, std::move(response));
     if (attempt.isToPeer())
         return onPeerAnswer(attempt, std::move(response));
     if (response.status == Misdirected) {
@@ -649,6 +672,22 @@
     respond(std::move(response), attempt);
 }
 
+// A server may have run the request before it failed with this status. Passed on, the status would have the caller send the request again.
+void RequestForwarder::onUnprovenRejection(const Attempt& attempt, Net::Response&& response)
+{
+    m_mayHaveExecuted = true;
+    if (attempt.isToPeer()) {
+        learnFromPeerResponse(response);
+    } else {
+        attempt.backend->learnFrom(response);
+        attempt.backend->recordFailure();
+    }
+    ++m_router.counters().unprovenRejections;
+    if (m_openAttempts > 0)
+        return; // another attempt may still be answered
+    fail(BadGateway, fmt::format("the server answered {} without stating that it did not execute the request", response.status));
+}
+
 void RequestForwarder::onPeerAnswer(const Attempt& attempt, Net::Response&& response)
 {
     auto notExecuted = Net::findHeader(response.headers, m_router.options().headers.notExecuted);
@@ -728,6 +767,12 @@
     if (m_ended || m_passedOn)
         return;
     auto keepAlive = shared_from_this();
+    if (answerUse(m_attempts[index], head.response) != AnswerUse::PassOn) {
+        // The rest of its body is not needed.
+        auto attempt = m_attempts[index];
+        closeAttempt(m_attempts[index]);
+        return onAttemptAnswered(attempt, std::move(head.response));
+    }
     m_passedOn = index;
     m_passedOnStatus = head.response.status;
     m_router.loop().cancel(m_probeTimer);
@@ -1073,7 +1118,7 @@
     exchange->respond({ .status = Unavailable, .reason = {}, .headers = std::move(headers), .body = {} });
 }
 
-void RequestForwarder::fail(int status, const char* cause)
+void RequestForwarder::fail(int status, const std::string& cause)
 {
     auto& router = m_router;
     ++router.counters().failed;
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -97,7 +97,17 @@
     void startAttempt(const Attempt&, std::string bytes);
     // Tells whether a response that comes over an attempt's connection answers this request.
     std::function<bool(const Net::ResponseHead&)> responseMatcher(bool isPeer) const;
+    // What becomes of a response.
+    enum class AnswerUse {
+        PassOn,
+        Rejection, // the server, or another gateway, states that the request has not run
+        UnprovenRejection, // the status would tell the caller so, but the server does not state it
+    };
+
+    AnswerUse answerUse(const Attempt&, const Net::Response&) const;
     void onAnswer(std::size_t attempt, Net::ResponseHead&&);
+    void onAttemptAnswered(const Attempt&, Net::Response&&);
+    void onUnprovenRejection(const Attempt&, Net::Response&&);
     void onFailure(std::size_t attempt, const Net::ClientFailure&);
     void retryOrGiveUpAfterFailure();
     // A response too long to be held is passed on while it arrives. No other attempt is possible from then on.
@@ -139,7 +149,7 @@
     void rejectCaller(Decisions::AuthenticationVerdict);
     // `isUnreachable`: this gateway reaches no server and has sent the request to none; tells a gateway that forwarded it.
     void respondRefused(const char* cause, const std::string& retryAfterS, bool isUnreachable);
-    void fail(int status, const char* cause);
+    void fail(int status, const std::string& cause);
     void onDeadline();
     void finish();
     bool isSafeToRepeat() const { return m_route.repeat == Records::Repeat::Safe; }
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -60,6 +60,7 @@
     std::uint64_t refused = 0; // answered with 503, not executed by any server
     std::uint64_t blocked = 0; // of the refused ones: requests that end the servers that run them
     std::uint64_t failed = 0; // answered with 502 or 504, or with 400, 408 or 413 in the middle of a streamed request body
+    std::uint64_t unprovenRejections = 0; // responses of servers whose status says "not executed" without the header that states it; not passed on
     std::uint64_t cut = 0; // of the failed ones: broken off in the middle of the response
     std::uint64_t refusedForMemory = 0; // of the refused ones
     std::uint64_t longBodies = 0; // requests whose body was streamed, refused ones included
