Gateway: late in a planned stop, what can't be answered is refused as not run

Cause: a stopping gateway ends connections by phases, but placed every request that it had read, whatever time was left.

Change: a request goes to a server or another gateway only if also a slow server (four times the expected time, at most the deadline) answers it before the end; else it is refused at once, or before the next attempt. A forwarded one goes back as 'unreachable', so that its gateway tries another. The process no longer waits up to 1 s for its signal thread after it has stopped.

ShutdownTest: the decision.

--- a/Source/Core/Cowslipledge/Main.cpp
+++ b/Source/Core/Cowslipledge/Main.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <stop_token>
 #include <system_error>
 #include <thread>
 
@@ -123,6 +124,10 @@
     Common::returnLargeBlocks();
     auto signals = blockSignals();
     sigaddset(&signals, SIGHUP);
+    // Ends the wait for signals when the daemon has stopped.
+    constexpr int wakeSignal = SIGUSR1;
+    sigaddset(&signals, wakeSignal);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     Gateway::Daemon daemon({
         .settings = *settings,
         .platform = PlatformAdapter::binding(),
@@ -132,12 +137,12 @@
     if (!daemon.open())
         return Operator::toInt(Operator::ExitCode::Failed);
     std::jthread signalThread([signals, &daemon](const std::stop_token& ended) {
-        constexpr timespec pollInterval { .tv_sec = 1, .tv_nsec = 0 };
+        std::stop_callback wake(ended, [thread = pthread_self()] { pthread_kill(thread, wakeSignal); });
         while (!ended.stop_requested()) {
-            auto signal = sigtimedwait(&signals, nullptr, &pollInterval);
+            auto signal = sigwaitinfo(&signals, nullptr);
             if (signal == SIGHUP)
                 daemon.reloadSettings();
-            else if (signal > 0)
+            else if (signal > 0 && signal != wakeSignal)
                 daemon.shutDown();
         }
     });
--- a/Source/Core/Decisions/Refusal.h
+++ b/Source/Core/Decisions/Refusal.h
@@ -17,6 +17,7 @@
     Outdated, // the configuration is too old to tell whether the API key is valid
     Allowance, // the organisation has used up its allowance
     Memory, // the gateway's memory for requests and responses is used up
+    Stopping, // the gateway stops before the request could be answered; others take it at once
 };
 
 struct RefusalInputs {
--- a/Source/Core/Decisions/Shutdown.cpp
+++ b/Source/Core/Decisions/Shutdown.cpp
@@ -1,7 +1,18 @@
 #include "Decisions/Shutdown.h"
 
+#include <algorithm>
+
 namespace Decisions {
 
+namespace {
+
+    // Of the slowest calls to the expected time: a busy host makes a server that much slower.
+    constexpr int slowestToExpected = 4;
+    // For the caller to read the response.
+    constexpr auto deliveryTime = std::chrono::milliseconds(200);
+
+}
+
 Shutdown::Shutdown(const ShutdownOptions& options)
     : m_options(options)
 {
@@ -37,4 +48,10 @@
     return m_phase;
 }
 
+bool completesWithin(Common::Duration timeLeft, const UnsentCall& call)
+{
+    auto needed = call.isWhole ? std::min(call.allowed, slowestToExpected * call.expected) : call.allowed;
+    return needed + deliveryTime <= timeLeft;
+}
+
 }
--- a/Source/Core/Decisions/Shutdown.h
+++ b/Source/Core/Decisions/Shutdown.h
@@ -31,6 +31,8 @@
     // Returns the present phase; phases never go back.
     ShutdownPhase advance(Common::TimePoint now, int callsInFlight, int connections);
     ShutdownPhase phase() const { return m_phase; }
+    // When calls and connections that are left are closed; set by begin().
+    Common::TimePoint end() const { return m_startTime + m_options.limit; }
 
 private:
     ShutdownOptions m_options;
@@ -39,4 +41,14 @@
     bool m_forced = false;
 };
 
+// A call that has not been sent to a server yet.
+struct UnsentCall {
+    Common::Duration expected {}; // time that the server needs
+    Common::Duration allowed {}; // until the call's deadline, which ends it in any case
+    bool isWhole = true; // false: the caller is still sending it
+};
+
+// Whether the call is likely to be answered within `timeLeft`, however much slower than expected the server is.
+bool completesWithin(Common::Duration timeLeft, const UnsentCall&);
+
 }
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "Decisions/Shutdown.h"
 #include "Gateway/ForwardedRequest.h"
 #include "Gateway/RequestIdentity.h"
 
@@ -43,6 +44,7 @@
     constexpr double rankJitter = 0.8;
     // Servers that did not answer their last probes rank behind nearly all others.
     constexpr double suspectPenaltyFactor = 20;
+    constexpr auto stoppingCause = "the gateway stops before the request could be answered";
     // A response counts as slow, and is logged, when it took longer than this share of the route's latency goal.
     constexpr double slowShareOfGoal = 1.0;
 
@@ -131,6 +133,13 @@
     return Common::toMilliseconds(m_deadline - m_router.loop().now());
 }
 
+bool RequestForwarder::completesBeforeStop(double expectedMs) const
+{
+    auto end = m_router.stopTime();
+    auto now = m_router.loop().now();
+    return !end || Decisions::completesWithin(*end - now, { .expected = Common::fromMilliseconds(expectedMs), .allowed = m_deadline - now, .isWhole = m_exchange->isBodyReceived() });
+}
+
 void RequestForwarder::start()
 {
     std::weak_ptr<RequestForwarder> weak = weak_from_this();
@@ -153,6 +162,8 @@
         ++m_router.counters().blocked;
         return refuse(RefusalReason::Blocked, 0);
     }
+    if (!completesBeforeStop(m_router.expectedServiceTimeMs(m_route)))
+        return refuse(RefusalReason::Stopping, 0);
     // The gateway that authenticates the caller counts it.
     if (m_authenticator != Authenticator::Receiver)
         m_router.countRequest(m_service);
@@ -403,6 +414,8 @@
             return;
         return giveUp("the best server's expected response time exceeds the deadline", RefusalReason::Busy, expectedMs - timeLeftMs());
     }
+    if (m_openAttempts == 0 && !completesBeforeStop(expectedMs))
+        return giveUp(stoppingCause, RefusalReason::Stopping, 0);
     // The servers that can't be reached may be better than the few left to choose from.
     if (!mayConnect && signal.failureShare > maxFailureShareBeforePeers && m_openAttempts == 0 && probePeers())
         return;
@@ -493,6 +506,8 @@
     auto& router = m_router;
     if (!confirmCaller())
         return;
+    if (m_openAttempts == 0 && !completesBeforeStop(router.expectedServiceTimeMs(m_route)))
+        return giveUp(stoppingCause, RefusalReason::Stopping, 0);
     auto isToReceiver = m_authenticator == Authenticator::Receiver;
     ++router.counters().forwarded;
     router.counters().forwardedAsOutdated += isToReceiver ? 1 : 0;
@@ -1074,7 +1089,7 @@
     auto pauseLeft = router.backends().pauseLeft(m_service);
     auto limitLeft = router.backends().limitLeft(m_service);
     // These are refused whatever the servers' state.
-    if (reason != RefusalReason::Blocked && reason != RefusalReason::Memory)
+    if (reason != RefusalReason::Blocked && reason != RefusalReason::Memory && reason != RefusalReason::Stopping)
         reason = pauseLeft ? RefusalReason::Paused : limitLeft ? RefusalReason::Limited
                                                                : reason;
     auto timeLeft = pauseLeft ? pauseLeft : limitLeft;
@@ -1093,9 +1108,10 @@
         : reason == RefusalReason::Shed               ? "shed"
         : reason == RefusalReason::Blocked            ? "servers ended under it"
         : reason == RefusalReason::Memory             ? "the memory for requests and responses is used up"
+        : reason == RefusalReason::Stopping           ? stoppingCause
         : reason == RefusalReason::NoReport           ? "no server answered a load probe"
                                                       : "the service has no usable server";
-    auto isUnreachable = m_attemptCount == 0 && (reason == RefusalReason::NoReport || reason == RefusalReason::NoServer);
+    auto isUnreachable = m_attemptCount == 0 && (reason == RefusalReason::NoReport || reason == RefusalReason::NoServer || reason == RefusalReason::Stopping);
     respondRefused(cause, fmt::format("{:.3f}", std::chrono::duration<double>(wait).count()), isUnreachable);
 }
 
--- a/Source/Core/Gateway/RequestForwarder.h
+++ b/Source/Core/Gateway/RequestForwarder.h
@@ -160,6 +160,8 @@
     // Ends the wait for probe results after `timeout`.
     void startProbeTimer(Common::Duration timeout);
     double timeLeftMs() const;
+    // Whether the request can still be answered if the gateway is stopping. `expectedMs`: response time of the server.
+    bool completesBeforeStop(double expectedMs) const;
     // The request, of a long body the start, with the time that is left and `extra`.
     std::string requestBytes(const Net::Header& extra) const;
     std::vector<Common::EventField> logFields(const char* outcome) const;
--- a/Source/UnitTests/Decisions/ShutdownTest.cpp
+++ b/Source/UnitTests/Decisions/ShutdownTest.cpp
@@ -79,3 +79,34 @@
         CHECK(shutdown.advance({}, callsInFlight, 1) == (callsInFlight == 0 ? ShutdownPhase::Stopped : ShutdownPhase::Forced));
     }
 }
+
+namespace {
+
+struct UnsentCase {
+    const char* name;
+    Decisions::UnsentCall call;
+    milliseconds timeLeft;
+    bool isCompleted;
+};
+
+const UnsentCase unsentCases[] = {
+    { "usual work, seconds left", { .expected = milliseconds(400), .allowed = milliseconds(4000) }, milliseconds(4000), true },
+    { "as slow as a busy host makes it, and the response has to be read", { .expected = milliseconds(400), .allowed = milliseconds(4000) }, milliseconds(1800), true },
+    { "a slow server would not be ready", { .expected = milliseconds(400), .allowed = milliseconds(4000) }, milliseconds(1799), false },
+    { "the deadline comes first", { .expected = milliseconds(1400), .allowed = milliseconds(1000) }, milliseconds(1200), true },
+    { "long work, cut before its deadline", { .expected = milliseconds(1400), .allowed = milliseconds(4000) }, milliseconds(4000), false },
+    { "the rest of the body may take until the deadline", { .expected = milliseconds(100), .allowed = milliseconds(3000), .isWhole = false }, milliseconds(3000), false },
+    { "the rest of the body has until the deadline", { .expected = milliseconds(100), .allowed = milliseconds(3000), .isWhole = false }, milliseconds(3200), true },
+    { "nothing left", { .expected = milliseconds(1), .allowed = milliseconds(1) }, milliseconds(0), false },
+};
+
+}
+
+// Guards against calls that are sent to a server late in a planned stop and are cut off at its end.
+TEST_CASE("A call is sent to a server during a shutdown only if also a slow one answers it before the end")
+{
+    for (const auto& row : unsentCases) {
+        CAPTURE(row.name);
+        CHECK(Decisions::completesWithin(row.timeLeft, row.call) == row.isCompleted);
+    }
+}
