StoreClient: responses of the store are bounded by the gateway's memory

Cause: each response of the store might take 32 MB, for three calls at a time, and a string is held twice while it grows.

Change: pages end at 8 MB, the operators' table at an eighth of memory_mb, 32 MB at most.

Test: StoreClientTest, six endless forms, by the bytes that the client takes.

--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -36,6 +36,8 @@
     // Events kept in memory. Few, since the log on standard output is what operators read.
     constexpr std::size_t eventRingSize = 64;
 
+    constexpr double bytesPerMb = 1024 * 1024;
+
     Decisions::ShutdownOptions shutdownOptions(int graceMs)
     {
         return {
@@ -72,12 +74,23 @@
 
     std::size_t bufferBytes(const Settings::GatewaySettings& settings)
     {
-        constexpr double bytesPerMb = 1024 * 1024;
         if (settings.memoryMb <= 0)
             return std::numeric_limits<std::size_t>::max();
         return static_cast<std::size_t>(settings.bufferShare * settings.memoryMb * bytesPerMb);
     }
 
+    // The share of the memory that one response of the store may take: it is held a second time while its buffer grows, and a third time as
+    // parsed JSON.
+    constexpr double configurationShare = 0.125;
+
+    Platform::StoreOptions storeOptions(const Settings::GatewaySettings& settings)
+    {
+        Platform::StoreOptions options { .address = settings.store };
+        if (settings.memoryMb > 0)
+            options.maxConfigurationBytes = std::min(options.maxConfigurationBytes, static_cast<std::size_t>(configurationShare * settings.memoryMb * bytesPerMb));
+        return options;
+    }
+
     Net::Response textResponse(int status, std::string body)
     {
         return { .status = status, .reason = {}, .headers = { { "Content-Type", "text/plain" } }, .body = std::move(body) };
@@ -144,8 +157,8 @@
               .serverHeartbeat = std::chrono::milliseconds(m_options.settings.serverHeartbeatMs),
           })
     , m_catalogSync(m_loop, m_log, m_catalog, m_members, m_router.crashSuspects(), m_router.allowances(),
-          m_options.platform.openStore(m_loop, m_options.settings.store),
-          m_options.platform.openStore(m_loop, m_options.settings.store),
+          m_options.platform.openStore(m_loop, storeOptions(m_options.settings)),
+          m_options.platform.openStore(m_loop, storeOptions(m_options.settings)),
           {
               .seeds = m_options.settings.seeds,
               .reader = { .registryTable = m_options.platform.decoder.registryTable, .operatorTable = m_options.platform.decoder.operatorTable },
--- a/Source/Core/Gateway/Daemon.h
+++ b/Source/Core/Gateway/Daemon.h
@@ -31,7 +31,7 @@
     std::function<Net::Response(const std::vector<std::string>& addresses, Common::Duration ttl)> directoryAnswer;
     std::size_t maxAddresses = 64; // in one directory response
     // Creates a client of the store. Clients don't share connections.
-    std::function<Platform::AsyncTable(Net::EventLoop&, const std::string& address)> openStore;
+    std::function<Platform::AsyncTable(Net::EventLoop&, const Platform::StoreOptions&)> openStore;
 };
 
 struct DaemonOptions {
--- a/Source/Core/Platform/AsyncTable.h
+++ b/Source/Core/Platform/AsyncTable.h
@@ -52,6 +52,12 @@
     std::uint64_t expected = 0;
 };
 
+struct StoreOptions {
+    std::string address; // ip:port
+    // Of a response with the operators' table, which holds the configuration; a longer one fails the call.
+    std::size_t maxConfigurationBytes = std::size_t { 32 } * 1024 * 1024;
+};
+
 // Non-blocking access to the platform's store. Each call invokes its callback exactly once, on the caller's event loop, unless
 // cancel() comes first.
 struct AsyncTable {
--- a/Source/UnitTests/PlatformAdapter/StoreClientTest.cpp
+++ b/Source/UnitTests/PlatformAdapter/StoreClientTest.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include "Backends/ScriptedServer.h"
+#include "platform/Names.h"
 #include "platform/StandIn/LoopThread.h"
 #include "platform/StandIn/Store.h"
 
@@ -25,7 +26,7 @@
     {
         thread.call([&] {
             store = std::make_unique<Store>(thread.loop());
-            table = PlatformAdapter::openStore(thread.loop(), store->address());
+            table = PlatformAdapter::openStore(thread.loop(), { .address = store->address() });
         });
     }
     ~StoreFixture()
@@ -142,7 +143,7 @@
     UnitTests::ScriptedServer server({ { UnitTests::ReadRequest {}, UnitTests::SendBytes { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body }, UnitTests::WaitForClient {} } });
     PlatformStandIn::LoopThread thread;
     std::promise<Platform::RowsRead> result;
-    auto table = thread.call([&] { return PlatformAdapter::openStore(thread.loop(), server.address()); });
+    auto table = thread.call([&] { return PlatformAdapter::openStore(thread.loop(), { .address = server.address() }); });
     thread.call([&] { table.readAll("t", [&](const Platform::RowsRead& read) { result.set_value(read); }); });
     auto read = result.get_future().get();
     thread.call([&] { table = {}; });
@@ -167,3 +168,46 @@
     CHECK(read.rows[0].value == "");
     CHECK(read.rows[2].value == "a");
 }
+
+namespace {
+
+struct EndlessStoreCase {
+    std::string what;
+    std::string table;
+    std::string begin; // of the response
+    std::string repeated; // until the client closes
+    std::size_t maxBytes; // that the client may take
+};
+
+constexpr std::size_t megabyte = 1024 * 1024;
+constexpr std::size_t configurationBytes = 12 * megabyte;
+constexpr std::size_t pageBytes = 8 * megabyte;
+const std::string filler = std::string(64 * 1024, '1');
+
+const EndlessStoreCase endlessStoreCases[] = {
+    { "body of the operators' table", PlatformAdapter::Names::operatorTable, "HTTP/1.1 200 OK\r\n\r\n", filler, configurationBytes },
+    { "chunks of the operators' table", PlatformAdapter::Names::operatorTable, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + filler + "\r\n", configurationBytes },
+    { "body of another table", "t", "HTTP/1.1 200 OK\r\n\r\n", filler, pageBytes },
+    { "length beyond the limit", "t", "HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n", filler, pageBytes },
+    { "head", "t", "HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n", pageBytes },
+    { "bytes that are no response", "t", "", filler, pageBytes },
+};
+
+}
+
+// Guards against a gateway that runs out of memory, with its callers' requests, as the store sends bytes without end.
+TEST_CASE("A response of the store without end is given up after bounded bytes")
+{
+    constexpr std::size_t socketBuffers = 8 * megabyte;
+    for (const auto& row : endlessStoreCases) {
+        CAPTURE(row.what);
+        UnitTests::ScriptedServer server({ { UnitTests::ReadRequest {}, UnitTests::SendBytes { row.begin }, UnitTests::Flood { row.repeated } } });
+        PlatformStandIn::LoopThread thread;
+        std::promise<Platform::RowsRead> result;
+        auto table = thread.call([&] { return PlatformAdapter::openStore(thread.loop(), { .address = server.address(), .maxConfigurationBytes = configurationBytes }); });
+        thread.call([&] { table.readAll(row.table, [&](const Platform::RowsRead& read) { result.set_value(read); }); });
+        CHECK(result.get_future().get().state == ReadState::Unavailable);
+        CHECK(server.flooded() <= row.maxBytes + socketBuffers);
+        thread.call([&] { table = {}; });
+    }
+}
