UnprovenRejectionTest: the same by way of another gateway

The stand-in server has a mode that executes a request and then answers 503 without the header. Passes on this commit: the gateway that makes the attempts answers 502.

--- a/Source/UnitTests/Gateway/UnprovenRejectionTest.cpp
+++ b/Source/UnitTests/Gateway/UnprovenRejectionTest.cpp
@@ -79,3 +79,27 @@
         }
     }
 }
+
+// The same by way of another gateway, which serves callers of a gateway that is cut off from all servers.
+TEST_CASE("A 503 that a server does not state as not executed reaches no caller by way of another gateway either")
+{
+    Fleet fleet(2, 20720);
+    REQUIRE(fleet.waitReady());
+    fleet.cut(0, CutKind::Silent);
+    CHECK(eventually([&] {
+        fleet.gateway(0).call(requestBytes("GET", "/safe/x", "learn", 300));
+        return Fleet::metric(fleet.gateway(0), "unreachable_services") == 1;
+    }));
+    fleet.fixture().thread.call([&] {
+        for (auto& server : fleet.fixture().servers)
+            server->setMode(PlatformStandIn::ServerMode::FailsUnavailable);
+    });
+    for (std::size_t bodyBytes : { 4, 900'000 }) {
+        CAPTURE(bodyBytes);
+        auto id = "hop" + std::to_string(bodyBytes);
+        auto before = Fleet::metric(fleet.gateway(0), "forwarded_total").value_or(0);
+        CHECK(fleet.gateway(0).call(requestBytes("POST", "/once/x", id, 3000, std::string(bodyBytes, 'p'))).status == 502);
+        CHECK(Fleet::metric(fleet.gateway(0), "forwarded_total") == before + 1);
+        CHECK(fleet.runs(id) == 1);
+    }
+}
