--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -531,18 +531,17 @@
 
 std::function<bool(const Net::ResponseHead&)> RequestForwarder::responseMatcher(bool isPeer) const
 {
-    // A late response to an earlier request on the connection has another request id, one to a load probe has none. Servers repeat the id
-    // of a request that they reject, and a rejection is believed only then: a copy of a probe's would pass for that of a request
-    // which the server runs. 421 is never the response to a load probe, which names no server.
+    // Servers repeat the id of a request in each response to it. One with another id answers an earlier request, one without any a load probe, or
+    // it is bytes of a faulty server that belong to no request. Other gateways name no id in what they answer themselves, and in answers
+    // to load probes they name themselves.
     return [id = m_id, isPeer, &names = m_router.options().headers](const Net::ResponseHead& head) {
         const auto& headers = head.response.headers;
         if (auto echoed = Net::findHeader(headers, names.requestId))
             return *echoed == id;
-        if (head.response.status == Misdirected)
-            return true;
-        if (Net::findHeader(headers, names.notExecuted))
-            return isPeer || id.empty();
-        return !Net::findHeader(headers, names.instanceId);
+        if (!isPeer && !id.empty())
+            return false;
+        auto isOfRequest = head.response.status == Misdirected || Net::findHeader(headers, names.notExecuted);
+        return isOfRequest || !Net::findHeader(headers, names.instanceId);
     };
 }
 
--- a/Source/UnitTests/Gateway/RequestPathTest.cpp
+++ b/Source/UnitTests/Gateway/RequestPathTest.cpp
@@ -1,6 +1,7 @@
 #include "ScriptedFleet.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 namespace {
 
@@ -141,10 +142,16 @@
 const std::string rejectedProbe = std::string("HTTP/1.1 503 Busy\r\n") + Names::notExecuted + ": 1\r\n" + Names::instanceId + ": raw\r\nContent-Length: 0\r\n\r\n";
 const std::string rejectionWithoutIds = std::string("HTTP/1.1 503 Busy\r\n") + Names::notExecuted + ": 1\r\nContent-Length: 0\r\n\r\n";
 const std::string rejectionOfOther = std::string("HTTP/1.1 503 Busy\r\n") + Names::notExecuted + ": 1\r\n" + Names::requestId + ": other\r\nContent-Length: 0\r\n\r\n";
-const std::string ownAnswer = std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": raw1\r\nContent-Length: 5\r\n\r\nwhole";
+const std::string ownId = std::string(Names::requestId) + ": raw1\r\n";
+const std::string ownAnswer = "HTTP/1.1 200 OK\r\n" + ownId + "Content-Length: 5\r\n\r\nwhole";
+
+std::string foreignAnswer(int status, std::size_t bytes = 7)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", status, bytes, std::string(bytes, 'f'));
+}
 
 const RawCase rawCases[] = {
-    { "body delimited by the end of the connection", "HTTP/1.1 200 OK\r\n\r\nwhole", "/safe/x", 200, true },
+    { "body delimited by the end of the connection", "HTTP/1.1 200 OK\r\n" + ownId + "\r\nwhole", "/safe/x", 200, true },
     { "body shorter than Content-Length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", "/once/x", 502, true },
     { "not HTTP", "hello\r\n\r\n", "/once/x", 502, true },
     { "empty answer", "", "/once/x", 502, true },
@@ -169,9 +176,28 @@
     { "control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
     { "name that is no token", "HTTP/1.1 200 OK\r\nX(Odd): 1\r\nContent-Length: 5\r\n\r\nwhole", "/once/x", 502, false },
     { "length beside chunks", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "/once/x", 502, false },
-    { "extra bytes after the answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "/safe/x", 200, false },
+    { "extra bytes after the answer", ownAnswer + foreignAnswer(200), "/safe/x", 200, false },
+    // Such bytes belong to no request: servers repeat the id in each response.
+    { "an answer without an id comes first", foreignAnswer(200) + ownAnswer, "/once/x", 200, false },
+    { "an answer without an id comes first, safe to repeat", foreignAnswer(200) + ownAnswer, "/safe/x", 200, false },
+    { "a failure without an id comes first", foreignAnswer(500) + ownAnswer, "/once/x", 200, false },
+    { "a status 404 without an id comes first", foreignAnswer(404) + ownAnswer, "/once/x", 200, false },
+    { "a status 503 without an id comes first", foreignAnswer(503) + ownAnswer, "/once/x", 200, false },
+    { "a status 421 without an id comes first", foreignAnswer(421) + ownAnswer, "/once/x", 200, false },
+    { "several answers without an id come first", foreignAnswer(200) + foreignAnswer(200) + ownAnswer, "/once/x", 200, false },
+    { "a long answer without an id comes first", foreignAnswer(200, 100'000) + ownAnswer, "/once/x", 200, false },
+    { "nothing but an answer without an id", foreignAnswer(200), "/once/x", 502, true },
+    { "nothing but an answer without an id, which closes", "HTTP/1.1 400 Bad\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "/once/x", 502, true },
 };
 
+UnitTests::Script rawScript(const RawCase& row, std::chrono::milliseconds probeDelay)
+{
+    using namespace UnitTests;
+    if (row.closes)
+        return { ReadRequest {}, Delay { probeDelay }, SendBytes { health }, ReadRequest {}, SendBytes { row.answer }, CloseConnection {} };
+    return { ReadRequest {}, Delay { probeDelay }, SendBytes { health }, ReadRequest {}, SendBytes { row.answer }, WaitForClient {} };
+}
+
 // A server that answers load probes late must not change the outcome, so the gateway's clock is slow: with the system's, its limit for
 // the first answer to a load probe, 60 ms, expired on a busy machine, and the request was refused.
 TEST_CASE("Unusual and malformed server responses")
@@ -181,13 +207,7 @@
     for (const auto& row : rawCases) {
         CAPTURE(row.what);
         using namespace UnitTests;
-        Script script { ReadRequest {}, SendBytes { health }, ReadRequest {}, SendBytes { row.answer } };
-        script.insert(script.begin() + 1, Delay { probeDelay });
-        if (row.closes)
-            script.push_back(CloseConnection {});
-        else
-            script.push_back(WaitForClient {});
-        ScriptedServer server({ script });
+        ScriptedServer server({ rawScript(row, probeDelay) });
         GatewayFixture fixture(0);
         fixture.thread.call([&] { fixture.store->put(Names::registryTable, "raw", registeredAt(fixture, server.address())); });
         auto gateway = fixture.gateway(UnitTests::slowClock(clockFactor));
@@ -220,7 +240,7 @@
     for (const auto& row : lateProbeCases) {
         CAPTURE(row.what);
         using namespace UnitTests;
-        ScriptedServer server({ { ReadRequest {}, Delay { row.delay }, SendBytes { health }, ReadRequest {}, SendBytes { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" } } });
+        ScriptedServer server({ { ReadRequest {}, Delay { row.delay }, SendBytes { health }, ReadRequest {}, SendBytes { std::string("HTTP/1.1 200 OK\r\n") + Names::requestId + ": late\r\nContent-Length: 5\r\n\r\nwhole" } } });
         GatewayFixture fixture(0);
         fixture.thread.call([&] { fixture.store->put(Names::registryTable, "raw", registeredAt(fixture, server.address())); });
         auto gateway = fixture.gateway();
