--- a/Source/Core/Gateway/Configuration.h
+++ b/Source/Core/Gateway/Configuration.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "Common/NameTable.h"
 #include "Gateway/Organisations.h"
 #include "Net/HttpServer.h"
 #include "Records/ServiceRecord.h"
@@ -64,12 +62,6 @@
     Configuration,
 };
 
-inline constexpr std::array errorScopeNames {
-    Common::EnumName<ErrorScope> { ErrorScope::Field, "field" },
-    Common::EnumName<ErrorScope> { ErrorScope::Entry, "entry" },
-    Common::EnumName<ErrorScope> { ErrorScope::Configuration, "configuration" },
-};
-
 // An error in the operators' text of a configuration.
 struct ConfigurationError {
     std::string entry; // as the operators write it: the object's name, a dot, the entry's name; empty: the whole text
