Deploy build: objects of other sources are not linked

Cause (suspected, not proved to be theirs): new sources laid over a kept build folder with the times of their commits are older than its objects.

Change: the configure step records the hashes of the sources, and removes the objects if a source differs from the record without being newer, or if there is no record.

Test: StaleObjectsTest.cmake.

--- /dev/null
+++ b/Source/UnitTests/StaleObjectsTest.cmake
@@ -0,0 +1,33 @@
+# Guards against a program that is linked from the objects of an older version, since they are newer than the sources laid over it.
+# Run by cmake -P with SCRIPT, the script under test, and FOLDER, an empty folder.
+cmake_minimum_required(VERSION 3.25)
+set(CMAKE_SOURCE_DIR ${FOLDER}/sources)
+set(CMAKE_BINARY_DIR ${FOLDER}/build)
+set(source ${CMAKE_SOURCE_DIR}/Source/Core/File.cpp)
+set(object ${CMAKE_BINARY_DIR}/Source/File.o)
+
+# `age`: of the source against the record: older or newer.
+function(check what content age isKept)
+    file(WRITE ${source} "${content}")
+    file(WRITE ${object} "object")
+    if(age STREQUAL older)
+        execute_process(COMMAND touch -d "2001-01-01" ${source} COMMAND_ERROR_IS_FATAL ANY)
+    else()
+        execute_process(COMMAND touch -d "+1 hour" ${source} COMMAND_ERROR_IS_FATAL ANY)
+    endif()
+    include(${SCRIPT})
+    set(exists FALSE)
+    if(EXISTS ${object})
+        set(exists TRUE)
+    endif()
+    if(NOT exists STREQUAL isKept)
+        message(FATAL_ERROR "${what}: objects kept: ${exists}, expected ${isKept}")
+    endif()
+endfunction()
+
+file(REMOVE_RECURSE ${FOLDER})
+check("a folder without a record" "one" older FALSE)
+check("nothing has changed" "one" older TRUE)
+check("an older source with other content" "two" older FALSE)
+check("nothing has changed since" "two" older TRUE)
+check("an edit, which Ninja sees itself" "three" newer TRUE)
--- /dev/null
+++ b/Tools/StaleObjects.cmake
@@ -0,0 +1,26 @@
+# Removes the objects of a build folder that were made from other sources. Ninja goes by times: sources that were laid over an older
+# checkout with the times of their commits are older than its objects, and the program would be linked from those without an error.
+set(record ${CMAKE_BINARY_DIR}/source-hashes.txt)
+set(before "")
+if(EXISTS ${record})
+    file(STRINGS ${record} before)
+endif()
+file(GLOB_RECURSE sources
+    ${CMAKE_SOURCE_DIR}/Source/Core/*.h ${CMAKE_SOURCE_DIR}/Source/Core/*.cpp ${CMAKE_SOURCE_DIR}/platform/*.h ${CMAKE_SOURCE_DIR}/platform/*.cpp)
+set(hashes "")
+set(isStale FALSE)
+foreach(source IN LISTS sources)
+    file(SHA256 ${source} hash)
+    file(RELATIVE_PATH name ${CMAKE_SOURCE_DIR} ${source})
+    list(APPEND hashes "${hash} ${name}")
+    # Ninja itself sees a change that is newer than the record.
+    if(NOT "${hash} ${name}" IN_LIST before AND (NOT EXISTS ${record} OR ${record} IS_NEWER_THAN ${source}))
+        set(isStale TRUE)
+    endif()
+endforeach()
+if(isStale AND EXISTS ${CMAKE_BINARY_DIR}/Source)
+    message(STATUS "The objects in ${CMAKE_BINARY_DIR} are of other sources: all are built again")
+    file(REMOVE_RECURSE ${CMAKE_BINARY_DIR}/Source ${CMAKE_BINARY_DIR}/platform)
+endif()
+list(JOIN hashes "\n" text)
+file(WRITE ${record} "${text}\n")
