Gateway: a long body under way when a planned stop begins is still sent to a server

Cause: refuses a request whose body is not whole if it may take longer than the stop; the request had come just before the stop and not been sent to a server yet. Such a request is served as before.

--- a/Source/Core/Gateway/Daemon.cpp
+++ b/Source/Core/Gateway/Daemon.cpp
@@ -475,7 +475,7 @@
         { { "in_flight", std::to_string(m_callers.inFlight()) }, { "connections", std::to_string(m_callers.connections()) } });
     flushLog();
     m_shutdown.begin(m_loop.now());
-    m_router.setStopTime(m_shutdown.end());
+    m_router.setStopPeriod({ .begin = m_loop.now(), .end = m_shutdown.end() });
     m_callers.startDraining();
     m_forwarding.startDraining();
     m_members.setServing(false);
--- a/Source/Core/Gateway/RequestForwarder.cpp
+++ b/Source/Core/Gateway/RequestForwarder.cpp
@@ -135,9 +135,13 @@
 
 bool RequestForwarder::completesBeforeStop(double expectedMs) const
 {
-    auto end = m_router.stopTime();
+    const auto& stop = m_router.stopPeriod();
+    auto isWhole = m_exchange->isBodyReceived();
+    // A body that was under way when the stop began is completed.
+    if (!stop || (!isWhole && m_exchange->received() <= stop->begin))
+        return true;
     auto now = m_router.loop().now();
-    return !end || Decisions::completesWithin(*end - now, { .expected = Common::fromMilliseconds(expectedMs), .allowed = m_deadline - now, .isWhole = m_exchange->isBodyReceived() });
+    return Decisions::completesWithin(stop->end - now, { .expected = Common::fromMilliseconds(expectedMs), .allowed = m_deadline - now, .isWhole = isWhole });
 }
 
 void RequestForwarder::start()
--- a/Source/Core/Gateway/RequestRouter.h
+++ b/Source/Core/Gateway/RequestRouter.h
@@ -50,6 +50,12 @@
     std::optional<Organisation> organisation; // empty on public routes and where the configuration has no organisations
 };
 
+// Of a planned stop of the gateway.
+struct StopPeriod {
+    Common::TimePoint begin;
+    Common::TimePoint end;
+};
+
 struct RequestCounters {
     std::uint64_t requests = 0; // of callers
     std::uint64_t forwarded = 0; // sent to other gateways
@@ -107,9 +113,9 @@
     bool needsKeys() const { return m_configuration && !m_configuration->organisations.empty(); }
     // Whether keys in the configuration may have been revoked for too long, so that no request that needs one is served.
     bool isConfigurationOutdated() const;
-    // The gateway is stopping: requests that are not answered by then are cut off.
-    void setStopTime(Common::TimePoint time) { m_stopTime = time; }
-    std::optional<Common::TimePoint> stopTime() const { return m_stopTime; }
+    // The gateway stops: requests that are not answered by the end are cut off.
+    void setStopPeriod(const StopPeriod& period) { m_stopPeriod = period; }
+    const std::optional<StopPeriod>& stopPeriod() const { return m_stopPeriod; }
     CallerIdentity identify(const Net::Request&, const Route&) const;
     // Answers a request that identify() does not let pass. `notExecuted`: of a 503 to another gateway, the value of the header "not executed".
     void rejectCaller(const std::shared_ptr<Net::Exchange>&, const Route&, Decisions::AuthenticationVerdict, const char* notExecuted = "");
@@ -159,7 +165,7 @@
     RequestRouterOptions m_options;
     int m_gatewayCount = 1;
     std::shared_ptr<const Configuration> m_configuration;
-    std::optional<Common::TimePoint> m_stopTime;
+    std::optional<StopPeriod> m_stopPeriod;
     std::set<std::string> m_unknownKinds; // kinds of routes that were logged as unknown
     std::map<std::string, Decisions::WeightedSplit> m_splits; // by route
     std::map<std::string, Decisions::WindowedRetryBudget> m_retryBudgets; // by service
